--- /dev/null
+++ b/ringledge/__init__.py
@@ -0,0 +1,3 @@
+"""ringledge: a conductor on real sockets around the decisions of crowstand."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/ringledge/cli.py
@@ -0,0 +1,53 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import sys
+
+import anyio
+import click
+
+from ringledge import __version__
+from ringledge.lifecycle import config as configuration
+from ringledge.lifecycle import serve as serving
+from ringledge.lifecycle.logging import LEVELS, log
+
+
+@click.group(invoke_without_command=True)
+@click.pass_context
+def main(context: click.Context) -> None:
+    """A conductor between clients and the readers and writers of a language model."""
+    if context.invoked_subcommand is None:
+        context.invoke(serve)
+
+
+@main.command()
+@click.option("--log-level", type=click.Choice(LEVELS), default="info", envvar="RINGLEDGE_LOG_LEVEL")
+def serve(log_level: str = "info") -> None:
+    """Serve (the default), by RELAY_CONFIG and the files under deploy/."""
+    config = _load()
+    log.configure(log_level, config.name)
+    anyio.run(serving.serve, config)
+
+
+@main.command()
+def check_config() -> None:
+    """Read the configuration, say what it holds, and exit."""
+    config = _load()
+    known = len(config.known["endpoints"])
+    click.echo(f"{config.name}: listens at {config.listen}, discovery at {config.discovery}")
+    click.echo(f"classes {', '.join(config.names.classes)}; {known} servers known")
+
+
+@main.command()
+def version() -> None:
+    """Print the version."""
+    click.echo(f"ringledge {__version__}")
+
+
+def _load() -> configuration.Config:
+    try:
+        return configuration.load()
+    except configuration.ConfigError as error:
+        click.echo(f"configuration: {error}", err=True)
+        sys.exit(2)
--- /dev/null
+++ b/ringledge/core/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, attempts and outcomes; no wire is known here."""
--- /dev/null
+++ b/ringledge/core/conductor.py
@@ -0,0 +1,141 @@
+"""The conductor: gives one policy its events and carries its actions out, stage by stage."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from itertools import count
+
+import anyio
+
+from crowstand import interface as i
+from crowstand.policy import Policy
+from ringledge.core.clock import Clock
+from ringledge.core.desk import Desk
+from ringledge.core.ledger import Attempt, Ledger, Record
+from ringledge.core.port import Caller, Payload, Servers
+from ringledge.core.stages import admit, book, relay, route, send, take_in
+from ringledge.lifecycle.logging import log
+from ringledge.memory.metrics import Metrics
+from ringledge.memory.servers import ServerList
+
+
+class Conductor:
+    """Owns time, timers and the ledger; every choice of a server is the policy's."""
+
+    def __init__(
+        self,
+        settings: i.Settings,
+        seed: int,
+        clock: Clock,
+        servers: ServerList,
+        metrics: Metrics,
+        port: Servers,
+    ) -> None:
+        self.policy = Policy(settings, seed)
+        self.clock = clock
+        self.ledger = Ledger()
+        self.desk = Desk(settings, clock, self.ledger, servers, metrics, port, self._tell)
+        self._events: deque[i.Event] = deque()
+        self._busy = False
+        self._timers: list[tuple[float, int, str]] = []
+        self._numbers = count()
+        self._wake = anyio.Event()
+
+    # What the wires report.
+
+    def take(self, request: i.Request, payload: Payload, caller: Caller) -> Record:
+        """Take a client's request in; its one final answer comes through the caller."""
+        record = take_in.take_in(self.desk, request, payload, caller)
+        admit.admit(self.desk, record)
+        self.desk.metrics.open_requests.set(len(self.ledger.records))
+        return record
+
+    def client_gone(self, record: Record) -> None:
+        """The client has closed its connection."""
+        take_in.client_gone(self.desk, record)
+
+    def members(self, members: i.Members, addresses: dict[str, str]) -> None:
+        """News of the list; it goes before all else that waits, so that a drain is never overtaken."""
+        self.desk.servers.apply(members, addresses)
+        self._events.appendleft(members)
+        self._work()
+
+    def first(self, attempt: Attempt) -> bool:
+        """An answer has started; False where nobody takes it any more."""
+        return relay.begin(self.desk, attempt)
+
+    async def piece(self, attempt: Attempt, data: bytes) -> None:
+        """A piece of an answer has come."""
+        await relay.pass_on(attempt, data)
+
+    def outcome(self, attempt: Attempt, status: i.Status, note: int = 0, load: i.Load | None = None) -> None:
+        """An attempt has ended."""
+        book.outcome(self.desk, attempt, status, note, load)
+
+    def probed(self, probed: i.Probed) -> None:
+        """A probe has been answered, or not."""
+        self._tell(probed)
+
+    # Time.
+
+    async def run_timers(self) -> None:
+        """Ring each timer when it falls due."""
+        while True:
+            now_ms = self.clock.now_ms()
+            while self._timers and self._timers[0][0] <= now_ms:
+                due_ms, _, token = heapq.heappop(self._timers)
+                self.desk.metrics.lag.set((now_ms - due_ms) / 1000)
+                self._tell(i.Timer(token))
+            self._wake = anyio.Event()
+            wait_s = (self._timers[0][0] - self.clock.now_ms()) / 1000 if self._timers else 60.0
+            with anyio.move_on_after(max(0.0, wait_s)):
+                await self._wake.wait()
+
+    # Events to the policy, actions to the stages.
+
+    def _tell(self, event: i.Event) -> None:
+        self._events.append(event)
+        self._work()
+
+    def _work(self) -> None:
+        """Feed the events one by one; what an action brings about waits its turn behind them."""
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                for action in self.policy.handle(self.clock.now_ms(), event):
+                    self._carry_out(action)
+        finally:
+            self._busy = False
+
+    def _carry_out(self, action: i.Action) -> None:
+        match action:
+            case i.Send():
+                attempt = route.route(self.desk, action)
+                if attempt is not None:
+                    send.send(self.desk, attempt)
+            case i.SetTimer(at_ms, token):
+                heapq.heappush(self._timers, (at_ms, next(self._numbers), token))
+                if self._timers[0][2] == token:
+                    self._wake.set()
+            case i.Refuse():
+                admit.refuse(self.desk, action)
+            case i.Fail():
+                admit.fail(self.desk, action)
+            case i.Cancel():
+                send.cancel(self.desk, action)
+            case i.Release(name):
+                record = self.ledger.records.get(name)
+                if record is not None:
+                    book.release(self.desk, record)
+            case i.Probe(server):
+                self.desk.port.probe(server)
+            case i.AskMembers():
+                self.desk.port.ask_members()
+            case i.Subscribe():
+                pass  # discovery is watched from the start, whether or not it is asked for
+            case i.Log(text):
+                log.info("policy", text=text)
--- /dev/null
+++ b/ringledge/core/desk.py
@@ -0,0 +1,26 @@
+"""What the stages share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from crowstand import interface as i
+from ringledge.core.clock import Clock
+from ringledge.core.ledger import Ledger
+from ringledge.core.port import Servers
+from ringledge.memory.metrics import Metrics
+from ringledge.memory.servers import ServerList
+
+
+@dataclass(slots=True)
+class Desk:
+    """The conductor's tools, handed to each stage."""
+
+    settings: i.Settings
+    clock: Clock
+    ledger: Ledger
+    servers: ServerList
+    metrics: Metrics
+    port: Servers
+    tell: Callable[[i.Event], None]  # gives an event to the policy
--- /dev/null
+++ b/ringledge/core/ledger.py
@@ -0,0 +1,74 @@
+"""The ledger: every open request, its attempts, and how each ended."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from crowstand import interface as i
+from ringledge.core.port import Caller, Payload
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send of a request to one server; it gets exactly one outcome."""
+
+    record: Record
+    number: int
+    server: str
+    reads: bool  # the server is a reader: a state may be left there
+    sent_ms: float
+    ends_ms: float  # clock reading at which it is timed out, unless it has begun
+    written: bool = False  # the request's last byte is on its way: it may run from here on
+    began: bool = False  # the first token has come: the attempt is the client's
+    outcome: i.Status | None = None
+
+    @property
+    def out(self) -> bool:
+        """Whether its outcome has yet to come."""
+        return self.outcome is None
+
+
+@dataclass(slots=True, eq=False)
+class Record:
+    """One request, from its arrival until the last of its attempts has an outcome."""
+
+    request: i.Request
+    payload: Payload  # the request's text as it came; the core only hands it on
+    caller: Caller
+    arrived_ms: float
+    attempts: list[Attempt] = field(default_factory=list)
+    holders: set[str] = field(default_factory=set)  # servers where a read state may wait
+    over: bool = False  # its final answer is given, or its client has gone
+    began: bool = False
+
+    @property
+    def name(self) -> str:
+        """The request's id."""
+        return self.request.request
+
+    @property
+    def deadline_ms(self) -> float:
+        """Clock reading at which the client gives this try up."""
+        return self.arrived_ms + self.request.expires_in_ms
+
+    @property
+    def done(self) -> bool:
+        """Whether its answer is given and no attempt is out."""
+        return self.over and not any(attempt.out for attempt in self.attempts)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt was written to a server that answers, and is not proved never to have run."""
+        never = (i.Status.READ, i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.MOOT)
+        return any(a.written and not a.reads and a.outcome not in never for a in self.attempts)
+
+
+class Ledger:
+    """The open requests by id."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, Record] = {}
+
+    def open(self, record: Record) -> None:
+        """Enter a request."""
+        self.records[record.name] = record
--- /dev/null
+++ b/ringledge/core/stages/book.py
@@ -0,0 +1,53 @@
+"""Book: enter how an attempt ended, end the request with it where it does, and let go of what is held."""
+
+from __future__ import annotations
+
+from crowstand import interface as i
+from ringledge.core.desk import Desk
+from ringledge.core.ledger import Attempt, Record
+
+# Ends of a read that may have crossed its 202: the state that it left is held like any other.
+CROSSED = (i.Status.CANCELLED, i.Status.TIMEOUT, i.Status.RESET)
+
+
+def outcome(
+    desk: Desk, attempt: Attempt, status: i.Status, note: int = 0, load: i.Load | None = None
+) -> None:
+    """Enter the attempt's one outcome; a second one is dropped."""
+    if not attempt.out:
+        return
+    attempt.outcome = status
+    record = attempt.record
+    ends = status == i.Status.OK or attempt.began
+    if ends and not record.over:
+        record.over = True
+        whole = status == i.Status.OK
+        desk.metrics.answers.labels("served" if whole else "broken").inc()
+        (record.caller.finish if whole else record.caller.break_off)()
+    if status == i.Status.READ:
+        record.holders.add(attempt.server)
+    elif status == i.Status.FULL and note == 1:
+        record.holders.clear()
+    elif attempt.reads and attempt.written and status in CROSSED:
+        desk.port.release(record.name, attempt.server)
+    desk.metrics.outcomes.labels(status.value).inc()
+    latency_ms = desk.clock.now_ms() - attempt.sent_ms
+    desk.tell(
+        i.Outcome(record.name, attempt.number, attempt.server, status, latency_ms, record.over, note, load)
+    )
+    close(desk, record)
+
+
+def release(desk: Desk, record: Record) -> None:
+    """Let go of the request's read state wherever it may wait."""
+    for server in sorted(record.holders):
+        desk.port.release(record.name, server)
+    record.holders.clear()
+
+
+def close(desk: Desk, record: Record) -> None:
+    """Strike a request that is done. Whatever is still held for it would stay pinned, so it goes too."""
+    if record.done:
+        release(desk, record)
+        desk.ledger.records.pop(record.name, None)
+        desk.metrics.open_requests.set(len(desk.ledger.records))
--- /dev/null
+++ b/ringledge/core/stages/relay.py
@@ -0,0 +1,25 @@
+"""Relay: from the first token on the attempt is the client's, and its stream is passed on unchanged."""
+
+from __future__ import annotations
+
+from crowstand import interface as i
+from ringledge.core.desk import Desk
+from ringledge.core.ledger import Attempt
+
+
+def begin(desk: Desk, attempt: Attempt) -> bool:
+    """Book the first token; False where the request is over, so that the stream has no taker."""
+    record = attempt.record
+    if record.over or not attempt.out:
+        return False
+    attempt.began = record.began = True
+    record.holders.clear()  # with the first token all that is held goes by itself
+    latency_ms = desk.clock.now_ms() - attempt.sent_ms
+    desk.metrics.first_token.observe((desk.clock.now_ms() - record.arrived_ms) / 1000)
+    desk.tell(i.FirstToken(record.name, attempt.number, attempt.server, latency_ms))
+    return True
+
+
+async def pass_on(attempt: Attempt, piece: bytes) -> None:
+    """Hand a piece of the stream to the client's side."""
+    await attempt.record.caller.relay(piece)
--- /dev/null
+++ b/ringledge/core/stages/route.py
@@ -0,0 +1,31 @@
+"""Route: turn the policy's choice of a server into an attempt, or find that it can't be sent."""
+
+from __future__ import annotations
+
+from crowstand import interface as i
+from ringledge.core.desk import Desk
+from ringledge.core.ledger import Attempt
+
+
+def route(desk: Desk, action: i.Send) -> Attempt | None:
+    """Enter the attempt; one that may not go out gets its outcome (moot) right away."""
+    record = desk.ledger.records.get(action.request)
+    if record is None:
+        return None  # the wire's rule: nothing is sent for a request that has ended
+    now_ms = desk.clock.now_ms()
+    timeout_ms = record.deadline_ms - now_ms
+    if action.timeout_ms:
+        timeout_ms = min(timeout_ms, action.timeout_ms)
+    reads = desk.servers.role(action.server) == i.Role.READER
+    attempt = Attempt(record, len(record.attempts), action.server, reads, now_ms, now_ms + timeout_ms)
+    another_out = any(each.out for each in record.attempts)
+    record.attempts.append(attempt)
+    # Two attempts of a request are never out together, whatever was decided.
+    may_go = not (record.over or record.began or (another_out and not desk.settings.second_copies))
+    may_go = may_go and timeout_ms > 0 and attempt.number < desk.settings.max_attempts
+    if may_go and desk.servers.address(action.server) is not None:
+        return attempt
+    attempt.outcome = i.Status.MOOT
+    desk.metrics.outcomes.labels(i.Status.MOOT.value).inc()
+    desk.tell(i.Outcome(record.name, attempt.number, action.server, i.Status.MOOT, 0.0, record.over))
+    return None
--- /dev/null
+++ b/ringledge/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: configuration, logging, signals, serving."""
--- /dev/null
+++ b/ringledge/lifecycle/config.py
@@ -0,0 +1,108 @@
+"""What a conductor is told at its start: RELAY_CONFIG, the RELAY_* variables, and files under deploy/."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from crowstand import interface as i
+from crowstand import wirehost
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the message says why."""
+
+
+def flatten(value: Any, path: str = "") -> Iterator[tuple[str, str]]:
+    """Nested JSON as the paths of the simulator's wire, so that the adapter's reader serves for both."""
+    if isinstance(value, dict):
+        for key, each in value.items():
+            yield from flatten(each, f"{path}.{key}" if path else key)
+    elif isinstance(value, list) and any(isinstance(each, dict) for each in value):
+        yield f"{path}.count", str(len(value))
+        for index, each in enumerate(value):
+            yield from flatten(each, f"{path}.{index}")
+    elif isinstance(value, list):
+        yield path, ",".join(map(_plain, value))
+    elif value is not None:
+        yield path, _plain(value)
+
+
+def _plain(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value).replace(" ", "_").replace(",", "_")
+
+
+@dataclass(slots=True, frozen=True)
+class Names:
+    """The names on the wires behind the indices of the decisions, and the wire's own settings."""
+
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    classes: tuple[str, ...]
+    tenants: tuple[str, ...]
+    keepalive_s: float
+    connect_timeout_s: float
+    max_retry_after_ms: float
+
+    @staticmethod
+    def index(names: tuple[str, ...], name: str) -> int:
+        """The index of a name; one past the last for a name that is not known."""
+        return names.index(name) if name in names else len(names)
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """Everything a conductor is told."""
+
+    name: str
+    listen: str
+    discovery: str
+    seed: int
+    sockets: int
+    known: dict[str, Any]
+    settings: i.Settings
+    names: Names
+
+
+def load(environ: Mapping[str, str] = os.environ) -> Config:
+    """Read the configuration."""
+    path = environ.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG names no file")
+    try:
+        told = orjson.loads(Path(path).read_bytes())
+        fields = dict(flatten(told["settings"]))
+        listed = told["settings"]
+        caps = listed.get("caps", {})
+        names = Names(
+            tuple(listed.get("azs", ())),
+            tuple(listed.get("shapes", ())),
+            tuple(each["name"] for each in listed.get("classes", ())),
+            tuple(each["name"] for each in listed.get("tenants", ())),
+            float(caps.get("keepalive_ms", 30_000)) / 1000,
+            float(caps.get("connect_timeout_ms", 250)) / 1000,
+            float(caps.get("max_retry_after_ms", 0)),
+        )
+        return Config(
+            environ.get("RELAY_NAME") or told["name"],
+            environ.get("RELAY_LISTEN") or told["listen"],
+            environ.get("RELAY_DISCOVERY") or told["discovery"],
+            int(str(told.get("seed", "0")), 16),
+            int(told.get("limits", {}).get("sockets", 1024)),
+            told.get("known") or {"index": 0, "snapshot": True, "endpoints": []},
+            wirehost.settings(fields),
+            names,
+        )
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except KeyError as error:
+        raise ConfigError(f"{path}: missing or unknown {error}") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
--- /dev/null
+++ b/ringledge/lifecycle/serve.py
@@ -0,0 +1,66 @@
+"""One conductor from start to stop."""
+
+from __future__ import annotations
+
+import gc
+import time
+
+import anyio
+
+from crowstand import interface as i
+from ringledge.core.clock import Clock
+from ringledge.core.conductor import Conductor
+from ringledge.lifecycle.config import Config
+from ringledge.lifecycle.logging import log
+from ringledge.lifecycle.signals import on_stop_signal
+from ringledge.memory.metrics import Metrics
+from ringledge.memory.servers import ServerList
+from ringledge.wire.discovery import Discovery
+from ringledge.wire.http import Front, listen
+from ringledge.wire.platform import Platform, error_body
+from ringledge.wire.upstream import Upstream
+
+SPARE_SOCKETS = 64  # for discovery, listeners, logs and the interpreter
+KEEP_TAKING_S = 0.6  # after SIGTERM new connections go on arriving so long
+
+
+async def serve(config: Config) -> None:
+    """Serve until a signal asks for a stop and all that was taken is answered."""
+    started = time.monotonic()
+    metrics = Metrics()
+    servers = ServerList(config.settings.kinds)
+    sockets = max(8, (config.sockets - SPARE_SOCKETS) // 2)
+    async with anyio.create_task_group() as tasks:
+        upstream = Upstream(tasks, servers, config.names, sockets, metrics)
+        conductor = upstream.conductor = Conductor(
+            config.settings, config.seed, Clock(), servers, metrics, upstream
+        )
+        discovery = Discovery(config.discovery, config.names, conductor)
+        discovery.apply(config.known, i.ListForm.KEPT)
+        platform = Platform(config.names, conductor)
+        front = Front("platform", sockets, platform.handle, error_body)
+        stopping = anyio.Event()
+
+        def stop() -> None:
+            platform.ready = False
+            stopping.set()
+
+        listener = listen(config.listen)
+        tasks.start_soon(on_stop_signal, stop)
+        tasks.start_soon(conductor.run_timers)
+        tasks.start_soon(discovery.watch)
+        tasks.start_soon(discovery.fetch_when_asked, upstream)
+        tasks.start_soon(upstream.retire_idle)
+        tasks.start_soon(front.serve, listener, tasks)
+        gc.collect()
+        gc.freeze()  # what is there now stays: later collections needn't look at it
+        platform.ready = True
+        log.info("ready", listen=config.listen, took_s=round(time.monotonic() - started, 3))
+        await stopping.wait()
+        await anyio.sleep(KEEP_TAKING_S)
+        while front.open or conductor.ledger.records or upstream.releases:
+            front.drain()
+            await anyio.sleep(0.02)
+        listener.close()
+        log.info("stopped")
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/ringledge/memory/__init__.py
@@ -0,0 +1,1 @@
+"""What is kept in memory while the program runs."""
--- /dev/null
+++ b/ringledge/memory/pool.py
@@ -0,0 +1,88 @@
+"""Idle connections to servers, kept for the next attempt."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+from typing import Generic, Protocol, TypeVar
+
+from ringledge.memory.metrics import Metrics
+
+
+class Pooled(Protocol):
+    """What the pool needs of a connection."""
+
+    idle_since: float
+
+    def readable(self) -> bool:
+        """Whether the peer has closed it or spoken unasked."""
+
+    def close(self) -> None:
+        """Close it now."""
+
+
+C = TypeVar("C", bound=Pooled)
+
+
+class Pool(Generic[C]):
+    """Idle connections by address, youngest first; all open connections are counted against a limit."""
+
+    def __init__(self, limit: int, max_idle_s: float, metrics: Metrics) -> None:
+        self.limit, self.max_idle_s, self.metrics = limit, max_idle_s, metrics
+        self.open = 0
+        self._idle: defaultdict[str, list[C]] = defaultdict(list)
+
+    def take(self, address: str) -> C | None:
+        """An idle connection that can still be trusted."""
+        idle = self._idle[address]
+        while idle:
+            conn = idle.pop()
+            # One that the server may close under the request would end as a reset, which may have run.
+            if time.monotonic() - conn.idle_since < self.max_idle_s and not conn.readable():
+                return conn
+            self.drop(conn)
+        return None
+
+    def put(self, address: str, conn: C) -> None:
+        """Keep a connection whose exchange is over."""
+        conn.idle_since = time.monotonic()
+        self._idle[address].append(conn)
+
+    def reserve(self) -> bool:
+        """Count a new connection, at the cost of the oldest idle one if need be; False past the limit."""
+        if self.open >= self.limit:
+            self.retire(0.0, most=1)
+        if self.open >= self.limit:
+            return False
+        self._count(1)
+        return True
+
+    def unreserve(self) -> None:
+        """Count a connection off that never came up."""
+        self._count(-1)
+
+    def drop(self, conn: C) -> None:
+        """Close a connection and count it off."""
+        conn.close()
+        self._count(-1)
+
+    def retire(self, idle_s: float | None = None, most: int | None = None) -> None:
+        """Close those idle for too long, oldest first."""
+        limit = self.max_idle_s if idle_s is None else idle_s
+        old_first = sorted(
+            ((conn.idle_since, address, conn) for address, idle in self._idle.items() for conn in idle),
+            key=lambda each: each[0],
+        )
+        for since, address, conn in old_first[:most]:
+            if time.monotonic() - since >= limit:
+                self._idle[address].remove(conn)
+                self.drop(conn)
+
+    def forget(self, address: str) -> None:
+        """Close all idle connections to an address that has left."""
+        for conn in self._idle.pop(address, []):
+            self.drop(conn)
+
+    def _count(self, change: int) -> None:
+        self.open += change
+        self.metrics.server_sockets.set(self.open)
--- /dev/null
+++ b/ringledge/wire/__init__.py
@@ -0,0 +1,1 @@
+"""All that is spoken on sockets."""
--- /dev/null
+++ b/ringledge/wire/discovery.py
@@ -0,0 +1,112 @@
+"""The list of servers, as discovery tells it."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import anyio
+import h11
+import orjson
+
+from crowstand import interface as i
+from ringledge.core.conductor import Conductor
+from ringledge.lifecycle.config import Names
+from ringledge.lifecycle.logging import log
+from ringledge.wire.http import Connection, connect, read_body
+
+AVAILABILITY = {"active": i.Availability.UP, "leaving": i.Availability.DRAINING, "left": i.Availability.GONE}
+SILENCE_S = 3.0  # an empty line comes every 2 s: a watch this silent is made anew
+RETRY_S = 0.05  # between tries to connect; the address is an agent on the same machine
+
+
+class Discovery:
+    """Keeps one watch open, and hands each change to the conductor as it comes."""
+
+    def __init__(self, address: str, names: Names, conductor: Conductor) -> None:
+        self._address, self._names, self._conductor = address, names, conductor
+        self.last_heard = time.monotonic()
+
+    def apply(self, told: dict[str, Any], form: i.ListForm | None = None) -> None:
+        """Hand one object of the list on; `form` overrides what it says of itself."""
+        if form is None:
+            form = i.ListForm.FULL if told["snapshot"] else i.ListForm.CHANGES
+        entries, addresses = [], {}
+        for each in told["endpoints"]:
+            entry = i.ServerEntry(
+                each["name"],
+                self._names.index(self._names.zones, each["zone"]),
+                self._names.index(self._names.kinds, each["type"]),
+                int(each["group"]),
+                AVAILABILITY[each["status"]],
+                float(each.get("weight", 1.0)),
+                float(each.get("since_ms", 0)),
+            )
+            entries.append(entry)
+            addresses[entry.server] = each.get("address", "")
+        self._conductor.members(i.Members(form, int(told["index"]), tuple(entries)), addresses)
+        log.info("list", form=form.value, index=told["index"], entries=len(entries))
+
+    async def watch(self) -> None:
+        """Watch for ever; after a break at once again, from the last index."""
+        while True:
+            try:
+                await self._watch_once()
+                log.info("watch_ended")
+            except TimeoutError:
+                log.warning("watch_silent", seconds=SILENCE_S)
+            except (OSError, h11.RemoteProtocolError) as error:
+                log.warning("watch_broken", error=str(error))
+                await anyio.sleep(RETRY_S)
+            except (KeyError, TypeError, ValueError) as error:
+                log.error("list_malformed", error=repr(error))
+                await anyio.sleep(RETRY_S)
+
+    async def _ask(self, path: str) -> tuple[Connection, h11.Response]:
+        conn = await connect(self._address, SILENCE_S)
+        try:
+            request = h11.Request(method="GET", target=path, headers=[("Host", self._address)])
+            with anyio.fail_after(SILENCE_S):
+                await conn.send(request, h11.EndOfMessage())
+                head = await conn.next_event()
+            if not isinstance(head, h11.Response) or head.status_code != 200:
+                raise h11.RemoteProtocolError(f"discovery answered {head!r}")
+        except BaseException:
+            conn.close()
+            raise
+        return conn, head
+
+    async def _watch_once(self) -> None:
+        version = self._conductor.desk.servers.version
+        conn, _ = await self._ask(f"/v1/endpoints?watch=1&after={version}")
+        try:
+            rest = b""
+            while True:
+                with anyio.fail_after(SILENCE_S):
+                    event = await conn.next_event()
+                self.last_heard = time.monotonic()
+                if not isinstance(event, h11.Data):
+                    return
+                *lines, rest = (rest + bytes(event.data)).split(b"\n")
+                for line in lines:
+                    if line.strip():
+                        self.apply(orjson.loads(line))
+        finally:
+            conn.close()
+
+    async def fetch_when_asked(self, upstream: Any) -> None:
+        """Fetch the whole list whenever the policy asks for it."""
+        while True:
+            await upstream.members_wanted.wait()
+            upstream.members_wanted = anyio.Event()
+            try:
+                with anyio.fail_after(SILENCE_S):
+                    conn, head = await self._ask("/v1/endpoints")
+                    try:
+                        told = orjson.loads(await read_body(conn, head, limit=4 * 1024 * 1024))
+                    finally:
+                        conn.close()
+                self.apply(told)
+            except (OSError, TimeoutError, h11.RemoteProtocolError, ValueError, KeyError) as error:
+                log.warning("list_fetch_failed", error=repr(error))
+                self._conductor.members(i.Members(i.ListForm.FAILED), {})
--- /dev/null
+++ b/ringledge/wire/http.py
@@ -0,0 +1,270 @@
+"""HTTP/1.1 on one plain socket: h11 parses, the socket is awaited through anyio."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+import anyio
+import anyio.abc
+import h11
+
+from ringledge.lifecycle.logging import log
+from ringledge.wire.buffer import Buffer
+
+MAX_BODY = 256 * 1024  # bytes: the protocol's limit
+MAX_HEAD = 32 * 1024  # bytes of a head that h11 may collect
+MAX_AHEAD = 64 * 1024  # bytes of a next request taken while this one is answered
+Headers = list[tuple[bytes, bytes]]
+
+
+class HttpError(Exception):
+    """Input that is answered with a plain status and costs nothing else."""
+
+    def __init__(self, status: int, reason: str, code: str = "invalid_request") -> None:
+        super().__init__(reason)
+        self.status, self.reason, self.code = status, reason, code
+
+
+class Connection:
+    """One socket, its buffer and its h11 state."""
+
+    def __init__(self, sock: socket.socket, our_role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
+        self.sock = sock
+        self.h11 = h11.Connection(our_role, max_incomplete_event_size=MAX_HEAD)
+        self.buffer = Buffer()
+        self.closed = False
+        self.idle_since = 0.0  # the pool's note
+
+    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+        """The next thing that the peer says; ConnectionClosed and protocol errors are h11's."""
+        while True:
+            event = self.h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            if self.h11.they_are_waiting_for_100_continue:
+                await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+            if len(self.buffer) or await self._fill():
+                self.h11.receive_data(self.buffer.take())
+            else:
+                self.h11.receive_data(b"")
+
+    async def _fill(self) -> int:
+        """Read once from the socket into the buffer; 0 at the end of what the peer sends."""
+        while True:
+            with self.buffer.room() as room:
+                try:
+                    size = self.sock.recv_into(room)
+                except (BlockingIOError, InterruptedError):
+                    size = -1
+            if size >= 0:
+                self.buffer.filled(size)
+                return size
+            await anyio.wait_readable(self.sock)
+
+    async def wait_closed(self) -> None:
+        """Return once the peer has closed; bytes of a next request are kept for later."""
+        try:
+            while len(self.buffer) < MAX_AHEAD:
+                if not await self._fill():
+                    return
+            await anyio.sleep_forever()
+        except OSError:
+            return  # a reset is a close as well
+
+    async def send(self, *events: h11.Event) -> None:
+        """Say something, to its last byte."""
+        await self.write(b"".join(self.h11.send(event) or b"" for event in events))
+
+    async def write(self, data: bytes) -> None:
+        """Write all of it; returns only when the system has taken the last byte."""
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self.sock.send(view) :]
+            except (BlockingIOError, InterruptedError):
+                await anyio.wait_writable(self.sock)
+
+    def next_cycle(self) -> bool:
+        """Make ready for another exchange, where both sides are through with this one."""
+        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
+            self.h11.start_next_cycle()
+            return True
+        return False
+
+    def readable(self) -> bool:
+        """Whether the peer has closed or said something unasked: such an idle connection is stale."""
+        try:
+            return len(self.sock.recv(1, socket.MSG_PEEK)) >= 0
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
+    def close(self) -> None:
+        """Close the socket now."""
+        if not self.closed:
+            self.closed = True
+            anyio.notify_closing(self.sock)
+            self.sock.close()
+
+
+async def connect(address: str, timeout_s: float) -> Connection:
+    """Open a connection; OSError if it is refused, TimeoutError if it doesn't come up."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with suppress(BlockingIOError):
+            sock.connect((host, int(port)))
+        with anyio.fail_after(timeout_s):
+            await anyio.wait_writable(sock)
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, "connect failed")
+    except BaseException:
+        sock.close()
+        raise
+    return Connection(sock, h11.CLIENT)
+
+
+def listen(address: str) -> socket.socket:
+    """A listening socket at that address only."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind((host, int(port)))
+    sock.listen(1024)
+    return sock
+
+
+async def read_body(conn: Connection, head: h11.Request | h11.Response, limit: int = MAX_BODY) -> bytes:
+    """The whole body of a message; HttpError 413 as soon as it proves too long."""
+    length = header(head, b"content-length")
+    if length and int(length) > limit:
+        raise HttpError(413, f"the body is longer than {limit} bytes")
+    parts, size = [], 0
+    while True:
+        event = await conn.next_event()
+        if isinstance(event, h11.Data):
+            size += len(event.data)
+            if size > limit:
+                raise HttpError(413, f"the body is longer than {limit} bytes")
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return b"".join(parts)
+        else:
+            raise h11.RemoteProtocolError("the message ended early")
+
+
+def header(head: h11.Request | h11.Response, name: bytes) -> bytes | None:
+    """The first header of that name (in lower case)."""
+    for key, value in head.headers:
+        if key == name:
+            return bytes(value)
+    return None
+
+
+Handler = Callable[[Connection, h11.Request], Awaitable[None]]
+ErrorBody = Callable[[HttpError], bytes]
+
+
+class Front:
+    """Accepts connections, bounded in number, and reads requests from them one after another."""
+
+    def __init__(self, name: str, limit: int, handler: Handler, error_body: ErrorBody) -> None:
+        self.name, self.limit, self._handler, self._error_body = name, limit, handler, error_body
+        self.open: set[Connection] = set()
+        self.resting: set[Connection] = set()  # open, between requests
+        self.closing = False  # each connection ends with its next answer
+        self._room = anyio.Event()
+
+    async def serve(self, listener: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
+        """Accept until cancelled."""
+        while True:
+            # Past the limit a few more are let in, only to be told so; the rest waits in the backlog.
+            if len(self.open) >= self.limit + self.limit // 8:
+                self._room = anyio.Event()
+                await self._room.wait()
+                continue
+            try:
+                sock, _ = listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                await anyio.wait_readable(listener)
+                continue
+            except OSError as error:
+                log.error("accept_failed", front=self.name, error=str(error))
+                await anyio.sleep(0.05)
+                continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            conn = Connection(sock, h11.SERVER)
+            self.open.add(conn)
+            tasks.start_soon(self._converse, conn, len(self.open) > self.limit)
+
+    async def _converse(self, conn: Connection, crowded: bool) -> None:
+        try:
+            while not conn.closed:
+                self.resting.add(conn)
+                try:
+                    head = await conn.next_event()
+                finally:
+                    self.resting.discard(conn)
+                if not isinstance(head, h11.Request):
+                    return
+                if crowded:
+                    log.warning("connections_exhausted", front=self.name, open=len(self.open))
+                    raise HttpError(503, "too many connections", "overloaded")
+                await self._handler(conn, head)
+                if not conn.next_cycle():
+                    return
+        except HttpError as error:
+            await self._reject(conn, error)
+        except h11.RemoteProtocolError as error:
+            await self._reject(conn, HttpError(error.error_status_hint, str(error)))
+        except (OSError, anyio.ClosedResourceError) as error:
+            log.debug("client_connection_lost", front=self.name, error=str(error))
+        finally:
+            self.open.discard(conn)
+            conn.close()
+            self._room.set()
+
+    async def _reject(self, conn: Connection, error: HttpError) -> None:
+        """Answer bad input and end the connection, which costs nobody else anything."""
+        log.info("request_rejected", front=self.name, status=error.status, reason=error.reason)
+        if conn.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers: Headers = [(b"Connection", b"close")]
+        if error.status == 503:
+            headers.append((b"Retry-After", b"1"))
+        with suppress(OSError, h11.LocalProtocolError):
+            await respond(conn, error.status, self._error_body(error), headers)
+            # What the client still sends is read for a moment: a reset would destroy the answer on its way.
+            conn.sock.shutdown(socket.SHUT_WR)
+            with anyio.move_on_after(0.5):
+                while await conn._fill():
+                    conn.buffer.take()
+
+    def drain(self) -> None:
+        """Close what rests, and let every other connection end with its answer."""
+        self.closing = True
+        for conn in list(self.resting):
+            # A request may have come that is not read yet: it is owed an answer, so it stays.
+            if not conn.readable() and not len(conn.buffer) and conn.h11.our_state is h11.IDLE:
+                conn.close()
+
+
+async def respond(
+    conn: Connection,
+    status: int,
+    body: bytes,
+    headers: Headers | None = None,
+    kind: bytes = b"application/json",
+) -> None:
+    """One whole answer."""
+    told = [(b"Content-Type", kind), (b"Content-Length", b"%d" % len(body)), *(headers or [])]
+    response = h11.Response(status_code=status, headers=told)
+    await conn.send(response, h11.Data(data=body), h11.EndOfMessage())
--- /dev/null
+++ b/ringledge/wire/platform.py
@@ -0,0 +1,223 @@
+"""The platform's front: the protocol's headers in, the servers' streams out, byte for byte."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+import anyio
+import h11
+import orjson
+
+from crowstand import interface as i
+from ringledge.core.conductor import Conductor
+from ringledge.core.ledger import Record
+from ringledge.core.port import Payload
+from ringledge.core.stages.take_in import DuplicateError
+from ringledge.lifecycle.config import Names
+from ringledge.wire.http import Connection, Headers, HttpError, header, read_body, respond
+
+HIGH_WATER = 64 * 1024  # bytes of a stream that may wait for a slow client
+PATH = b"/v1/chat/completions"
+
+
+class Exchange:
+    """One request's client side: what the core says, kept until the connection's task writes it."""
+
+    def __init__(self) -> None:
+        self.pieces: deque[bytes] = deque()
+        self.end: str | None = None
+        self.come_back_ms: float | None = None
+        self._waiting = 0
+        self._news, self._room = anyio.Event(), anyio.Event()
+
+    def refuse(self, come_back_ms: float | None) -> None:
+        """Final answer: refused."""
+        self.come_back_ms = come_back_ms
+        self._finish("refused")
+
+    def fail(self) -> None:
+        """Final answer: failed."""
+        self._finish("failed")
+
+    def finish(self) -> None:
+        """The stream is whole."""
+        self._finish("served")
+
+    def break_off(self) -> None:
+        """The stream broke."""
+        self._finish("broken")
+
+    async def relay(self, piece: bytes) -> None:
+        """Queue a piece; wait while too much is queued."""
+        self.pieces.append(piece)
+        self._waiting += len(piece)
+        self._news.set()
+        while self._waiting > HIGH_WATER:
+            self._room = anyio.Event()
+            await self._room.wait()
+
+    def _finish(self, how: str) -> None:
+        self.end = how
+        self._news.set()
+
+    async def news(self) -> bytes | None:
+        """All that has come of the stream since the last call, or None at its end."""
+        while not self.pieces:
+            if self.end is not None:
+                return None
+            self._news = anyio.Event()
+            await self._news.wait()
+        data = b"".join(self.pieces)
+        self.pieces.clear()
+        self._waiting = 0
+        self._room.set()
+        return data
+
+
+class Platform:
+    """Handles the requests of the platform's clients."""
+
+    def __init__(self, names: Names, conductor: Conductor) -> None:
+        self._names, self._conductor = names, conductor
+        self.ready = False
+
+    async def handle(self, conn: Connection, head: h11.Request) -> None:
+        """Answer one request."""
+        path = head.target.partition(b"?")[0]
+        if path == b"/ready":
+            _only(head, b"GET")
+            await read_body(conn, head)
+            return await respond(
+                conn, 200 if self.ready else 503, b'{"ready":%s}' % str(self.ready).lower().encode()
+            )
+        if path != PATH:
+            raise HttpError(404, "no such path", "not_found")
+        _only(head, b"POST")
+        body = await read_body(conn, head)
+        request = self._request(head, body)
+        payload = Payload(head.target, body, header(head, b"content-type") or b"application/json")
+        exchange = Exchange()
+        try:
+            record = self._conductor.take(request, payload, exchange)
+        except DuplicateError as error:
+            raise HttpError(400, f"request {error} is open already") from error
+        await converse(conn, self._conductor, record, exchange, self._answer)
+
+    async def _answer(self, conn: Connection, exchange: Exchange) -> None:
+        """Write the one answer, as it comes."""
+        begun = False
+        while (data := await exchange.news()) is not None:
+            if not begun:
+                begun = True
+                await conn.send(stream_head(), h11.Data(data=data))
+            else:
+                await conn.send(h11.Data(data=data))
+        if exchange.end == "served":
+            await conn.send(*([] if begun else [stream_head()]), h11.EndOfMessage())
+        elif exchange.end == "broken":
+            conn.close()  # without the last chunk: a clean end would pass for a whole answer
+        elif exchange.end == "refused":
+            text = b'{"error":"overloaded, nothing has run"}'
+            await respond(conn, 503, text, retry_after(exchange.come_back_ms, self._names))
+        else:
+            await respond(conn, 500, b'{"error":"failed, it may have run"}')
+
+    def _request(self, head: h11.Request, body: bytes) -> i.Request:
+        """Translate the headers; HttpError 400 names what is wrong."""
+        info = dict(part.partition("=")[::2] for part in _text(head, b"x-call-info", "").split(",") if part)
+        info = {key.strip(): value.strip() for key, value in info.items()}
+        try:
+            if not isinstance(orjson.loads(body), dict):
+                raise ValueError("the body is no JSON object")
+            name = _text(head, b"x-call-id")
+            if not (name.isascii() and name.isalnum() and len(name) <= 64):
+                raise ValueError("X-Call-Id is no plain word")
+            budget_ms = float(_text(head, b"x-budget-ms"))
+            if not 0 < budget_ms < 1e7:
+                raise ValueError("X-Budget-Ms is out of range")
+            class_index = self._names.index(self._names.classes, _text(head, b"x-call-class"))
+            tenant = self._names.index(self._names.tenants, _text(head, b"x-caller", ""))
+            if class_index == len(self._names.classes):
+                raise ValueError("X-Call-Class names no class")
+            if self._names.tenants and tenant == len(self._names.tenants):
+                raise ValueError("X-Caller names no tenant")
+            again = _text(head, b"x-again", "")
+            return i.Request(
+                name,
+                budget_ms,
+                class_index,
+                tenant,
+                _key(_text(head, b"x-route-hash", "")),
+                _key(info.get("prefix", "")),
+                float(info.get("prefix_len", 0)),
+                float(info.get("prompt_len", len(body) / 4)),  # a token is four characters
+                float(info.get("max_out", 0)),
+                None,
+                again == "1",
+                again == "again",
+            )
+        except ValueError as error:
+            raise HttpError(400, str(error)) from error
+
+
+async def converse(
+    conn: Connection, conductor: Conductor, record: Record, exchange: Exchange, answer: Any
+) -> None:
+    """Write the answer while watching for the client's disconnect, also when nothing is written."""
+
+    async def watch() -> None:
+        await conn.wait_closed()
+        tasks.cancel_scope.cancel()
+
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch)
+            await answer(conn, exchange)
+            tasks.cancel_scope.cancel()
+    except* (OSError, anyio.ClosedResourceError):
+        conn.close()
+    finally:
+        # However this ends, the core hears of it; for a request that is over it changes nothing.
+        conductor.client_gone(record)
+    if exchange.end is None or conn.h11.our_state is not h11.DONE:
+        conn.close()
+
+
+def stream_head() -> h11.Response:
+    """The head of a streamed answer."""
+    headers: Headers = [
+        (b"Content-Type", b"text/event-stream"),
+        (b"Cache-Control", b"no-cache"),
+        (b"Transfer-Encoding", b"chunked"),
+    ]
+    return h11.Response(status_code=200, headers=headers)
+
+
+def retry_after(come_back_ms: float | None, names: Names) -> Headers:
+    """When to come back, in decimal seconds: as the policy says, else the longest wait clients follow."""
+    return [(b"Retry-After", b"%.3f" % ((come_back_ms or names.max_retry_after_ms or 1000.0) / 1000))]
+
+
+def error_body(error: HttpError) -> bytes:
+    """The platform's form of an error."""
+    return orjson.dumps({"error": error.reason})
+
+
+def _only(head: h11.Request, method: bytes) -> None:
+    if head.method != method:
+        raise HttpError(405, f"only {method.decode()} here", "method_not_allowed")
+
+
+def _text(head: h11.Request, name: bytes, default: str | None = None) -> str:
+    value = header(head, name)
+    if value is None:
+        if default is None:
+            raise ValueError(f"{name.decode()} is missing")
+        return default
+    return value.decode("ascii", "replace").strip()
+
+
+def _key(text: str) -> int | None:
+    """A session or a shared beginning: hex digits, as a number."""
+    return int(text, 16) if text else None
--- /dev/null
+++ b/ringledge/wire/upstream.py
@@ -0,0 +1,307 @@
+"""Conductors to servers: attempts, releases of held state, probes."""
+
+from __future__ import annotations
+
+import time
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+import anyio
+import anyio.abc
+import h11
+import orjson
+
+from crowstand import interface as i
+from crowstand.wirehost import LOAD
+from ringledge.core.conductor import Conductor
+from ringledge.core.ledger import Attempt
+from ringledge.lifecycle.config import Names
+from ringledge.lifecycle.logging import log
+from ringledge.memory.metrics import Metrics
+from ringledge.memory.pool import Pool
+from ringledge.memory.servers import ServerList
+from ringledge.wire.http import Connection, Headers, connect, header, read_body
+
+STREAM_SILENCE_S = 3.0  # a begun stream this silent is broken off: a vanished machine says nothing
+TAIL = 2048  # bytes at a stream's end in which usage and the load report stand
+RELEASE_TRY_S = 0.3  # one try to release; what is held may stay 500 ms
+RELEASE_FOR_S = 20.0  # tries go on so long at most: by then the server has freed it or is gone
+
+
+class End(NamedTuple):
+    """How an exchange ended."""
+
+    status: i.Status
+    note: int = 0
+    load: i.Load | None = None
+
+
+@dataclass(slots=True)
+class Live:
+    """An attempt under way."""
+
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    conn: Connection | None = None
+
+
+class Upstream:
+    """Carries out what the core wants of servers; implements its port."""
+
+    conductor: Conductor  # set right after both are made
+
+    def __init__(
+        self, tasks: anyio.abc.TaskGroup, servers: ServerList, names: Names, sockets: int, metrics: Metrics
+    ) -> None:
+        self._tasks, self._servers, self._names, self._metrics = tasks, servers, names, metrics
+        # Idle connections go well before the server would close them (half its time).
+        self.pool: Pool[Connection] = Pool(sockets, names.keepalive_s / 2, metrics)
+        self._live: dict[Attempt, Live] = {}
+        self.releases = 0
+        self.members_wanted = anyio.Event()
+
+    # The core's port.
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt."""
+        live = self._live[attempt] = Live()
+        live.scope.deadline = anyio.current_time() + (attempt.ends_ms - self.conductor.clock.now_ms()) / 1000
+        self._tasks.start_soon(self._attempt, attempt, live)
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Close the attempt's connection at once: what goes out next is no second copy then."""
+        live = self._live.pop(attempt, None)
+        if live is not None:
+            live.scope.cancel()  # first: closing wakes the task, which must not take that for a reset
+            if live.conn is not None:
+                live.conn.close()
+
+    def release(self, request: str, server: str) -> None:
+        """Let go of what a server holds for a request."""
+        address = self._servers.address(server)
+        if address is not None:  # a server that is gone holds nothing
+            self.releases += 1
+            self._tasks.start_soon(self._release, request, server, address)
+
+    def probe(self, server: str) -> None:
+        """Ask a server for its load."""
+        self._tasks.start_soon(self._probe, server)
+
+    def ask_members(self) -> None:
+        """Ask discovery for the whole list once."""
+        self.members_wanted.set()
+
+    # Attempts.
+
+    async def _attempt(self, attempt: Attempt, live: Live) -> None:
+        end = End(i.Status.TIMEOUT)
+        address = self._servers.address(attempt.server)
+        reusable = False
+        try:
+            with live.scope:
+                if address is None:
+                    end = End(i.Status.MOOT)
+                else:
+                    end = await self._exchange(attempt, live, address)
+                    reusable = live.conn is not None and live.conn.next_cycle()
+        finally:
+            self._live.pop(attempt, None)
+            if live.conn is not None:
+                if reusable and not live.conn.closed and address is not None:
+                    self.pool.put(address, live.conn)
+                else:
+                    self.pool.drop(live.conn)
+        self.conductor.outcome(attempt, *end)
+
+    async def _connection(self, address: str) -> Connection:
+        """An idle connection or a new one; OSError or TimeoutError where none comes up."""
+        conn = self.pool.take(address)
+        if conn is not None:
+            return conn
+        if not self.pool.reserve():
+            log.error("server_sockets_exhausted", limit=self.pool.limit)
+            raise OSError("no socket left")
+        try:
+            return await connect(address, self._names.connect_timeout_s)
+        except BaseException:
+            self.pool.unreserve()
+            raise
+
+    async def _exchange(self, attempt: Attempt, live: Live, address: str) -> End:
+        """Send the request and take the answer, by the protocol's table of outcomes."""
+        record = attempt.record
+        try:
+            live.conn = conn = await self._connection(address)
+        except (OSError, TimeoutError) as error:
+            log.info("connect_failed", server=attempt.server, request=record.name, error=str(error))
+            return End(i.Status.CONNECT_FAILED)
+        left_ms = max(0, int(attempt.ends_ms - self.conductor.clock.now_ms()))
+        payload = record.payload
+        request = h11.Request(
+            method=b"POST",
+            target=payload.target,
+            headers=[
+                (b"Host", address.encode()),
+                (b"X-Call-Id", record.name.encode()),
+                (b"X-Budget-Ms", b"%d" % left_ms),
+                (b"Content-Type", payload.content_type),
+                (b"Content-Length", b"%d" % len(payload.body)),
+            ],
+        )
+        try:
+            await conn.send(request, h11.Data(data=payload.body), h11.EndOfMessage())
+        except OSError as error:
+            log.info("send_failed", server=attempt.server, request=record.name, error=str(error))
+            return End(i.Status.CONNECT_FAILED)  # the last byte was never written: it can't have run
+        attempt.written = True
+        try:
+            head = await conn.next_event()
+            if not isinstance(head, h11.Response):
+                raise h11.RemoteProtocolError("the connection ended before an answer")
+            if head.status_code == 200:
+                return await self._stream(attempt, live, conn, head)
+            body = await read_body(conn, head)
+        except (OSError, h11.RemoteProtocolError, anyio.ClosedResourceError) as error:
+            log.info(
+                "attempt_reset",
+                server=attempt.server,
+                request=record.name,
+                began=attempt.began,
+                error=str(error),
+            )
+            return End(i.Status.RESET)
+        load = self._load(header(head, b"x-load-report"))
+        rejected = header(head, b"x-rejected") == b"1"
+        if head.status_code == 202:
+            return End(i.Status.READ, _cached(_json(body)), load)
+        if rejected and head.status_code == 410:
+            return End(i.Status.FULL, 1, load)
+        if rejected and head.status_code in (503, 504):
+            return End(i.Status.FULL, 0, load)
+        log.info("attempt_error", server=attempt.server, request=record.name, status=head.status_code)
+        return End(i.Status.ERROR, 0, load)
+
+    async def _stream(self, attempt: Attempt, live: Live, conn: Connection, head: h11.Response) -> End:
+        """Pass a stream on as it comes, to its last chunk."""
+        tail = b""
+        while True:
+            with anyio.move_on_after(STREAM_SILENCE_S if attempt.began else None) as silence:
+                event = await conn.next_event()
+            if silence.cancelled_caught:
+                log.warning("stream_silent", server=attempt.server, request=attempt.record.name)
+                return End(i.Status.RESET)
+            if isinstance(event, h11.Data):
+                if not attempt.began:
+                    live.scope.deadline = float("inf")
+                    if not self.conductor.first(attempt):
+                        return End(i.Status.CANCELLED)
+                piece = bytes(event.data)
+                tail = (tail + piece)[-TAIL:]
+                await self.conductor.piece(attempt, piece)
+            elif isinstance(event, h11.EndOfMessage):
+                note, load = self._read_tail(tail)
+                return End(i.Status.OK, note, load or self._load(header(head, b"x-load-report")))
+            else:
+                raise h11.RemoteProtocolError("the stream ended early")
+
+    def _read_tail(self, tail: bytes) -> tuple[int, i.Load | None]:
+        """Cached tokens and the load report, which stand in a stream's last lines."""
+        note, load = 0, None
+        for line in tail.splitlines():
+            if line.startswith(b"data: {") and b'"usage"' in line:
+                note = _cached(_json(line[6:]).get("usage"))
+            elif line.lower().startswith(b": x-load-report:"):
+                load = self._load(line.split(b":", 2)[2])
+        return note, load
+
+    def _load(self, text: bytes | None) -> i.Load | None:
+        """A load report in the names that the settings give."""
+        report = _json(text) if text else {}
+        known = {LOAD[name]: float(value) for name, value in report.items() if name in LOAD}
+        return i.Load(**known) if known else None
+
+    # Releases and probes.
+
+    async def _call(self, address: str, method: bytes, path: bytes) -> tuple[h11.Response, bytes]:
+        """One small exchange without a body."""
+        conn = await self._connection(address)
+        reusable = False
+        try:
+            told: Headers = [(b"Host", address.encode())]
+            await conn.send(h11.Request(method=method, target=path, headers=told), h11.EndOfMessage())
+            head = await conn.next_event()
+            if not isinstance(head, h11.Response):
+                raise h11.RemoteProtocolError("the connection ended before an answer")
+            body = await read_body(conn, head)
+            reusable = conn.next_cycle()
+            return head, body
+        finally:
+            if reusable:
+                self.pool.put(address, conn)
+            else:
+                self.pool.drop(conn)
+
+    async def _release(self, request: str, server: str, address: str) -> None:
+        """DELETE until the server answers, has left, or must have freed it by itself."""
+        path = b"/internal/reservations/" + request.encode()
+        give_up = time.monotonic() + RELEASE_FOR_S
+        pause_s, how = 0.02, "lost"
+        try:
+            while time.monotonic() < give_up:
+                with suppress(OSError, TimeoutError, h11.RemoteProtocolError):
+                    with anyio.fail_after(RELEASE_TRY_S):
+                        await self._call(address, b"DELETE", path)
+                    how = "done"
+                    return
+                self._metrics.releases.labels("retried").inc()
+                await anyio.sleep(pause_s)
+                pause_s = min(0.25, 2 * pause_s)
+                address = self._servers.address(server) or ""
+                if not address:
+                    return
+        finally:
+            self.releases -= 1
+            self._metrics.releases.labels(how).inc()
+            if how == "lost":
+                log.warning("release_lost", server=server, request=request)
+
+    async def _probe(self, server: str) -> None:
+        """Ask for the load report; the answer goes to the policy."""
+        sent = time.monotonic()
+        status, load = i.Status.CONNECT_FAILED, None
+        address = self._servers.address(server)
+        if address is not None:
+            try:
+                with anyio.fail_after(1.0):
+                    head, body = await self._call(address, b"GET", b"/status/load")
+                status = i.Status.OK if head.status_code == 200 else i.Status.ERROR
+                load = self._load(body) or self._load(header(head, b"x-load-report"))
+            except TimeoutError:
+                status = i.Status.TIMEOUT
+            except (OSError, h11.RemoteProtocolError) as error:
+                log.info("probe_failed", server=server, error=str(error))
+        self.conductor.probed(i.Probed(server, status, (time.monotonic() - sent) * 1000, load))
+
+    async def retire_idle(self) -> None:
+        """Close idle connections in time."""
+        while True:
+            await anyio.sleep(1.0)
+            self.pool.retire()
+
+
+def _json(text: bytes) -> dict[str, Any]:
+    """An object in JSON; anything else counts as empty, for a report is only advice."""
+    try:
+        value = orjson.loads(text)
+    except orjson.JSONDecodeError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def _cached(told: Any) -> int:
+    """Prompt tokens found kept, from a 202's body or a stream's usage."""
+    if not isinstance(told, dict):
+        return 0
+    details = told.get("prompt_tokens_details")
+    value = told.get("cached_tokens", details.get("cached_tokens", 0) if isinstance(details, dict) else 0)
+    return int(value) if isinstance(value, int | float) else 0
