Add the chat front, and tests that play clients and servers of the real program

Failures that the tests found, each with its guard: X-Call-Info of 'nan' passed as a number of tokens (platform._tokens refuses it); request_ended was logged twice where the policy ended a request while it was told an outcome (book.close strikes a record once).

--- a/ringledge/core/ledger.py
+++ b/ringledge/core/ledger.py
@@ -21,6 +21,7 @@
     written: bool = False  # the request's last byte is on its way: it may run from here on
     began: bool = False  # the first token has come: the attempt is the client's
     outcome: i.Status | None = None
+    took_ms: float = 0.0
 
     @property
     def out(self) -> bool:
@@ -39,7 +40,9 @@
     attempts: list[Attempt] = field(default_factory=list)
     holders: set[str] = field(default_factory=set)  # servers where a read state may wait
     over: bool = False  # its final answer is given, or its client has gone
+    how: str = ""  # what the final answer was
     began: bool = False
+    first_ms: float | None = None  # from its arrival to the first token
 
     @property
     def name(self) -> str:
--- a/ringledge/core/stages/admit.py
+++ b/ringledge/core/stages/admit.py
@@ -32,7 +32,6 @@
     record = desk.ledger.records.get(name)
     if record is None or record.over or record.began:
         return None
-    record.over = True
-    desk.metrics.answers.labels(how).inc()
+    book.end(desk, record, how)
     book.close(desk, record)
     return record
--- a/ringledge/core/stages/book.py
+++ b/ringledge/core/stages/book.py
@@ -5,6 +5,7 @@
 from crowstand import interface as i
 from ringledge.core.desk import Desk
 from ringledge.core.ledger import Attempt, Record
+from ringledge.lifecycle.logging import log
 
 # Ends of a read that may have crossed its 202: the state that it left is held like any other.
 CROSSED = (i.Status.CANCELLED, i.Status.TIMEOUT, i.Status.RESET)
@@ -20,9 +21,8 @@
     record = attempt.record
     ends = status == i.Status.OK or attempt.began
     if ends and not record.over:
-        record.over = True
         whole = status == i.Status.OK
-        desk.metrics.answers.labels("served" if whole else "broken").inc()
+        end(desk, record, "served" if whole else "broken")
         (record.caller.finish if whole else record.caller.break_off)()
     if status == i.Status.READ:
         record.holders.add(attempt.server)
@@ -31,13 +31,19 @@
     elif attempt.reads and attempt.written and status in CROSSED:
         desk.port.release(record.name, attempt.server)
     desk.metrics.outcomes.labels(status.value).inc()
-    latency_ms = desk.clock.now_ms() - attempt.sent_ms
+    latency_ms = attempt.took_ms = desk.clock.now_ms() - attempt.sent_ms
     desk.tell(
         i.Outcome(record.name, attempt.number, attempt.server, status, latency_ms, record.over, note, load)
     )
     close(desk, record)
 
 
+def end(desk: Desk, record: Record, how: str) -> None:
+    """Mark the request over: nothing is owed any more."""
+    record.over, record.how = True, how
+    desk.metrics.answers.labels(how).inc()
+
+
 def release(desk: Desk, record: Record) -> None:
     """Let go of the request's read state wherever it may wait."""
     for server in sorted(record.holders):
@@ -46,8 +52,23 @@
 
 
 def close(desk: Desk, record: Record) -> None:
-    """Strike a request that is done. Whatever is still held for it would stay pinned, so it goes too."""
-    if record.done:
+    """Strike a request that is done. Whatever is still held for it would stay pinned, so it goes too.
+
+    The policy may have ended it while it was told the outcome: a request is struck and logged only once.
+    """
+    if record.done and desk.ledger.records.get(record.name) is record:
         release(desk, record)
-        desk.ledger.records.pop(record.name, None)
+        del desk.ledger.records[record.name]
+        log.info(
+            "request_ended",
+            request=record.name,
+            **{"class": record.request.class_index},
+            how=record.how,
+            ms=round(desk.clock.now_ms() - record.arrived_ms, 1),
+            first_ms=record.first_ms and round(record.first_ms, 1),
+            attempts=[
+                [each.server, each.outcome.value if each.outcome else None, round(each.took_ms, 1)]
+                for each in record.attempts
+            ],
+        )
         desk.metrics.open_requests.set(len(desk.ledger.records))
--- a/ringledge/core/stages/take_in.py
+++ b/ringledge/core/stages/take_in.py
@@ -27,8 +27,7 @@
     """The client has left: nothing is owed any more, but the policy has to let go of what is held."""
     if record.over:
         return
-    record.over = True
-    desk.metrics.answers.labels("gone").inc()
+    book.end(desk, record, "gone")
     desk.tell(i.ClientGone(record.name))
     # An attempt that has begun is not the policy's to cancel: its stream ends with its taker.
     for attempt in record.attempts:
--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import os
+import tomllib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import orjson
 
 from crowstand import interface as i
 from crowstand import wirehost
 
+DEPLOY = "deploy"  # the folder of our own files; RINGLEDGE_DEPLOY names another
+
 
 class ConfigError(Exception):
     """The configuration can't be used; the message says why."""
@@ -106,3 +109,30 @@
         raise ConfigError(f"{path}: missing or unknown {error}") from error
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from error
+
+
+@dataclass(slots=True, frozen=True)
+class ChatConfig:
+    """Where and how the chat front listens (chat.toml)."""
+
+    listen: str
+    models: dict[str, str]  # the class that each model's requests belong to
+    tenant: str = ""  # of a client that names none
+    max_tokens: int = 800  # where a request names no limit
+    resume_for_s: float = 60.0  # how long an answer that has ended can be come back to
+    sessions: int = 512  # answers kept at most
+
+
+C = TypeVar("C")
+
+
+def optional(kind: type[C], file: str, environ: Mapping[str, str] = os.environ) -> C | None:
+    """Read one of our own files under deploy/; None where it is absent or not enabled."""
+    path = Path(environ.get("RINGLEDGE_DEPLOY", DEPLOY)) / file
+    if not path.exists():
+        return None
+    try:
+        told = tomllib.loads(path.read_text())
+        return kind(**told) if told.pop("enabled", False) else None
+    except (tomllib.TOMLDecodeError, TypeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -10,11 +10,14 @@
 from crowstand import interface as i
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
+from ringledge.lifecycle import config as configuration
 from ringledge.lifecycle.config import Config
 from ringledge.lifecycle.logging import log
 from ringledge.lifecycle.signals import on_stop_signal
 from ringledge.memory.metrics import Metrics
 from ringledge.memory.servers import ServerList
+from ringledge.wire.chat import Chat
+from ringledge.wire.chat import error_body as chat_error_body
 from ringledge.wire.discovery import Discovery
 from ringledge.wire.http import Front, listen
 from ringledge.wire.platform import Platform, error_body
@@ -38,29 +41,39 @@
         discovery = Discovery(config.discovery, config.names, conductor)
         discovery.apply(config.known, i.ListForm.KEPT)
         platform = Platform(config.names, conductor)
-        front = Front("platform", sockets, platform.handle, error_body)
+        front = Front("platform", sockets, platform.handle, error_body, metrics.client_sockets)
+        fronts = [(front, listen(config.listen))]
+        told = configuration.optional(configuration.ChatConfig, "chat.toml")
+        if told is not None:
+            chat = Chat(told, config.settings, config.names, conductor)
+            chat_front = Front("chat", sockets // 2, chat.handle, chat_error_body, metrics.client_sockets)
+            fronts.append((chat_front, listen(told.listen)))
+            tasks.start_soon(chat.reap)
         stopping = anyio.Event()
 
         def stop() -> None:
             platform.ready = False
             stopping.set()
 
-        listener = listen(config.listen)
         tasks.start_soon(on_stop_signal, stop)
         tasks.start_soon(conductor.run_timers)
         tasks.start_soon(discovery.watch)
         tasks.start_soon(discovery.fetch_when_asked, upstream)
         tasks.start_soon(upstream.retire_idle)
-        tasks.start_soon(front.serve, listener, tasks)
+        for each, listener in fronts:
+            tasks.start_soon(each.serve, listener, tasks)
         gc.collect()
         gc.freeze()  # what is there now stays: later collections needn't look at it
         platform.ready = True
-        log.info("ready", listen=config.listen, took_s=round(time.monotonic() - started, 3))
+        listening = {each.name: "%s:%d" % listener.getsockname() for each, listener in fronts}
+        log.info("ready", listening=listening, took_s=round(time.monotonic() - started, 3))
         await stopping.wait()
         await anyio.sleep(KEEP_TAKING_S)
-        while front.open or conductor.ledger.records or upstream.releases:
-            front.drain()
+        while any(each.open for each, _ in fronts) or conductor.ledger.records or upstream.releases:
+            for each, _ in fronts:
+                each.drain()
             await anyio.sleep(0.02)
-        listener.close()
+        for _, listener in fronts:
+            listener.close()
         log.info("stopped")
         tasks.cancel_scope.cancel()
--- a/ringledge/memory/metrics.py
+++ b/ringledge/memory/metrics.py
@@ -30,7 +30,7 @@
         )
         self.open_requests = Gauge("ringledge_open_requests", "Requests open now", registry=registry)
         self.client_sockets = Gauge(
-            "ringledge_client_sockets", "Accepted connections open now", registry=registry
+            "ringledge_client_sockets", "Accepted connections open now", ["front"], registry=registry
         )
         self.server_sockets = Gauge(
             "ringledge_server_sockets", "Connections to servers open now", registry=registry
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -9,6 +9,7 @@
 import anyio
 import anyio.abc
 import h11
+from prometheus_client import Gauge
 
 from ringledge.lifecycle.logging import log
 from ringledge.wire.buffer import Buffer
@@ -22,9 +23,17 @@
 class HttpError(Exception):
     """Input that is answered with a plain status and costs nothing else."""
 
-    def __init__(self, status: int, reason: str, code: str = "invalid_request") -> None:
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        code: str = "invalid_request",
+        param: str | None = None,
+        headers: Headers | None = None,
+    ) -> None:
         super().__init__(reason)
-        self.status, self.reason, self.code = status, reason, code
+        self.status, self.reason, self.code, self.param = status, reason, code, param
+        self.headers: Headers = headers or []
 
 
 class Connection:
@@ -45,12 +54,12 @@
                 return event  # type: ignore[return-value]
             if self.h11.they_are_waiting_for_100_continue:
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
-            if len(self.buffer) or await self._fill():
+            if len(self.buffer) or await self.fill():
                 self.h11.receive_data(self.buffer.take())
             else:
                 self.h11.receive_data(b"")
 
-    async def _fill(self) -> int:
+    async def fill(self) -> int:
         """Read once from the socket into the buffer; 0 at the end of what the peer sends."""
         while True:
             with self.buffer.room() as room:
@@ -67,11 +76,11 @@
         """Return once the peer has closed; bytes of a next request are kept for later."""
         try:
             while len(self.buffer) < MAX_AHEAD:
-                if not await self._fill():
+                if not await self.fill():
                     return
             await anyio.sleep_forever()
-        except OSError:
-            return  # a reset is a close as well
+        except (OSError, anyio.ClosedResourceError):
+            return  # a reset is a close as well, and so is our own
 
     async def send(self, *events: h11.Event) -> None:
         """Say something, to its last byte."""
@@ -168,6 +177,13 @@
     return None
 
 
+def only(head: h11.Request, method: bytes) -> None:
+    """Let one method through."""
+    if head.method != method:
+        allow: Headers = [(b"Allow", method)]
+        raise HttpError(405, f"only {method.decode()} here", "method_not_allowed", headers=allow)
+
+
 Handler = Callable[[Connection, h11.Request], Awaitable[None]]
 ErrorBody = Callable[[HttpError], bytes]
 
@@ -175,8 +191,9 @@
 class Front:
     """Accepts connections, bounded in number, and reads requests from them one after another."""
 
-    def __init__(self, name: str, limit: int, handler: Handler, error_body: ErrorBody) -> None:
+    def __init__(self, name: str, limit: int, handler: Handler, error_body: ErrorBody, gauge: Gauge) -> None:
         self.name, self.limit, self._handler, self._error_body = name, limit, handler, error_body
+        self._gauge = gauge.labels(name)
         self.open: set[Connection] = set()
         self.resting: set[Connection] = set()  # open, between requests
         self.closing = False  # each connection ends with its next answer
@@ -203,50 +220,56 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             conn = Connection(sock, h11.SERVER)
             self.open.add(conn)
+            self._gauge.set(len(self.open))
             tasks.start_soon(self._converse, conn, len(self.open) > self.limit)
 
     async def _converse(self, conn: Connection, crowded: bool) -> None:
         try:
-            while not conn.closed:
-                self.resting.add(conn)
-                try:
-                    head = await conn.next_event()
-                finally:
-                    self.resting.discard(conn)
-                if not isinstance(head, h11.Request):
-                    return
-                if crowded:
-                    log.warning("connections_exhausted", front=self.name, open=len(self.open))
-                    raise HttpError(503, "too many connections", "overloaded")
-                await self._handler(conn, head)
-                if not conn.next_cycle():
-                    return
-        except HttpError as error:
-            await self._reject(conn, error)
-        except h11.RemoteProtocolError as error:
-            await self._reject(conn, HttpError(error.error_status_hint, str(error)))
-        except (OSError, anyio.ClosedResourceError) as error:
+            while await self._exchange(conn, crowded):
+                pass
+        except (OSError, anyio.ClosedResourceError, h11.LocalProtocolError) as error:
             log.debug("client_connection_lost", front=self.name, error=str(error))
         finally:
             self.open.discard(conn)
             conn.close()
+            self._gauge.set(len(self.open))
             self._room.set()
 
-    async def _reject(self, conn: Connection, error: HttpError) -> None:
-        """Answer bad input and end the connection, which costs nobody else anything."""
+    async def _exchange(self, conn: Connection, crowded: bool) -> bool:
+        """Read one request and have it answered; False once the connection is through."""
+        try:
+            self.resting.add(conn)
+            try:
+                head = await conn.next_event()
+            finally:
+                self.resting.discard(conn)
+            if not isinstance(head, h11.Request):
+                return False
+            if crowded:
+                log.warning("connections_exhausted", front=self.name, open=len(self.open))
+                raise HttpError(503, "too many connections", "overloaded", headers=[(b"Retry-After", b"1")])
+            await self._handler(conn, head)
+        except HttpError as error:
+            await self._reject(conn, error, crowded)
+        except h11.RemoteProtocolError as error:
+            await self._reject(conn, HttpError(error.error_status_hint, str(error)), True)
+        return not conn.closed and conn.next_cycle()
+
+    async def _reject(self, conn: Connection, error: HttpError, closing: bool) -> None:
+        """Answer bad input, which costs nobody else anything; unread input ends the connection."""
         log.info("request_rejected", front=self.name, status=error.status, reason=error.reason)
-        if conn.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        headers: Headers = [(b"Connection", b"close")]
-        if error.status == 503:
-            headers.append((b"Retry-After", b"1"))
-        with suppress(OSError, h11.LocalProtocolError):
-            await respond(conn, error.status, self._error_body(error), headers)
+        if conn.closed or conn.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return conn.close()
+        closing = closing or conn.h11.their_state is not h11.DONE
+        headers = [*error.headers, (b"Connection", b"close")] if closing else error.headers
+        await respond(conn, error.status, self._error_body(error), headers)
+        if closing:
             # What the client still sends is read for a moment: a reset would destroy the answer on its way.
             conn.sock.shutdown(socket.SHUT_WR)
             with anyio.move_on_after(0.5):
-                while await conn._fill():
+                while await conn.fill():
                     conn.buffer.take()
+            conn.close()
 
     def drain(self) -> None:
         """Close what rests, and let every other connection end with its answer."""
@@ -265,6 +288,6 @@
     kind: bytes = b"application/json",
 ) -> None:
     """One whole answer."""
-    told = [(b"Content-Type", kind), (b"Content-Length", b"%d" % len(body)), *(headers or [])]
+    told: Headers = [(b"Content-Type", kind), (b"Content-Length", b"%d" % len(body)), *(headers or [])]
     response = h11.Response(status_code=status, headers=told)
     await conn.send(response, h11.Data(data=body), h11.EndOfMessage())
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Any
+from collections.abc import Awaitable
 
 import anyio
 import h11
@@ -11,11 +11,10 @@
 
 from crowstand import interface as i
 from ringledge.core.conductor import Conductor
-from ringledge.core.ledger import Record
 from ringledge.core.port import Payload
 from ringledge.core.stages.take_in import DuplicateError
 from ringledge.lifecycle.config import Names
-from ringledge.wire.http import Connection, Headers, HttpError, header, read_body, respond
+from ringledge.wire.http import Connection, Headers, HttpError, header, only, read_body, respond
 
 HIGH_WATER = 64 * 1024  # bytes of a stream that may wait for a slow client
 PATH = b"/v1/chat/completions"
@@ -86,14 +85,14 @@
         """Answer one request."""
         path = head.target.partition(b"?")[0]
         if path == b"/ready":
-            _only(head, b"GET")
+            only(head, b"GET")
             await read_body(conn, head)
             return await respond(
                 conn, 200 if self.ready else 503, b'{"ready":%s}' % str(self.ready).lower().encode()
             )
         if path != PATH:
             raise HttpError(404, "no such path", "not_found")
-        _only(head, b"POST")
+        only(head, b"POST")
         body = await read_body(conn, head)
         request = self._request(head, body)
         payload = Payload(head.target, body, header(head, b"content-type") or b"application/json")
@@ -102,7 +101,10 @@
             record = self._conductor.take(request, payload, exchange)
         except DuplicateError as error:
             raise HttpError(400, f"request {error} is open already") from error
-        await converse(conn, self._conductor, record, exchange, self._answer)
+        try:
+            await converse(conn, self._answer(conn, exchange))
+        finally:
+            self._conductor.client_gone(record)  # for a request that is over it changes nothing
 
     async def _answer(self, conn: Connection, exchange: Exchange) -> None:
         """Write the one answer, as it comes."""
@@ -150,9 +152,9 @@
                 tenant,
                 _key(_text(head, b"x-route-hash", "")),
                 _key(info.get("prefix", "")),
-                float(info.get("prefix_len", 0)),
-                float(info.get("prompt_len", len(body) / 4)),  # a token is four characters
-                float(info.get("max_out", 0)),
+                _tokens(info.get("prefix_len", 0)),
+                _tokens(info.get("prompt_len", len(body) / 4)),  # a token is four characters
+                _tokens(info.get("max_out", 0)),
                 None,
                 again == "1",
                 again == "again",
@@ -161,27 +163,26 @@
             raise HttpError(400, str(error)) from error
 
 
-async def converse(
-    conn: Connection, conductor: Conductor, record: Record, exchange: Exchange, answer: Any
-) -> None:
+async def converse(conn: Connection, answer: Awaitable[None]) -> None:
     """Write the answer while watching for the client's disconnect, also when nothing is written."""
+    error: HttpError | None = None
 
     async def watch() -> None:
         await conn.wait_closed()
+        conn.close()
         tasks.cancel_scope.cancel()
 
-    try:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(watch)
-            await answer(conn, exchange)
-            tasks.cancel_scope.cancel()
-    except* (OSError, anyio.ClosedResourceError):
-        conn.close()
-    finally:
-        # However this ends, the core hears of it; for a request that is over it changes nothing.
-        conductor.client_gone(record)
-    if exchange.end is None or conn.h11.our_state is not h11.DONE:
-        conn.close()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch)
+        try:
+            await answer
+        except HttpError as raised:
+            error = raised  # raised below: a task group would wrap it
+        except (OSError, anyio.ClosedResourceError):
+            conn.close()  # the client has gone while it was written to
+        tasks.cancel_scope.cancel()
+    if error is not None:
+        raise error
 
 
 def stream_head() -> h11.Response:
@@ -204,11 +205,6 @@
     return orjson.dumps({"error": error.reason})
 
 
-def _only(head: h11.Request, method: bytes) -> None:
-    if head.method != method:
-        raise HttpError(405, f"only {method.decode()} here", "method_not_allowed")
-
-
 def _text(head: h11.Request, name: bytes, default: str | None = None) -> str:
     value = header(head, name)
     if value is None:
@@ -218,6 +214,14 @@
     return value.decode("ascii", "replace").strip()
 
 
+def _tokens(told: str | float) -> float:
+    """A count of tokens; 'nan' would pass as a number and spoil every sum that it enters."""
+    value = float(told)
+    if not 0 <= value < 1e9:
+        raise ValueError("X-Call-Info holds no count of tokens")
+    return value
+
+
 def _key(text: str) -> int | None:
     """A session or a shared beginning: hex digits, as a number."""
     return int(text, 16) if text else None
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,226 @@
+"""The program on the platform's protocol: outcomes, rules and bad input, played over real sockets."""
+
+import http.client
+import json
+import signal
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.loopback import Call, Node, event, take
+
+
+@pytest.fixture
+def node(tmp_path: Path) -> Iterator[Node]:
+    with Node(tmp_path) as node:
+        yield node
+
+
+def read(node: Node, name: str = "a1", **headers: Any) -> tuple[http.client.HTTPConnection, Call]:
+    """Send a request and have it read; give the client and the call at the writer."""
+    client = node.post(name, **headers)
+    node.reader[0].next().read()
+    return client, node.writer[0].next()
+
+
+def test_a_request_is_read_and_its_stream_passed_on_unchanged(node: Node) -> None:
+    body = b'{"model": "chat",  "stream":true, "messages":[]}'
+    client = node.post("a1", body)
+    first = node.reader[0].next()
+    first.read()
+    second = node.writer[0].next()
+    for call in (first, second):
+        assert (call.id, call.body, call.path) == ("a1", body, "/v1/chat/completions")
+        assert 0 < int(call.headers["X-Budget-Ms"]) <= 4800
+    second.begin().token("one").token("two").end()
+    answer = take(client)
+    assert answer.status == 200 and answer.headers["content-type"] == "text/event-stream"
+    assert answer.body.startswith((event("one") + event("two")).encode())
+    assert answer.body.endswith(b': X-Load-Report: {"x0":0.25,"x1":1.5}\n\n')
+    assert node.logged("request_ended")["how"] == "served"
+
+
+def test_a_piece_is_passed_on_at_once(node: Node) -> None:
+    client, call = read(node)
+    call.begin().token("one")
+    answer = client.getresponse()
+    assert answer.readline() == event("one").splitlines()[0].encode() + b"\n"
+    call.token("two").end()
+    assert b"two" in answer.read()
+
+
+def test_a_break_after_the_first_token_is_no_clean_end(node: Node) -> None:
+    client, call = read(node)
+    call.begin().token("one").drop()
+    with pytest.raises(http.client.IncompleteRead) as broken:
+        take(client)
+    assert broken.value.partial == event("one").encode()
+
+
+@pytest.mark.parametrize(
+    ("name", "status", "headers", "again"),
+    [
+        ("query", 500, {}, True),
+        ("query", 503, {"X-Rejected": "1"}, True),
+        ("booking", 503, {"X-Rejected": "1"}, True),
+        ("booking", 504, {"X-Rejected": "1"}, True),
+        ("booking", 500, {}, False),
+        ("booking", 503, {}, False),
+        ("booking", None, {}, False),
+    ],
+)
+def test_a_booking_goes_again_only_if_it_never_ran(
+    node: Node, name: str, status: int | None, headers: dict[str, str], again: bool
+) -> None:
+    client, call = read(node, X_Call_Class=name)
+    if status is None:
+        call.drop()
+    else:
+        call.answer(status, **headers)
+    if again:
+        node.writer[0].next().serve("x")
+    answer = take(client)
+    assert answer.status == (200 if again else 500)
+    if not again:  # what the reader holds is let go, and nothing was sent again
+        assert node.deleted.get(timeout=10).path.endswith("/a1")
+        assert [each.method for each in node.writer[0].seen] == ["POST"]
+
+
+def test_a_state_that_is_gone_is_read_again(node: Node) -> None:
+    client, call = read(node)
+    call.answer(410, X_Rejected="1")
+    node.reader[0].next().read()
+    node.writer[0].next().serve("x")
+    assert take(client).status == 200
+
+
+@pytest.mark.parametrize("stage", ["reading", "writing"])
+def test_a_client_that_leaves_ends_the_attempt_and_what_is_held(node: Node, stage: str) -> None:
+    client = node.post("a1")
+    call = node.reader[0].next()
+    if stage == "writing":
+        call.read()
+        call = node.writer[0].next()
+    client.close()
+    assert call.closed()
+    call.drop()
+    # A read whose close crossed its 202 has left a state as well.
+    assert node.deleted.get(timeout=10).path == "/internal/reservations/a1"
+    assert node.logged("request_ended")["how"] == "gone"
+
+
+def test_a_client_that_leaves_mid_stream_ends_it(node: Node) -> None:
+    client, call = read(node)
+    call.begin().token("one")
+    answer = client.getresponse()
+    answer.readline()
+    answer.close()
+    client.close()
+    assert call.closed()
+    call.drop()
+
+
+def test_a_silent_server_is_answered_for_in_time(node: Node) -> None:
+    client = node.post("a1", X_Budget_Ms="300")
+    call = node.reader[0].next()
+    answer = take(client)
+    assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+    assert call.closed()
+    call.drop()
+
+
+def test_nothing_goes_to_a_server_that_drains(tmp_path: Path) -> None:
+    with Node(tmp_path, writers=2) as node:
+        watch = node.watches.get(timeout=10)
+        told = node.listing(8, w0="leaving")
+        told["endpoints"] = [each for each in told["endpoints"] if each["name"] == "w0"]
+        told["snapshot"] = False
+        watch.chunk(json.dumps(told) + "\n")
+        while node.logged("list")["index"] != 8:
+            pass
+        for number in range(6):
+            client = node.post(f"a{number}")
+            node.reader[0].next().read()
+            node.writer[1].next().serve("x")
+            assert take(client).status == 200
+        assert not node.writer[0].seen
+
+
+@pytest.mark.parametrize(
+    ("change", "status"),
+    [
+        ({"X_Call_Id": "-"}, 400),
+        ({"X_Call_Id": "a/../b"}, 400),
+        ({"X_Budget_Ms": "soon"}, 400),
+        ({"X_Budget_Ms": "nan"}, 400),
+        ({"X_Budget_Ms": "0"}, 400),
+        ({"X_Call_Class": "nobody"}, 400),
+        ({"X_Caller": "nobody"}, 400),
+        ({"X_Route_Hash": "xyz"}, 400),
+        ({"X_Call_Info": "prompt_len=many"}, 400),
+        ({"X_Call_Info": "prompt_len=nan"}, 400),
+        ({"body": b"{"}, 400),
+        ({"body": b"[]"}, 400),
+        pytest.param({"body": b"x" * (256 * 1024 + 1)}, 413, id="too long"),
+    ],
+)
+def test_bad_input_is_told_and_costs_nothing_else(node: Node, change: dict[str, Any], status: int) -> None:
+    assert take(node.post("a1", **change)).status == status
+    client, call = read(node, "a2")
+    call.serve("x")
+    assert take(client).status == 200
+
+
+@pytest.mark.parametrize(
+    ("text", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", 404),
+        (b"GET /v1/chat/completions HTTP/1.1\r\nHost: a\r\n\r\n", 405),
+        (b"DELETE /ready HTTP/1.1\r\nHost: a\r\n\r\n", 405),
+        (b"nonsense\r\n\r\n", 400),
+        (b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", 400),
+        (b"GET /ready HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 40_000, 431),
+    ],
+)
+def test_bad_http_is_told(node: Node, text: bytes, status: int) -> None:
+    host, port = node.listening["platform"].split(":")
+    with socket.create_connection((host, int(port)), 10) as sock:
+        sock.sendall(text)
+        assert sock.recv(4096).startswith(f"HTTP/1.1 {status} ".encode())
+
+
+def test_connections_past_the_limit_are_refused(tmp_path: Path) -> None:
+    with Node(tmp_path, sockets=80) as node:
+        host, port = node.listening["platform"].split(":")
+        held = [socket.create_connection((host, int(port)), 10) for _ in range(8)]
+        for sock in held:
+            sock.sendall(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert b" 200 " in sock.recv(4096)
+        client = node.client()
+        client.request("GET", "/ready")
+        answer = take(client)
+        assert answer.status == 503 and "retry-after" in answer.headers
+        held.pop().close()
+        for sock in held:
+            sock.close()
+
+
+def test_a_stop_finishes_what_was_taken(node: Node) -> None:
+    client, call = read(node)
+    idle = node.client()
+    idle.connect()
+    node.process.send_signal(signal.SIGTERM)
+    node.logged("stopping")
+    probe = node.client()
+    probe.request("GET", "/ready")
+    assert take(probe).status == 503
+    late = node.post("a2")  # still taken, and answered
+    node.reader[0].next().read()
+    node.writer[0].next().serve("late")
+    assert b"late" in take(late).body
+    call.serve("x")
+    assert take(client).status == 200
+    assert node.process.wait(10) == 0
