Leave a booking at a silent writer to answer instead of cancelling it

Policy._look cancelled every attempt that was silent for LATE of the aim; an unsafe one that may have run can't be sent again, so the cancel could only fail it, while its client would have waited 6 to 12 s.

Ruled out: the conductor's own time-outs (none in the log).

Test: a booking at a silent writer is left to answer and a query is moved.

--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -281,7 +281,9 @@
             if self.now_ms >= next_ms:
                 self._note(job, job.at, 1.0)
                 next_ms = end_ms
-                if job.sent + (job.at.role == i.Role.READER) < self.settings.max_attempts:
+                reads = job.at.role == i.Role.READER
+                again = reads or job.kind.effect != i.Effect.UNSAFE  # else a cancel could only fail it
+                if again and job.sent + reads < self.settings.max_attempts:
                     self._cancel(job)
         self.actions.append(i.SetTimer(min(end_ms, next_ms), f"look:{job.request.request}"))
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -225,3 +225,13 @@
     world.give(i.Members(i.ListForm.CHANGES, 2, (again,)))
     world.wait(15_000)  # warm again, within the time-to-live of the binding
     assert world.serve("c", session=7, prefix=other) != home
+
+
+def test_a_booking_at_a_silent_writer_is_left_to_answer_and_a_query_is_moved() -> None:
+    unsafe = replace(SAFE, effect=i.Effect.UNSAFE)
+    world = World(classes=(SAFE, unsafe))
+    world.read("a", class_index=1)
+    assert not cancelled(world.wait(4000))  # cancelled, it could only be failed
+    world.first("a")
+    world.read("b", class_index=0)
+    assert cancelled(world.wait(4000))
