Serve xDS v3 over REST-JSON, /metrics, remote write and alert rules

What: wire/xds.py tells other proxies the servers as the decisions see them (Policy.view: warmth, doubt, state), by long polls with ACK and NACK; wire/remote_write.py serves /metrics and delivers remote write 1.0 (protobuf, snappy) from a bounded queue with back-off.

Guard found by the test of a cold server: a since_ms ahead of the clock with no warm-up time configured divided by zero in the warmth; Policy._warmth bounds the divisor.

--- a/crowstand/interface.py
+++ b/crowstand/interface.py
@@ -246,6 +246,23 @@
     token: str
 
 
+# What is thought of a server, for those who ask from outside
+
+
+@dataclass(slots=True, frozen=True)
+class View:
+    """One server as the decisions see it at a moment."""
+
+    server: str
+    role: Role
+    zone: int
+    cell: int
+    availability: Availability
+    weight: float
+    warmth: float  # 1: warm; less: the part of its capacity that it is trusted with
+    doubt: float  # how likely it fails what it is sent
+
+
 Event = Members | Request | Outcome | FirstToken | ClientGone | Probed | Timer
 
 
--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -242,8 +242,7 @@
         age_ms = self.now_ms - server.entry.started_ms
         if server.entry.started_ms <= 0 or age_ms >= self.settings.warm_after_ms:
             return True
-        share = max(0.0, age_ms) / self.settings.warm_after_ms
-        warmth = self.settings.cold_share * (1 - share) + share
+        warmth = self._warmth(server)
         window_ms, done = self.settings.overload_for_ms, self.done[server.role]
         span_ms = max(window_ms, self.settings.warm_after_ms, self.now_ms - done[0] if done else 0.0)
         usual = len(done) * window_ms / span_ms / self.peak[server.role]
@@ -253,6 +252,24 @@
         server.credit, server.credit_ms = min(max(1.0, rate), server.credit + gained), self.now_ms
         return server.credit >= 1.0
 
+    def _warmth(self, server: Server) -> float:
+        """The part of its capacity that a server is trusted with since its start."""
+        age_ms, warm_ms = self.now_ms - server.entry.started_ms, self.settings.warm_after_ms
+        if server.entry.started_ms <= 0 or age_ms >= warm_ms:
+            return 1.0
+        share = max(0.0, age_ms) / max(1.0, warm_ms)
+        return self.settings.cold_share * (1 - share) + share
+
+    def view(self, now_ms: float) -> list[i.View]:
+        """What is thought of each server now, for those who ask from outside; it decides nothing."""
+        self.now_ms = now_ms
+        return [
+            i.View(name, server.role, server.entry.zone, server.entry.cell, server.entry.availability,
+                   server.entry.weight, self._warmth(server),
+                   server.blame.get("all", Fading()).now(now_ms))
+            for name, server in sorted(self.servers.items())
+        ]
+
     def _send(self, job: Job, server: Server) -> None:
         tokens = self._unread(job.request, server) if job.state_at is None else self._tokens(job)
         job.ahead = server.tokens + tokens + READ_START_TOKENS if server.role == i.Role.READER else 0.0
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -48,7 +48,6 @@
         """Take a client's request in; its one final answer comes through the caller."""
         record = take_in.take_in(self.desk, request, payload, caller)
         admit.admit(self.desk, record)
-        self.desk.metrics.open_requests.set(len(self.ledger.records))
         return record
 
     def client_gone(self, record: Record) -> None:
--- a/ringledge/core/stages/book.py
+++ b/ringledge/core/stages/book.py
@@ -71,4 +71,3 @@
                 for each in record.attempts
             ],
         )
-        desk.metrics.open_requests.set(len(desk.ledger.records))
--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -5,7 +5,7 @@
 import os
 import tomllib
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -123,6 +123,27 @@
     sessions: int = 512  # answers kept at most
 
 
+@dataclass(slots=True, frozen=True)
+class XdsConfig:
+    """Where xDS is served (xds.toml)."""
+
+    listen: str
+    cluster: str = "ringledge-xds"  # the name under which the proxies know this listener
+    poll_s: float = 10.0  # a poll that finds nothing new is answered after so long
+
+
+@dataclass(slots=True, frozen=True)
+class PrometheusConfig:
+    """Where /metrics is scraped and where figures are written to (prometheus.toml)."""
+
+    listen: str = ""
+    remote_write: str = ""  # the receiver's http address; empty: none
+    interval_s: float = 15.0
+    queue: int = 40  # collections that may wait
+    timeout_s: float = 5.0
+    labels: dict[str, str] = field(default_factory=dict)  # added to each series that is written
+
+
 C = TypeVar("C")
 
 
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -4,6 +4,7 @@
 
 import gc
 import time
+from functools import partial
 
 import anyio
 
@@ -21,7 +22,10 @@
 from ringledge.wire.discovery import Discovery
 from ringledge.wire.http import Front, listen
 from ringledge.wire.platform import Platform, error_body
+from ringledge.wire.remote_write import RemoteWrite, Scrape
 from ringledge.wire.upstream import Upstream
+from ringledge.wire.xds import Xds
+from ringledge.wire.xds import error_body as xds_error_body
 
 SPARE_SOCKETS = 64  # for discovery, listeners, logs and the interpreter
 KEEP_TAKING_S = 0.6  # after SIGTERM new connections go on arriving so long
@@ -43,12 +47,30 @@
         platform = Platform(config.names, conductor)
         front = Front("platform", sockets, platform.handle, error_body, metrics.client_sockets)
         fronts = [(front, listen(config.listen))]
-        told = configuration.optional(configuration.ChatConfig, "chat.toml")
-        if told is not None:
-            chat = Chat(told, config.settings, config.names, conductor)
+        if (chat_told := configuration.optional(configuration.ChatConfig, "chat.toml")) is not None:
+            chat = Chat(chat_told, config.settings, config.names, conductor)
             chat_front = Front("chat", sockets // 2, chat.handle, chat_error_body, metrics.client_sockets)
-            fronts.append((chat_front, listen(told.listen)))
+            fronts.append((chat_front, listen(chat_told.listen)))
             tasks.start_soon(chat.reap)
+        if (xds_told := configuration.optional(configuration.XdsConfig, "xds.toml")) is not None:
+            xds = Xds(xds_told, config.names, conductor, metrics)
+            xds_front = Front("xds", SPARE_SOCKETS // 4, xds.handle, xds_error_body, metrics.client_sockets)
+            fronts.append((xds_front, listen(xds_told.listen)))
+        told = configuration.optional(configuration.PrometheusConfig, "prometheus.toml")
+        if told is not None and told.listen:
+            scrape = Scrape(metrics)
+            scrape_front = Front(
+                "prometheus", SPARE_SOCKETS // 4, scrape.handle, error_body, metrics.client_sockets
+            )
+            fronts.append((scrape_front, listen(told.listen)))
+        if told is not None and told.remote_write:
+            writer = RemoteWrite(told, config.name, metrics)
+            tasks.start_soon(writer.collect)
+            tasks.start_soon(writer.send)
+        metrics.list_age.set_function(lambda: time.monotonic() - discovery.last_heard)
+        metrics.open_requests.set_function(lambda: len(conductor.ledger.records))
+        for state in (i.Availability.UP, i.Availability.DRAINING):
+            metrics.servers.labels(state.value).set_function(partial(servers.count, state))
         stopping = anyio.Event()
 
         def stop() -> None:
--- a/ringledge/memory/metrics.py
+++ b/ringledge/memory/metrics.py
@@ -50,3 +50,12 @@
         self.lag = Gauge(
             "ringledge_loop_lag_seconds", "How late the event loop last ran a timer", registry=registry
         )
+        self.xds_rejections = Counter(
+            "ringledge_xds_rejections", "Versions of the endpoints that a proxy refused", registry=registry
+        )
+        self.remote_write = Counter(
+            "ringledge_remote_write",
+            "Collections for remote write: sent, dropped, overflowed",
+            ["how"],
+            registry=registry,
+        )
--- a/ringledge/memory/servers.py
+++ b/ringledge/memory/servers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import anyio
+
 from crowstand import interface as i
 
 
@@ -13,6 +15,7 @@
         self.version = 0
         self.entries: dict[str, i.ServerEntry] = {}
         self._addresses: dict[str, str] = {}
+        self.changed = anyio.Event()  # replaced with each change
 
     def apply(self, members: i.Members, addresses: dict[str, str]) -> None:
         """Take news of the list in; a whole list replaces what was kept."""
@@ -27,11 +30,17 @@
             else:
                 self.entries[entry.server] = entry
                 self._addresses[entry.server] = addresses[entry.server]
+        self.changed.set()
+        self.changed = anyio.Event()
 
     def address(self, server: str) -> str | None:
         """Where the server listens, or None once it is gone."""
         return self._addresses.get(server)
 
+    def count(self, availability: i.Availability) -> int:
+        """How many servers are in that state."""
+        return sum(entry.availability == availability for entry in self.entries.values())
+
     def role(self, server: str) -> i.Role | None:
         """What the server does, where it is known."""
         entry = self.entries.get(server)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -133,6 +133,7 @@
     "tenants": [{"name": "farm", "fraction": 1.0}],
     "stats": {"how": "piggyback", "fields": ["x0", "x1"]},
     "specifics": {"role_by_kind": ["read", "write", "both"], "token_aim_ms": [50.0, 80.0], "resume": True},
+    "safety": {"cold_share": 0.28, "warm_after_ms": 13000.0, "fall_multiple": 3.0, "overload_for_ms": 3000.0},
     "replicas_of_me": 1, "position": 0, "tick_ms": 2.0, "zone": 0, "membership_mode": "automatic",
 }  # fmt: skip
 
