Shed in proportion to the wait; keep garbled answers and own faults to one attempt

Policy._reader turned every request away once the wait it expects (fetch delays of the cell included) passed the limit; then no answer starts, nothing tells when the wait is over, and the figure only fades over 10 s. Now a wait up to twice the limit sheds in proportion, for requests whose worth is not far below the highest; those beyond a tenant's share are shed first as before.

From reading the code and from tests: a server's answer over 256 KiB, a load report that holds no number, and any fault of the program's own ended the whole process; they now cost one attempt or connection and are logged. A state that discovery invents counts as draining. A body that doesn't come is 408; a client that takes nothing for 20 s has gone.

--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -16,6 +16,8 @@
 SPREAD = 2  # readers of a beginning's ranking that its sessions share: one falls behind, many keep it twice
 EVEN = 0.1  # share of the time wanted by which waits may differ before they count: a read takes about that
 LATE = 0.5  # share of the time wanted: a read that waits it tries others, worthless requests are shed from it
+EASED = 0.5  # least share of a wait that counts for shedding: beyond twice the limit all are turned away
+SHED = 1.5  # how fast that share falls with worth: from a third of the highest worth on it is the least
 CLEARLY_LESS = 0.6  # share of a wait or burden that the farther server must stay under
 LONG_TOKENS = 2_000.0  # unkept tokens that would stall a mixed server's streams: a few of its steps
 READ_START_TOKENS = 300.0  # tokens' worth of fixed cost in a read: a step and the way there and back
@@ -165,7 +167,11 @@
         if waits[server] > LATE * aim_ms:
             server = next((each for each in ready if waits[each] < CLEARLY_LESS * waits[server]), server)
         limit_ms = min(request.expires_in_ms, aim_ms * (LATE + (1 - LATE) * job.value))
-        return server if job.sent or waits[server] <= limit_ms else None
+        if job.sent or waits[server] <= limit_ms:
+            return server
+        # Shed in proportion: were all turned away at once, nothing would tell when the wait is over.
+        share = self.rng.uniform(max(EASED, 1 - SHED * job.value), 1)
+        return server if waits[server] * share <= limit_ms else None
 
     def _ranking(self, request: i.Request) -> list[Server]:
         """Readers and mixed servers, highest random weight for the beginning, else the session, first."""
--- a/ringledge/lifecycle/logging.py
+++ b/ringledge/lifecycle/logging.py
@@ -4,6 +4,7 @@
 
 import sys
 import time
+import traceback
 from typing import Any
 
 import orjson
@@ -50,5 +51,9 @@
         """What they have to look at."""
         self._write("error", event, fields)
 
+    def fault(self, event: str, error: Exception, **fields: Any) -> None:
+        """A fault of the program's own, with its traceback."""
+        self._write("error", event, fields | {"traceback": traceback.format_exception(error)})
+
 
 log = Log()
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -88,6 +88,17 @@
         gc.freeze()  # what is there now stays: later collections needn't look at it
         platform.ready = True
         listening = {each.name: "%s:%d" % listener.getsockname() for each, listener in fronts}
+        log.info(
+            "configured",
+            classes=config.names.classes,
+            zone=config.settings.zone,
+            conductors=config.settings.routers,
+            sockets=config.sockets,
+            max_attempts=config.settings.max_attempts,
+            retry_after=config.settings.retry_after,
+            max_retry_after_ms=config.settings.max_retry_after_ms,
+            keepalive_s=config.names.keepalive_s,
+        )
         log.info("ready", listening=listening, took_s=round(time.monotonic() - started, 3))
         await stopping.wait()
         await anyio.sleep(KEEP_TAKING_S)
--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -13,7 +13,7 @@
 from ringledge.core.conductor import Conductor
 from ringledge.lifecycle.config import Names
 from ringledge.lifecycle.logging import log
-from ringledge.wire.http import Connection, connect, read_body
+from ringledge.wire.http import PEER_ERRORS, Connection, connect, read_body
 
 AVAILABILITY = {"active": i.Availability.UP, "leaving": i.Availability.DRAINING, "left": i.Availability.GONE}
 SILENCE_S = 3.0  # an empty line comes every 2 s: a watch this silent is made anew
@@ -38,7 +38,8 @@
                 self._names.index(self._names.zones, each["zone"]),
                 self._names.index(self._names.kinds, each["type"]),
                 int(each["group"]),
-                AVAILABILITY[each["status"]],
+                # A state that is not known yet gets nothing new, which breaks no rule.
+                AVAILABILITY.get(each["status"], i.Availability.DRAINING),
                 float(each.get("weight", 1.0)),
                 float(each.get("since_ms", 0)),
             )
@@ -55,7 +56,7 @@
                 log.info("watch_ended")
             except TimeoutError:
                 log.warning("watch_silent", seconds=SILENCE_S)
-            except (OSError, h11.RemoteProtocolError) as error:
+            except PEER_ERRORS as error:
                 log.warning("watch_broken", error=str(error))
                 await anyio.sleep(RETRY_S)
             except (KeyError, TypeError, ValueError) as error:
@@ -107,6 +108,6 @@
                     finally:
                         conn.close()
                 self.apply(told)
-            except (OSError, TimeoutError, h11.RemoteProtocolError, ValueError, KeyError) as error:
+            except (*PEER_ERRORS, ValueError, KeyError, TypeError) as error:
                 log.warning("list_fetch_failed", error=repr(error))
                 self._conductor.members(i.Members(i.ListForm.FAILED), {})
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -16,6 +16,8 @@
 
 MAX_BODY = 256 * 1024  # bytes: the protocol's limit
 MAX_HEAD = 32 * 1024  # bytes of a head that h11 may collect
+BODY_S = 10.0  # a request whose body takes longer is given up
+STALL_S = 20.0  # a peer that takes nothing for so long has gone
 MAX_AHEAD = 64 * 1024  # bytes of a next request taken while this one is answered
 Headers = list[tuple[bytes, bytes]]
 
@@ -36,6 +38,10 @@
         self.headers: Headers = headers or []
 
 
+# What ends an exchange with a peer: its socket, its HTTP, or an answer past all bounds.
+PEER_ERRORS = (OSError, h11.RemoteProtocolError, anyio.ClosedResourceError, HttpError)
+
+
 class Connection:
     """One socket, its buffer and its h11 state."""
 
@@ -93,7 +99,8 @@
             try:
                 view = view[self.sock.send(view) :]
             except (BlockingIOError, InterruptedError):
-                await anyio.wait_writable(self.sock)
+                with anyio.fail_after(STALL_S):
+                    await anyio.wait_writable(self.sock)
 
     def next_cycle(self) -> bool:
         """Make ready for another exchange, where both sides are through with this one."""
@@ -155,9 +162,12 @@
     length = header(head, b"content-length")
     if length and int(length) > limit:
         raise HttpError(413, f"the body is longer than {limit} bytes")
-    parts, size = [], 0
+    parts, size, until = [], 0, anyio.current_time() + BODY_S
     while True:
-        event = await conn.next_event()
+        with anyio.CancelScope(deadline=until) as slow:
+            event = await conn.next_event()
+        if slow.cancelled_caught:
+            raise HttpError(408, "the body did not come in time", "timeout")
         if isinstance(event, h11.Data):
             size += len(event.data)
             if size > limit:
@@ -229,6 +239,8 @@
                 pass
         except (OSError, anyio.ClosedResourceError, h11.LocalProtocolError) as error:
             log.debug("client_connection_lost", front=self.name, error=str(error))
+        except Exception as error:  # a fault of ours costs this connection, not all the others
+            log.fault("connection_crashed", error, front=self.name)
         finally:
             self.open.discard(conn)
             conn.close()
@@ -253,7 +265,9 @@
             await self._reject(conn, error, crowded)
         except h11.RemoteProtocolError as error:
             await self._reject(conn, HttpError(error.error_status_hint, str(error)), True)
-        return not conn.closed and conn.next_cycle()
+        if conn.closed or not conn.next_cycle():
+            return False
+        return not self.closing or len(conn.buffer) > 0 or conn.readable()
 
     async def _reject(self, conn: Connection, error: HttpError, closing: bool) -> None:
         """Answer bad input, which costs nobody else anything; unread input ends the connection."""
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from collections.abc import Awaitable
 
@@ -133,7 +134,7 @@
             if not isinstance(orjson.loads(body), dict):
                 raise ValueError("the body is no JSON object")
             name = _text(head, b"x-call-id")
-            if not (name.isascii() and name.isalnum() and len(name) <= 64):
+            if not re.fullmatch(r"[A-Za-z0-9._-]{1,64}", name):  # it becomes part of a path
                 raise ValueError("X-Call-Id is no plain word")
             budget_ms = float(_text(head, b"x-budget-ms"))
             if not 0 < budget_ms < 1e7:
--- a/ringledge/wire/remote_write.py
+++ b/ringledge/wire/remote_write.py
@@ -17,7 +17,7 @@
 from ringledge.lifecycle.config import PrometheusConfig
 from ringledge.lifecycle.logging import log
 from ringledge.memory.metrics import Metrics
-from ringledge.wire.http import Connection, HttpError, connect, header, only, read_body, respond
+from ringledge.wire.http import PEER_ERRORS, Connection, HttpError, connect, header, only, read_body, respond
 
 FIRST_BACKOFF_S, MOST_BACKOFF_S = 0.5, 30.0
 OPTIONAL, REPEATED = 1, 3  # the numbers of labels and types in descriptor.proto
@@ -117,7 +117,7 @@
             try:
                 with anyio.fail_after(self._config.timeout_s):
                     status, told = await self._post(body)
-            except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+            except PEER_ERRORS as error:
                 log.warning("remote_write_failed", error=repr(error), again_s=wait_s)
             else:
                 if status < 300:
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -21,7 +21,7 @@
 from ringledge.memory.metrics import Metrics
 from ringledge.memory.pool import Pool
 from ringledge.memory.servers import ServerList
-from ringledge.wire.http import Connection, Headers, connect, header, read_body
+from ringledge.wire.http import PEER_ERRORS, Connection, Headers, connect, header, read_body
 
 STREAM_SILENCE_S = 3.0  # a begun stream this silent is broken off: a vanished machine says nothing
 TAIL = 2048  # bytes at a stream's end in which usage and the load report stand
@@ -104,6 +104,9 @@
                 else:
                     end = await self._exchange(attempt, live, address)
                     reusable = live.conn is not None and live.conn.next_cycle()
+        except Exception as error:  # a fault of ours costs this attempt, not all the others
+            end = End(i.Status.RESET if attempt.written else i.Status.CONNECT_FAILED)
+            log.fault("attempt_crashed", error, server=attempt.server, request=attempt.record.name)
         finally:
             self._live.pop(attempt, None)
             if live.conn is not None:
@@ -132,7 +135,7 @@
         record = attempt.record
         try:
             live.conn = conn = await self._connection(address)
-        except (OSError, TimeoutError) as error:
+        except OSError as error:
             log.info("connect_failed", server=attempt.server, request=record.name, error=str(error))
             return End(i.Status.CONNECT_FAILED)
         left_ms = max(0, int(attempt.ends_ms - self.conductor.clock.now_ms()))
@@ -161,7 +164,7 @@
             if head.status_code == 200:
                 return await self._stream(attempt, live, conn, head)
             body = await read_body(conn, head)
-        except (OSError, h11.RemoteProtocolError, anyio.ClosedResourceError) as error:
+        except PEER_ERRORS as error:
             log.info(
                 "attempt_reset",
                 server=attempt.server,
@@ -217,7 +220,11 @@
     def _load(self, text: bytes | None) -> i.Load | None:
         """A load report in the names that the settings give."""
         report = _json(text) if text else {}
-        known = {LOAD[name]: float(value) for name, value in report.items() if name in LOAD}
+        known = {
+            LOAD[name]: float(value)
+            for name, value in report.items()
+            if name in LOAD and isinstance(value, int | float)
+        }
         return i.Load(**known) if known else None
 
     # Releases and probes.
@@ -248,7 +255,7 @@
         pause_s, how = 0.02, "lost"
         try:
             while time.monotonic() < give_up:
-                with suppress(OSError, TimeoutError, h11.RemoteProtocolError):
+                with suppress(*PEER_ERRORS):
                     with anyio.fail_after(RELEASE_TRY_S):
                         await self._call(address, b"DELETE", path)
                     how = "done"
@@ -278,7 +285,7 @@
                 load = self._load(body) or self._load(header(head, b"x-load-report"))
             except TimeoutError:
                 status = i.Status.TIMEOUT
-            except (OSError, h11.RemoteProtocolError) as error:
+            except PEER_ERRORS as error:
                 log.info("probe_failed", server=server, error=str(error))
         self.conductor.probed(i.Probed(server, status, (time.monotonic() - sent) * 1000, load))
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -26,7 +26,7 @@
 
     def __init__(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
         self.method, self.path, self.headers, self.body = handler.command, handler.path, handler.headers, body
-        self._handler, self.done = handler, threading.Event()
+        self._handler, self.done, self.hung_up = handler, threading.Event(), threading.Event()
 
     @property
     def id(self) -> str:
@@ -74,6 +74,18 @@
         self._handler.close_connection = True
         self.done.set()
 
+    def hang_up_after(self) -> Call:
+        """Close the connection after the answer, without a word of it before."""
+        self._handler.close_connection = True
+        finish = self._handler.server.shutdown_request
+
+        def closed(request: Any) -> None:
+            finish(request)
+            self.hung_up.set()
+
+        self._handler.server.shutdown_request = closed  # type: ignore[method-assign]
+        return self
+
     def closed(self) -> bool:
         """Wait until the other side closes the connection."""
         self._handler.connection.settimeout(WAIT_S)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -235,3 +235,12 @@
     world.first("a")
     world.read("b", class_index=0)
     assert cancelled(world.wait(4000))
+
+
+def test_a_long_wait_sheds_in_proportion_so_that_news_goes_on_coming() -> None:
+    world = World()
+    for number in range(3):  # answers that start late tell that the links are slow
+        world.read(f"a{number}", session=number, prefix=5)
+        world.give(i.FirstToken(f"a{number}", world.attempts[f"a{number}"], world.at[f"a{number}"], 1200))
+    sent = [bool(sends(world.request(f"b{n}", session=100 + n, prefix=5))) for n in range(60)]
+    assert 0 < sum(sent) < 60
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -224,3 +224,55 @@
     call.serve("x")
     assert take(client).status == 200
     assert node.process.wait(10) == 0
+
+
+@pytest.mark.parametrize(
+    ("body", "headers", "status"),
+    [
+        ("x" * (256 * 1024 + 1), {}, 500),
+        ("{}", {"X-Load-Report": '{"x0":"much"}', "X-Rejected": "1"}, 500),
+        ("{}", {"X-Load-Report": "[", "X-Rejected": "1"}, 500),
+    ],
+    ids=["too long", "odd report", "no report"],
+)
+def test_what_a_server_garbles_costs_its_attempt_alone(
+    node: Node, body: str, headers: dict[str, str], status: int
+) -> None:
+    client, call = read(node, X_Call_Class="booking")
+    call.answer(500, body, **headers)
+    assert take(client).status == status
+    client, call = read(node, "a2")
+    call.serve("x")
+    assert take(client).status == 200
+
+
+def test_a_state_that_discovery_invents_gets_nothing_new(tmp_path: Path) -> None:
+    with Node(tmp_path, writers=2) as node:
+        node.watches.get(timeout=10).chunk(json.dumps(node.listing(8, w0="resting")) + "\n")
+        while node.logged("list")["index"] != 8:
+            pass
+        client = node.post("a1")
+        node.reader[0].next().read()
+        node.writer[1].next().serve("x")
+        assert take(client).status == 200
+
+
+def test_a_watch_that_ends_is_made_again_from_the_last_index(node: Node) -> None:
+    first = node.watches.get(timeout=10)
+    assert first.path == "/v1/endpoints?watch=1&after=7"
+    first.chunk(json.dumps(node.listing(9)) + "\n")
+    while node.logged("list")["index"] != 9:
+        pass
+    node.stop_watches.set()
+    assert node.watches.get(timeout=10).path == "/v1/endpoints?watch=1&after=9"
+
+
+def test_a_stale_connection_is_not_written_to(node: Node) -> None:
+    """A server that closed a kept connection would end a booking as a reset, which may have run."""
+    client, call = read(node, X_Call_Class="booking")
+    call.hang_up_after().serve("x")
+    assert take(client).status == 200
+    assert call.hung_up.wait(10)
+    client, call = read(node, "a2", X_Call_Class="booking")
+    call.serve("x")
+    assert take(client).status == 200
