Prove 'never ran' for attempts out of time unwritten; budget sockets over all fronts

Seen on reading upstream._attempt: an attempt whose time ran out while its connection came up ended as timed out, which a booking may not repeat, though not a byte was sent. It is 'could not connect' now. Seen on reading serve: with the chat front enabled the fronts and the pool could hold 1,230 sockets of 1,024. A release that ends because its server left is counted as gone, not lost. An xDS nonce names the version that it came with, so a rejection is matched to what was rejected. check-config reads the files under deploy/.

--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -60,6 +60,39 @@
         return names.index(name) if name in names else len(names)
 
 
+@dataclass(slots=True, frozen=True)
+class ChatConfig:
+    """Where and how the chat front listens (chat.toml)."""
+
+    listen: str
+    models: dict[str, str]  # the class that each model's requests belong to
+    tenant: str = ""  # of a client that names none
+    max_tokens: int = 800  # where a request names no limit
+    resume_for_s: float = 60.0  # how long an answer that has ended can be come back to
+    sessions: int = 512  # answers kept at most
+
+
+@dataclass(slots=True, frozen=True)
+class XdsConfig:
+    """Where xDS is served (xds.toml)."""
+
+    listen: str
+    cluster: str = "ringledge-xds"  # the name under which the proxies know this listener
+    poll_s: float = 10.0  # a poll that finds nothing new is answered after so long
+
+
+@dataclass(slots=True, frozen=True)
+class PrometheusConfig:
+    """Where /metrics is scraped and where figures are written to (prometheus.toml)."""
+
+    listen: str = ""
+    remote_write: str = ""  # the receiver's http address; empty: none
+    interval_s: float = 15.0
+    queue: int = 40  # collections that may wait
+    timeout_s: float = 5.0
+    labels: dict[str, str] = field(default_factory=dict)  # added to each series that is written
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     """Everything a conductor is told."""
@@ -72,6 +105,24 @@
     known: dict[str, Any]
     settings: i.Settings
     names: Names
+    chat: ChatConfig | None
+    xds: XdsConfig | None
+    prometheus: PrometheusConfig | None
+
+
+C = TypeVar("C")
+
+
+def optional(kind: type[C], file: str, environ: Mapping[str, str]) -> C | None:
+    """Read one of our own files under deploy/; None where it is absent or not enabled."""
+    path = Path(environ.get("RINGLEDGE_DEPLOY", DEPLOY)) / file
+    if not path.exists():
+        return None
+    try:
+        told = tomllib.loads(path.read_text())
+        return kind(**told) if told.pop("enabled", False) else None
+    except (tomllib.TOMLDecodeError, TypeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
 
 
 def load(environ: Mapping[str, str] = os.environ) -> Config:
@@ -102,6 +153,9 @@
             told.get("known") or {"index": 0, "snapshot": True, "endpoints": []},
             wirehost.settings(fields),
             names,
+            optional(ChatConfig, "chat.toml", environ),
+            optional(XdsConfig, "xds.toml", environ),
+            optional(PrometheusConfig, "prometheus.toml", environ),
         )
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from error
@@ -109,51 +163,3 @@
         raise ConfigError(f"{path}: missing or unknown {error}") from error
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from error
-
-
-@dataclass(slots=True, frozen=True)
-class ChatConfig:
-    """Where and how the chat front listens (chat.toml)."""
-
-    listen: str
-    models: dict[str, str]  # the class that each model's requests belong to
-    tenant: str = ""  # of a client that names none
-    max_tokens: int = 800  # where a request names no limit
-    resume_for_s: float = 60.0  # how long an answer that has ended can be come back to
-    sessions: int = 512  # answers kept at most
-
-
-@dataclass(slots=True, frozen=True)
-class XdsConfig:
-    """Where xDS is served (xds.toml)."""
-
-    listen: str
-    cluster: str = "ringledge-xds"  # the name under which the proxies know this listener
-    poll_s: float = 10.0  # a poll that finds nothing new is answered after so long
-
-
-@dataclass(slots=True, frozen=True)
-class PrometheusConfig:
-    """Where /metrics is scraped and where figures are written to (prometheus.toml)."""
-
-    listen: str = ""
-    remote_write: str = ""  # the receiver's http address; empty: none
-    interval_s: float = 15.0
-    queue: int = 40  # collections that may wait
-    timeout_s: float = 5.0
-    labels: dict[str, str] = field(default_factory=dict)  # added to each series that is written
-
-
-C = TypeVar("C")
-
-
-def optional(kind: type[C], file: str, environ: Mapping[str, str] = os.environ) -> C | None:
-    """Read one of our own files under deploy/; None where it is absent or not enabled."""
-    path = Path(environ.get("RINGLEDGE_DEPLOY", DEPLOY)) / file
-    if not path.exists():
-        return None
-    try:
-        told = tomllib.loads(path.read_text())
-        return kind(**told) if told.pop("enabled", False) else None
-    except (tomllib.TOMLDecodeError, TypeError) as error:
-        raise ConfigError(f"{path}: {error}") from error
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -11,7 +11,6 @@
 from crowstand import interface as i
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
-from ringledge.lifecycle import config as configuration
 from ringledge.lifecycle.config import Config
 from ringledge.lifecycle.logging import log
 from ringledge.lifecycle.signals import on_stop_signal
@@ -36,7 +35,9 @@
     started = time.monotonic()
     metrics = Metrics()
     servers = ServerList(config.settings.kinds)
+    # Half for servers, half for clients; each front lets an eighth more in, only to be refused.
     sockets = max(8, (config.sockets - SPARE_SOCKETS) // 2)
+    for_clients = sockets * 8 // 9 // (1 if config.chat is None else 2)
     async with anyio.create_task_group() as tasks:
         upstream = Upstream(tasks, servers, config.names, sockets, metrics)
         conductor = upstream.conductor = Conductor(
@@ -45,26 +46,23 @@
         discovery = Discovery(config.discovery, config.names, conductor)
         discovery.apply(config.known, i.ListForm.KEPT)
         platform = Platform(config.names, conductor)
-        front = Front("platform", sockets, platform.handle, error_body, metrics.client_sockets)
+        front = Front("platform", for_clients, platform.handle, error_body, metrics.client_sockets)
         fronts = [(front, listen(config.listen))]
-        if (chat_told := configuration.optional(configuration.ChatConfig, "chat.toml")) is not None:
-            chat = Chat(chat_told, config.settings, config.names, conductor)
-            chat_front = Front("chat", sockets // 2, chat.handle, chat_error_body, metrics.client_sockets)
-            fronts.append((chat_front, listen(chat_told.listen)))
+        if config.chat is not None:
+            chat = Chat(config.chat, config.settings, config.names, conductor)
+            chat_front = Front("chat", for_clients, chat.handle, chat_error_body, metrics.client_sockets)
+            fronts.append((chat_front, listen(config.chat.listen)))
             tasks.start_soon(chat.reap)
-        if (xds_told := configuration.optional(configuration.XdsConfig, "xds.toml")) is not None:
-            xds = Xds(xds_told, config.names, conductor, metrics)
+        if config.xds is not None:
+            xds = Xds(config.xds, config.names, conductor, metrics)
             xds_front = Front("xds", SPARE_SOCKETS // 4, xds.handle, xds_error_body, metrics.client_sockets)
-            fronts.append((xds_front, listen(xds_told.listen)))
-        told = configuration.optional(configuration.PrometheusConfig, "prometheus.toml")
-        if told is not None and told.listen:
-            scrape = Scrape(metrics)
-            scrape_front = Front(
-                "prometheus", SPARE_SOCKETS // 4, scrape.handle, error_body, metrics.client_sockets
-            )
-            fronts.append((scrape_front, listen(told.listen)))
-        if told is not None and told.remote_write:
-            writer = RemoteWrite(told, config.name, metrics)
+            fronts.append((xds_front, listen(config.xds.listen)))
+        if config.prometheus is not None and config.prometheus.listen:
+            scrape = Scrape(metrics).handle
+            scrape_front = Front("prometheus", SPARE_SOCKETS // 4, scrape, error_body, metrics.client_sockets)
+            fronts.append((scrape_front, listen(config.prometheus.listen)))
+        if config.prometheus is not None and config.prometheus.remote_write:
+            writer = RemoteWrite(config.prometheus, config.name, metrics)
             tasks.start_soon(writer.collect)
             tasks.start_soon(writer.send)
         metrics.list_age.set_function(lambda: time.monotonic() - discovery.last_heard)
--- a/ringledge/memory/metrics.py
+++ b/ringledge/memory/metrics.py
@@ -37,7 +37,7 @@
         )
         self.releases = Counter(
             "ringledge_releases",
-            "Calls that let go of held state: done, retried, lost",
+            "Calls that let go of held state: done, retried, gone, lost",
             ["how"],
             registry=registry,
         )
--- a/ringledge/wire/buffer.py
+++ b/ringledge/wire/buffer.py
@@ -6,7 +6,7 @@
 class Buffer:
     """Bytes read from a socket that the parser has not taken yet; grows and is compacted in place."""
 
-    def __init__(self, size: int = 4096) -> None:
+    def __init__(self, size: int = 16 * 1024) -> None:
         self._data = bytearray(size)
         self._start = self._end = 0
 
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -213,7 +213,7 @@
         """Accept until cancelled."""
         while True:
             # Past the limit a few more are let in, only to be told so; the rest waits in the backlog.
-            if len(self.open) >= self.limit + self.limit // 8:
+            if len(self.open) >= self.limit + max(1, self.limit // 8):
                 self._room = anyio.Event()
                 await self._room.wait()
                 continue
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -94,7 +94,7 @@
     # Attempts.
 
     async def _attempt(self, attempt: Attempt, live: Live) -> None:
-        end = End(i.Status.TIMEOUT)
+        end: End | None = None
         address = self._servers.address(attempt.server)
         reusable = False
         try:
@@ -114,6 +114,8 @@
                     self.pool.put(address, live.conn)
                 else:
                     self.pool.drop(live.conn)
+        if end is None:  # out of time; what was never written whole can't have run
+            end = End(i.Status.TIMEOUT if attempt.written else i.Status.CONNECT_FAILED)
         self.conductor.outcome(attempt, *end)
 
     async def _connection(self, address: str) -> Connection:
@@ -265,6 +267,7 @@
                 pause_s = min(0.25, 2 * pause_s)
                 address = self._servers.address(server) or ""
                 if not address:
+                    how = "gone"  # and with the server all that it held
                     return
         finally:
             self.releases -= 1
--- a/ringledge/wire/xds.py
+++ b/ringledge/wire/xds.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from hashlib import blake2b
 from itertools import count
 from typing import Any, NamedTuple
@@ -61,7 +62,8 @@
         has = asked.get("version_info")
         now = self._version(kind, wanted)
         if rejected:
-            has = now.name  # the version that was refused is not offered again: wait for another
+            # The version that was refused is not offered again: the nonce that came with it names it.
+            has = str(asked.get("response_nonce", "")).partition("-")[0]
         with anyio.move_on_after(self._config.poll_s):
             while now.name == has:
                 with anyio.move_on_after(LOOK_S):
@@ -73,7 +75,7 @@
             "version_info": now.name,
             "type_url": kind,
             "resources": now.resources,
-            "nonce": str(next(self._nonces)),
+            "nonce": f"{now.name}-{next(self._nonces)}",
         }
         await respond(conn, 200, orjson.dumps(told))
 
@@ -148,6 +150,8 @@
         raise HttpError(400, f"the body is no JSON: {error}") from error
     if not isinstance(told, dict):
         raise HttpError(400, "the body is no DiscoveryRequest")
+    # JSON of protocol buffers spells names either way.
+    told = {re.sub("([A-Z])", r"_\1", name).lower(): each for name, each in told.items()}
     if told.get("type_url", kind) != kind:
         raise HttpError(400, f"type_url is not {kind}")
     names = told.get("resource_names") or []
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -102,6 +102,7 @@
 
     def __init__(self, auto: Callable[[Call], bool] = lambda _: False) -> None:
         self.calls, self.seen = queue.Queue[Call](), list[Call]()
+        self.refuse_next = False  # the next call's connection breaks without an answer
         outer = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -109,6 +110,9 @@
 
             def take(self) -> None:
                 call = Call(self, self.rfile.read(int(self.headers.get("Content-Length", 0))))
+                if outer.refuse_next:
+                    outer.refuse_next, self.close_connection = False, True
+                    return
                 outer.seen.append(call)
                 if not auto(call):
                     outer.calls.put(call)
--- /dev/null
+++ b/tests/test_command_line.py
@@ -0,0 +1,65 @@
+"""The sub-commands, and plain words for a configuration that can't be used."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ringledge import __version__
+from tests.loopback import ROOT, SETTINGS
+
+GOOD: dict[str, Any] = {
+    "name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff", "settings": SETTINGS,
+    "known": {"index": 1, "snapshot": True, "endpoints": []},
+}  # fmt: skip
+
+
+def run(*words: str, config: Path | None = None, **environ: str) -> subprocess.CompletedProcess[str]:
+    told = os.environ | environ | ({"RELAY_CONFIG": str(config)} if config else {})
+    command = [sys.executable, "-m", "ringledge", *words]
+    return subprocess.run(command, cwd=ROOT, env=told, capture_output=True, text=True, timeout=30)
+
+
+def test_version() -> None:
+    assert run("version").stdout == f"ringledge {__version__}\n"
+
+
+def test_check_config_says_what_it_holds(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD))
+    told = run("check-config", config=path, RELAY_NAME="n7")
+    assert told.returncode == 0 and told.stdout.startswith("n7: listens at 127.0.0.1:0")
+    assert "classes query, booking" in told.stdout
+
+
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [
+        ("{", "config.json: "),
+        ("[]", "config.json: "),
+        ("{}", "missing or unknown 'settings'"),
+        (json.dumps(GOOD | {"seed": "xyz"}), "invalid literal"),
+        (json.dumps(GOOD | {"settings": SETTINGS | {"membership_mode": "odd"}}), "missing or unknown 'odd'"),
+    ],
+)
+@pytest.mark.parametrize("command", ["serve", "check-config"])
+def test_a_bad_configuration_is_told_in_one_line(
+    tmp_path: Path, command: str, text: str, reason: str
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(text)
+    told = run(command, config=path)
+    assert told.returncode == 2 and told.stderr.count("\n") == 1 and reason in told.stderr
+
+
+@pytest.mark.parametrize("text", ["enabled = true\nlisten = ", 'enabled = true\nport = 1\n'])
+def test_a_bad_deploy_file_is_told_in_one_line(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD))
+    (tmp_path / "chat.toml").write_text(text)
+    told = run("check-config", config=path, RINGLEDGE_DEPLOY=str(tmp_path))
+    assert told.returncode == 2 and "chat.toml" in told.stderr
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -49,6 +49,7 @@
     first = take(ask(node)).json()
     known = {"version_info": first["version_info"], "response_nonce": first["nonce"]}
     assert take(ask(node, **known)).status == 304
+    assert take(ask(node, versionInfo=first["version_info"])).status == 304
 
 
 def test_a_drain_wakes_a_waiting_poll(tmp_path: Path) -> None:
