Turn nobody away before a fresh conductor's first four reads set the pace

A probe (a log line on each refusal, since removed) shows why: read_pace 0.30 to 0.33 ms a token at the start and 0.13 after a restart, against 0.07 to 0.08 later. Policy._learn takes the first read, which met a queue or a new connection, for the pace of an idle reader, lowers it by a tenth a read only, and while all are turned away no read comes. Now the fastest of the first four reads sets the pace, and nobody is turned away before them.

Ruled out: fetch delays (12 to 151 ms in the same lines) and the readers' own delays.

--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -23,6 +23,7 @@
 READ_START_TOKENS = 300.0  # tokens' worth of fixed cost in a read: a step and the way there and back
 NEW = 0.6  # weight of a new sample of a delay or failure: a router of many sees few, each tells much
 FADE_MS = 10_000.0  # ms after which evidence counts about a third: troubles last some times that
+EARLY = 4  # first reads, of which the fastest tells the pace: the very first may have waited in a queue
 COME_BACK = 0.25  # of the longest wait that a client follows: a jam often clears within a try's time
 DONE_KEPT = 64  # times kept of work got done: enough to tell the usual rate
 SILENT = 4.0  # times the usual delay that make a server silent, if over the share of the time wanted above
@@ -167,8 +168,8 @@
         if waits[server] > LATE * aim_ms:
             server = next((each for each in ready if waits[each] < CLEARLY_LESS * waits[server]), server)
         limit_ms = min(request.expires_in_ms, aim_ms * (LATE + (1 - LATE) * job.value))
-        if job.sent or waits[server] <= limit_ms:
-            return server
+        if job.sent or waits[server] <= limit_ms or len(self.done[server.role]) < EARLY:
+            return server  # while little is known, to turn away would keep it so
         # Shed in proportion: were all turned away at once, nothing would tell when the wait is over.
         share = self.rng.uniform(max(EASED, 1 - SHED * job.value), 1)
         return server if waits[server] * share <= limit_ms else None
@@ -338,7 +339,8 @@
             unread = max(0.0, job.request.prompt_tokens - outcome.note)
             pace = outcome.latency_ms / (unread + READ_START_TOKENS)
             rate = NEW / (6 if pace < self.read_pace else 60)  # seeks the pace of an idle reader
-            self.read_pace += (rate if self.read_pace else 1.0) * (pace - self.read_pace)
+            early = len(self.done[server.role]) < EARLY and pace < self.read_pace
+            self.read_pace += (1.0 if early or not self.read_pace else rate) * (pace - self.read_pace)
         if status == i.Status.READ or (status == i.Status.OK and not job.started):
             self._got_done(job, server, over_ms)
         elif not job.started and over_ms > server.delay.now(self.now_ms):
