Make room for new clients, bound what chat keeps, finish whole answers that break

From reading the code against the limits: a front full of idle kept connections refused new ones (the longest resting one is closed now, unless a request waits in it); chat sessions could keep 512 questions of 256 KiB, more than half the memory there is (32 MiB now, oldest ended first, then 429); a broken answer whose client waits for the whole was answered 500 although its rest could be had (it goes on by itself, a booking never).

--- a/ringledge/memory/sessions.py
+++ b/ringledge/memory/sessions.py
@@ -12,6 +12,8 @@
 
 from ringledge.core.ledger import Record
 
+MOST_BYTES = 32 * 1024 * 1024  # of questions kept: the process may hold 192 MB in all
+
 
 class End(Enum):
     """How a session's answer ended."""
@@ -31,6 +33,8 @@
     question: dict[str, Any]  # the client's request as it was understood
     class_index: int
     limit: float  # tokens that the answer may have in all
+    size: int = 0  # bytes of the question, the larger part of what is kept
+    resumed: int = 0  # how often the answer has gone on after a break
     record: Record | None = None  # the request that the core runs for it now
     events: list[str] = field(default_factory=list)  # the text of each event; its number is its place + 1
     finish_reason: str | None = None
@@ -69,13 +73,16 @@
     def room(self) -> bool:
         """Make room for one more at the cost of the oldest that has ended; False if all still run."""
         self.reap()
-        if len(self._sessions) >= self.most:
-            ended = [each for each in self._sessions.values() if each.end and not each.readers]
+        while len(self._sessions) >= self.most or self._bytes() > MOST_BYTES:
+            ended = list(self._ended())
             if not ended:
                 return False
             self._drop(min(ended, key=lambda each: each.touched))
         return True
 
+    def _bytes(self) -> int:
+        return sum(each.size for each in self._sessions.values())
+
     def add(self, session: Session, key: str | None) -> None:
         """Keep a new session, and the idempotency key that it answers to."""
         self._sessions[session.name] = session
--- a/ringledge/wire/chat.py
+++ b/ringledge/wire/chat.py
@@ -26,6 +26,7 @@
 from ringledge.wire.platform import converse, retry_after, stream_head
 
 PATH = b"/v1/chat/completions"
+RESUMES = 2  # times that a broken answer goes on by itself for a client that waits for the whole
 TYPES = {404: "not_found_error", 429: "rate_limit_error", 500: "server_error", 503: "overloaded_error",
          504: "timeout_error"}  # fmt: skip
 
@@ -143,7 +144,9 @@
         class_index, request = self._request(head, question)
         if not self.sessions.room():
             raise HttpError(429, "too many answers are under way", "rate_limit_exceeded")
-        session = Session(f"chatcmpl-{uuid4().hex}", question, class_index, request.max_output_tokens)
+        session = Session(
+            f"chatcmpl-{uuid4().hex}", question, class_index, request.max_output_tokens, len(body)
+        )
         self.sessions.add(session, key.decode("ascii", "replace") if key else None)
         self._run(session, request, question)
         return session
@@ -178,6 +181,7 @@
             reconnect=True,
         )
         session.end = None
+        session.resumed += 1
         self._run(session, request, question)
 
     def _run(self, session: Session, request: i.Request, question: dict[str, Any]) -> None:
@@ -250,8 +254,14 @@
     async def _whole(self, conn: Connection, session: Session) -> None:
         """One JSON object when all has come."""
         await self._first(session)
-        while session.end is None:
-            await session.news.wait()
+        while session.end is not End.SERVED:
+            if session.end is not None:
+                # A client that waits for the whole can't come back for the rest, so it is fetched for it.
+                if session.resumed >= RESUMES or not self._safe(session.class_index):
+                    break
+                self._go_on(session)
+            else:
+                await session.news.wait()
         if session.end is not End.SERVED:
             raise HttpError(500, "the answer broke off; it may have run", "stream_broken")
         message = {"role": "assistant", "content": session.text}
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -205,13 +205,15 @@
         self.name, self.limit, self._handler, self._error_body = name, limit, handler, error_body
         self._gauge = gauge.labels(name)
         self.open: set[Connection] = set()
-        self.resting: set[Connection] = set()  # open, between requests
+        self.resting: dict[Connection, None] = {}  # open, between requests; longest first
         self.closing = False  # each connection ends with its next answer
         self._room = anyio.Event()
 
     async def serve(self, listener: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
         """Accept until cancelled."""
         while True:
+            if len(self.open) >= self.limit:
+                self.close_resting(most=1)
             # Past the limit a few more are let in, only to be told so; the rest waits in the backlog.
             if len(self.open) >= self.limit + max(1, self.limit // 8):
                 self._room = anyio.Event()
@@ -250,11 +252,11 @@
     async def _exchange(self, conn: Connection, crowded: bool) -> bool:
         """Read one request and have it answered; False once the connection is through."""
         try:
-            self.resting.add(conn)
+            self.resting[conn] = None
             try:
                 head = await conn.next_event()
             finally:
-                self.resting.discard(conn)
+                self.resting.pop(conn, None)
             if not isinstance(head, h11.Request):
                 return False
             if crowded:
@@ -288,10 +290,20 @@
     def drain(self) -> None:
         """Close what rests, and let every other connection end with its answer."""
         self.closing = True
-        for conn in list(self.resting):
-            # A request may have come that is not read yet: it is owed an answer, so it stays.
-            if not conn.readable() and not len(conn.buffer) and conn.h11.our_state is h11.IDLE:
-                conn.close()
+        self.close_resting()
+
+    def close_resting(self, most: int | None = None) -> None:
+        """Close connections between requests, those that rest longest first."""
+        # A request may have come that is not read yet: it is owed an answer, so it stays.
+        idle = [
+            conn
+            for conn in self.resting
+            if conn.h11.our_state is h11.IDLE and not len(conn.buffer) and not conn.readable()
+        ]
+        for conn in idle[:most]:
+            conn.close()
+            self.open.discard(conn)
+            self.resting.pop(conn, None)
 
 
 async def respond(
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -164,6 +164,21 @@
     assert len(node.writer[0].seen) == 2
 
 
+def test_a_whole_answer_goes_on_by_itself_after_a_break(node: Node) -> None:
+    client = node.chat(HELLO)
+    writing(node).begin().token("yes, ").drop()
+    writing(node).serve("two slots")
+    assert take(client).json()["choices"][0]["message"]["content"] == "yes, two slots"
+
+
+def test_a_whole_booking_that_breaks_is_a_500_and_not_run_again(node: Node) -> None:
+    client = node.chat(BOOK | {"stream": False})
+    writing(node).begin().token("booked ").drop()
+    answer = take(client)
+    assert (answer.status, answer.json()["error"]["code"]) == (500, "stream_broken")
+    assert len(node.writer[0].seen) == 1
+
+
 def test_a_client_that_returns_while_the_stream_runs_follows_it(node: Node) -> None:
     client = node.chat(STREAM)
     call = writing(node).begin().token("yes, ")
