--- a/ringledge/lifecycle/logging.py
+++ b/ringledge/lifecycle/logging.py
@@ -5,6 +5,7 @@
 import sys
 import time
 import traceback
+from contextlib import suppress
 from typing import Any
 
 import orjson
@@ -32,8 +33,9 @@
                 "conductor": self.name,
                 **fields,
             }
-            sys.stderr.buffer.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
-            sys.stderr.buffer.flush()
+            with suppress(OSError):  # where nobody takes the log any more, requests are served all the same
+                sys.stderr.buffer.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
+                sys.stderr.buffer.flush()
 
     def debug(self, event: str, **fields: Any) -> None:
         """For tracing one request."""
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,75 @@
+"""Small parts by themselves."""
+
+import pytest
+
+from ringledge.core.clock import Clock
+from ringledge.lifecycle.config import flatten
+from ringledge.memory.metrics import Metrics
+from ringledge.memory.pool import Pool
+from ringledge.wire.buffer import Buffer
+
+
+def fill(buffer: Buffer, data: bytes) -> None:
+    with buffer.room(len(data)) as room:
+        room[: len(data)] = data
+    buffer.filled(len(data))
+
+
+@pytest.mark.parametrize("sizes", [[1], [4, 4, 4], [100], [3, 50, 3], [16] * 9])
+def test_a_buffer_gives_out_what_was_filled_in_and_grows(sizes: list[int]) -> None:
+    buffer = Buffer(8)
+    for _ in range(2):
+        whole = b""
+        for number, size in enumerate(sizes):
+            fill(buffer, bytes([number]) * size)
+            whole += bytes([number]) * size
+        assert len(buffer) == len(whole) and buffer.take() == whole and len(buffer) == 0
+
+
+def test_settings_are_flattened_to_the_wires_paths() -> None:
+    classes = [{"name": "x y"}, {"name": "z"}]
+    told = {"a": {"b": True, "c": [1, 2]}, "classes": classes, "none": None, "empty": []}
+    assert dict(flatten(told)) == {
+        "a.b": "true", "a.c": "1,2", "classes.count": "2", "classes.0.name": "x_y", "classes.1.name": "z",
+        "empty": "",
+    }  # fmt: skip
+
+
+def test_the_clock_is_unix_time_and_never_goes_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = Clock()
+    first = clock.now_ms()
+    assert first > 1_600_000_000_000
+    monkeypatch.setattr("time.time", lambda: 0.0)  # the system's clock is set back
+    assert clock.now_ms() >= first
+
+
+class Idle:
+    idle_since = 0.0
+
+    def __init__(self) -> None:
+        self.stale = self.closed = False
+
+    def readable(self) -> bool:
+        return self.stale
+
+    def close(self) -> None:
+        self.closed = True
+
+
+def test_a_pool_gives_the_youngest_and_drops_stale_and_old_ones(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = [100.0]
+    monkeypatch.setattr("time.monotonic", lambda: now[0])
+    pool: Pool[Idle] = Pool(3, 15.0, Metrics())
+    conns = [Idle() for _ in range(3)]
+    for conn in conns:
+        assert pool.reserve()
+        pool.put("a", conn)
+        now[0] += 1
+    assert pool.reserve() and conns[0].closed  # the oldest made room
+    assert pool.open == 3
+    pool.unreserve()
+    conns[2].stale = True
+    assert pool.take("a") is conns[1] and conns[2].closed
+    pool.put("a", conns[1])
+    now[0] += 15
+    assert pool.take("a") is None and conns[1].closed and pool.open == 0
