Let a refused try to go on with a broken chat stream be taken up again

Seen on reading chat._resume: only a session that ended broken went on. Where the request for the rest was itself refused, failed or left, its client got 200 and an empty broken stream each time it came back, for ever. Now each such end can be taken up again, and an answer is given only once something is behind the event that the client has: else 503 with Retry-After (504, 500 for those that may have run). max_tokens is bounded: a huge one overflowed a float and cost the connection without an answer.

--- a/ringledge/wire/chat.py
+++ b/ringledge/wire/chat.py
@@ -157,7 +157,8 @@
         session = self.sessions.get(name)
         if session is None or not number.isdecimal() or int(number) > len(session.events):
             raise HttpError(404, "this stream is not known any more", "stream_not_found", "Last-Event-ID")
-        if session.end is End.BROKEN:
+        # Broken, or a try to go on that was refused, failed or left: each can be taken up again.
+        if session.end not in (None, End.SERVED):
             if not self._safe(session.class_index):
                 raise HttpError(409, "the stream broke; it may have run and is not run again", "may_have_run")
             self._go_on(session)
@@ -235,17 +236,17 @@
 
     # Answers.
 
-    async def _first(self, session: Session) -> None:
-        """Wait for the first event; HttpError where the answer ends without one."""
-        while not session.events and session.end is None:
+    async def _first(self, session: Session, seen: int = 0) -> None:
+        """Wait for an event behind those seen; HttpError where the answer ends without one."""
+        while len(session.events) <= seen and session.end is None:
             await session.news.wait()
-        if session.events or session.end is End.SERVED:
+        if len(session.events) > seen or session.end is End.SERVED:
             return
+        headers = retry_after(session.come_back_ms, self._names)
         if session.end is End.REFUSED:
-            headers = retry_after(session.come_back_ms, self._names)
-            raise HttpError(
-                503, "overloaded, nothing has run: come back later", "overloaded", headers=headers
-            )
+            raise HttpError(503, "overloaded, nothing has run", "overloaded", headers=headers)
+        if session.end is End.BROKEN and self._safe(session.class_index):
+            raise HttpError(503, "the stream broke again: come back for it", "stream_broken", headers=headers)
         record = session.record
         if session.end is End.FAILED and record and self._conductor.clock.now_ms() + 50 > record.deadline_ms:
             raise HttpError(504, "no answer in time; it may have run", "deadline_exceeded")
@@ -272,9 +273,8 @@
         await respond(conn, 200, orjson.dumps(told))
 
     async def _stream(self, conn: Connection, session: Session, seen: int) -> None:
-        """Server-sent events from the one behind `seen` on."""
-        await self._first(session)
-        # Events past those seen are sent as they come; a break ends the connection, never cleanly.
+        """Server-sent events from the one behind `seen` on; a break ends the connection, never cleanly."""
+        await self._first(session, seen)
         await conn.send(stream_head())
         while True:
             news, end = session.news, session.end
@@ -344,7 +344,9 @@
             raise HttpError(400, "content is text or a list of parts", "invalid_message", "messages")
     for name in ("max_tokens", "max_completion_tokens"):
         value = told.get(name)
-        if value is not None and (not isinstance(value, int) or isinstance(value, bool) or value < 1):
+        if value is not None and (
+            not isinstance(value, int) or isinstance(value, bool) or not 0 < value < 10**7
+        ):
             raise HttpError(400, f"{name} is a whole number over 0", "invalid_value", name)
     if not isinstance(told.setdefault("stream", False), bool):
         raise HttpError(400, "stream is true or false", "invalid_type", "stream")
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -97,6 +97,8 @@
         (HELLO | {"model": "other"}, {}, 404, "model_not_found", "model"),
         (HELLO | {"stream": "yes"}, {}, 400, "invalid_type", "stream"),
         (HELLO | {"max_tokens": 0}, {}, 400, "invalid_value", "max_tokens"),
+        (HELLO | {"max_tokens": 10**400}, {}, 400, "invalid_json", None),
+        (HELLO | {"max_tokens": 10**9}, {}, 400, "invalid_value", "max_tokens"),
         (HELLO | {"n": 2}, {}, 400, "unsupported_value", "n"),
         (HELLO, {"X_Call_Class": "none"}, 400, "unknown_class", "X-Call-Class"),
         (HELLO, {"X_Caller": "none"}, 400, "unknown_caller", "X-Caller"),
@@ -164,6 +166,21 @@
     assert len(node.writer[0].seen) == 2
 
 
+def test_a_try_to_go_on_that_is_refused_can_be_taken_up_again(node: Node) -> None:
+    client = node.chat(STREAM)
+    writing(node).begin().token("yes, ").drop()
+    last = first_id(client.getresponse())
+    node.logged("chat_ended")
+    again = node.chat(STREAM, Last_Event_ID=last)
+    for _ in range(5):  # reads enough for the decisions to give up
+        node.reader[0].next().drop()
+    answer = take(again)
+    assert answer.status == 503 and "retry-after" in answer.headers
+    again = node.chat(STREAM, Last_Event_ID=last)
+    writing(node).serve("two slots")
+    assert text(take(again).body) == "two slots"
+
+
 def test_a_whole_answer_goes_on_by_itself_after_a_break(node: Node) -> None:
     client = node.chat(HELLO)
     writing(node).begin().token("yes, ").drop()
