--- a/ringledge/memory/metrics.py
+++ b/ringledge/memory/metrics.py
@@ -4,58 +4,43 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+FIRST_TOKEN_S = (0.1, 0.25, 0.5, 1, 1.5, 2.5, 5, 10)
+
 
 class Metrics:
     """Every figure that is exported."""
 
     def __init__(self) -> None:
-        registry = self.registry = CollectorRegistry()
-        self.requests = Counter(
-            "ringledge_requests", "Requests taken in, by class index", ["class"], registry=registry
+        self.registry = CollectorRegistry()
+        self.requests = self._counter("requests", "Requests taken in, by class index", "class")
+        self.answers = self._counter(
+            "answers", "Requests ended: served, refused, failed, broken, gone", "how"
+        )
+        self.outcomes = self._counter("attempt_outcomes", "Attempts ended, by outcome", "status")
+        self.releases = self._counter(
+            "releases", "Calls that let go of held state: done, retried, gone, lost", "how"
         )
-        self.answers = Counter(
-            "ringledge_answers",
-            "Requests ended: served, refused, failed, broken, gone",
-            ["how"],
-            registry=registry,
+        self.remote_write = self._counter(
+            "remote_write", "Collections for remote write: sent, dropped, overflowed", "how"
         )
-        self.outcomes = Counter(
-            "ringledge_attempt_outcomes", "Attempts ended, by outcome", ["status"], registry=registry
+        self.xds_rejections = self._counter(
+            "xds_rejections", "Versions of the endpoints that a proxy refused"
         )
         self.first_token = Histogram(
             "ringledge_first_token_seconds",
             "Time from a request's arrival to its first token",
-            buckets=(0.1, 0.25, 0.5, 1, 1.5, 2.5, 5, 10),
-            registry=registry,
-        )
-        self.open_requests = Gauge("ringledge_open_requests", "Requests open now", registry=registry)
-        self.client_sockets = Gauge(
-            "ringledge_client_sockets", "Accepted connections open now", ["front"], registry=registry
-        )
-        self.server_sockets = Gauge(
-            "ringledge_server_sockets", "Connections to servers open now", registry=registry
-        )
-        self.releases = Counter(
-            "ringledge_releases",
-            "Calls that let go of held state: done, retried, gone, lost",
-            ["how"],
-            registry=registry,
-        )
-        self.servers = Gauge(
-            "ringledge_servers", "Servers in the list, by state", ["state"], registry=registry
-        )
-        self.list_age = Gauge(
-            "ringledge_list_silence_seconds", "Time since discovery last wrote anything", registry=registry
-        )
-        self.lag = Gauge(
-            "ringledge_loop_lag_seconds", "How late the event loop last ran a timer", registry=registry
-        )
-        self.xds_rejections = Counter(
-            "ringledge_xds_rejections", "Versions of the endpoints that a proxy refused", registry=registry
-        )
-        self.remote_write = Counter(
-            "ringledge_remote_write",
-            "Collections for remote write: sent, dropped, overflowed",
-            ["how"],
-            registry=registry,
-        )
+            buckets=FIRST_TOKEN_S,
+            registry=self.registry,
+        )
+        self.open_requests = self._gauge("open_requests", "Requests open now")
+        self.client_sockets = self._gauge("client_sockets", "Accepted connections open now", "front")
+        self.server_sockets = self._gauge("server_sockets", "Connections to servers open now")
+        self.servers = self._gauge("servers", "Servers in the list, by state", "state")
+        self.list_age = self._gauge("list_silence_seconds", "Time since discovery last wrote anything")
+        self.lag = self._gauge("loop_lag_seconds", "How late the event loop last ran a timer")
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"ringledge_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f"ringledge_{name}", text, labels, registry=self.registry)
