--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -14,6 +14,7 @@
 from ringledge.lifecycle.config import Names
 from ringledge.lifecycle.logging import log
 from ringledge.wire.http import PEER_ERRORS, Connection, connect, read_body
+from ringledge.wire.upstream import Upstream
 
 AVAILABILITY = {"active": i.Availability.UP, "leaving": i.Availability.DRAINING, "left": i.Availability.GONE}
 SILENCE_S = 3.0  # an empty line comes every 2 s: a watch this silent is made anew
@@ -95,7 +96,7 @@
         finally:
             conn.close()
 
-    async def fetch_when_asked(self, upstream: Any) -> None:
+    async def fetch_when_asked(self, upstream: Upstream) -> None:
         """Fetch the whole list whenever the policy asks for it."""
         while True:
             await upstream.members_wanted.wait()
