Take what servers garble for what it is: 1xx, spoilt openings, endless chunks, leftovers

Of the broken streams several had passed on no event: _stream began with the first bytes.

Now: up to 8 interim answers are taken; the opening waits for a whole event in whole chunks that can be read, and what is spoilt before costs its attempt alone; a chunk past 64 KB, or not whole within 3 s, breaks the stream; a connection with bytes left over is never pooled; figures in reports that can't be are left out; the pool forgets addresses; an unreadable event breaks a chat stream without a fault of ours being logged. Bodies of requests may take a fifth of the memory that the configuration gives, kept answers an eighth: both were constants or free.

--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -103,6 +103,7 @@
     discovery_in_file: str  # what the file itself says, whatever RELAY_DISCOVERY overrides
     seed: int
     sockets: int
+    memory_mb: float
     known: dict[str, Any]
     settings: i.Settings
     names: Names
@@ -160,6 +161,7 @@
             _address(told["discovery"]),
             int(str(told.get("seed", "0")), 16),
             int(told.get("limits", {}).get("sockets", 1024)),
+            float(told.get("limits", {}).get("memory_mb", 192)),
             told.get("known") or {"index": 0, "snapshot": True, "endpoints": []},
             wirehost.settings(fields),
             names,
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -21,13 +21,14 @@
 from ringledge.wire.chat import Chat
 from ringledge.wire.chat import error_body as chat_error_body
 from ringledge.wire.discovery import Discovery
-from ringledge.wire.http import Front, listen
+from ringledge.wire.http import Budget, Front, listen
 from ringledge.wire.platform import Platform, error_body
 from ringledge.wire.remote_write import RemoteWrite, Scrape
 from ringledge.wire.upstream import Upstream
 from ringledge.wire.xds import Xds
 from ringledge.wire.xds import error_body as xds_error_body
 
+BODIES_PART, ANSWERS_PART = 5, 8  # of the memory: a body is held about twice, the rest is the program's
 SPARE_SOCKETS = 64  # for discovery, listeners, logs and the interpreter
 TAKEN_AT_ONCE = ("discovery", "discovery_in_file", "seed", "known")  # on SIGHUP; seed and list start a run
 KEEP_TAKING_S = 0.6  # after SIGTERM new connections go on arriving so long
@@ -41,6 +42,8 @@
     # Half for servers, half for clients; each front lets an eighth more in, only to be refused.
     sockets = max(8, (config.sockets - SPARE_SOCKETS) // 2)
     for_clients = sockets * 8 // 9 // (1 if config.chat is None else 2)
+    memory = config.memory_mb * 1024 * 1024
+    budget = Budget(memory / BODIES_PART)
     async with anyio.create_task_group() as tasks:
         upstream = Upstream(tasks, servers, config.names, sockets, metrics)
         conductor = upstream.conductor = Conductor(
@@ -49,20 +52,20 @@
         discovery = Discovery(config.discovery, config.names, conductor)
         discovery.apply(config.known, i.ListForm.KEPT)
         platform = Platform(config.names, conductor)
-        front = Front("platform", for_clients, platform.handle, error_body, metrics)
+        front = Front("platform", for_clients, budget, platform.handle, error_body, metrics)
         fronts = [(front, listen(config.listen))]
         if config.chat is not None:
-            chat = Chat(config.chat, config.settings, config.names, conductor)
-            chat_front = Front("chat", for_clients, chat.handle, chat_error_body, metrics)
+            chat = Chat(config.chat, config.settings, config.names, conductor, memory / ANSWERS_PART)
+            chat_front = Front("chat", for_clients, budget, chat.handle, chat_error_body, metrics)
             fronts.append((chat_front, listen(config.chat.listen)))
             tasks.start_soon(chat.reap)
         if config.xds is not None:
             xds = Xds(config.xds, config.names, conductor, metrics)
-            xds_front = Front("xds", SPARE_SOCKETS // 4, xds.handle, xds_error_body, metrics)
+            xds_front = Front("xds", SPARE_SOCKETS // 4, budget, xds.handle, xds_error_body, metrics)
             fronts.append((xds_front, listen(config.xds.listen)))
         if config.prometheus is not None and config.prometheus.listen:
             scrape = Scrape(metrics).handle
-            scrape_front = Front("prometheus", SPARE_SOCKETS // 4, scrape, error_body, metrics)
+            scrape_front = Front("prometheus", SPARE_SOCKETS // 4, budget, scrape, error_body, metrics)
             fronts.append((scrape_front, listen(config.prometheus.listen)))
         if config.prometheus is not None and config.prometheus.remote_write:
             writer = RemoteWrite(config.prometheus, config.name, metrics)
--- a/ringledge/memory/pool.py
+++ b/ringledge/memory/pool.py
@@ -34,7 +34,7 @@
 
     def take(self, address: str) -> C | None:
         """An idle connection that can still be trusted."""
-        idle = self._idle[address]
+        idle = self._idle.get(address)
         while idle:
             conn = idle.pop()
             # One that the server may close under the request would end as a reset, which may have run.
@@ -77,11 +77,13 @@
             if time.monotonic() - since >= limit:
                 self._idle[address].remove(conn)
                 self.drop(conn)
+        # Servers give way to others at new addresses all day long.
+        for address in [address for address, idle in self._idle.items() if not idle]:
+            del self._idle[address]
 
-    def forget(self, address: str) -> None:
-        """Close all idle connections to an address that has left."""
-        for conn in self._idle.pop(address, []):
-            self.drop(conn)
+    def __len__(self) -> int:
+        """How many addresses it keeps track of."""
+        return len(self._idle)
 
     def _count(self, change: int) -> None:
         self.open += change
--- a/ringledge/memory/sessions.py
+++ b/ringledge/memory/sessions.py
@@ -12,8 +12,6 @@
 
 from ringledge.core.ledger import Record
 
-MOST_BYTES = 32 * 1024 * 1024  # of questions kept: the process may hold 192 MB in all
-
 
 class End(Enum):
     """How a session's answer ended."""
@@ -33,7 +31,7 @@
     question: dict[str, Any]  # the client's request as it was understood
     class_index: int
     limit: float  # tokens that the answer may have in all
-    size: int = 0  # bytes of the question, the larger part of what is kept
+    size: int = 0  # bytes of the question and the answer so far
     resumed: int = 0  # how often the answer has gone on after a break
     record: Record | None = None  # the request that the core runs for it now
     events: list[str] = field(default_factory=list)  # the text of each event; its number is its place + 1
@@ -61,8 +59,8 @@
 class Sessions:
     """The sessions by name, bounded in number and age; a running one is never dropped."""
 
-    def __init__(self, most: int, keep_s: float) -> None:
-        self.most, self.keep_s = most, keep_s
+    def __init__(self, most: int, most_bytes: float, keep_s: float) -> None:
+        self.most, self.most_bytes, self.keep_s = most, most_bytes, keep_s
         self._sessions: dict[str, Session] = {}
         self._keys: dict[str, str] = {}  # idempotency keys: the session that each has begun
 
@@ -73,7 +71,7 @@
     def room(self) -> bool:
         """Make room for one more at the cost of the oldest that has ended; False if all still run."""
         self.reap()
-        while len(self._sessions) >= self.most or self._bytes() > MOST_BYTES:
+        while len(self._sessions) >= self.most or self._bytes() > self.most_bytes:
             ended = list(self._ended())
             if not ended:
                 return False
--- a/ringledge/wire/chat.py
+++ b/ringledge/wire/chat.py
@@ -22,10 +22,11 @@
 from ringledge.lifecycle.config import ChatConfig, Names
 from ringledge.lifecycle.logging import log
 from ringledge.memory.sessions import End, Session, Sessions
-from ringledge.wire.http import Connection, HttpError, header, only, read_body, respond
+from ringledge.wire.http import MAX_BODY, Connection, HttpError, header, only, read_body, respond
 from ringledge.wire.platform import converse, retry_after, stream_head
 
 PATH = b"/v1/chat/completions"
+MOST_ANSWER = 4 * MAX_BODY  # bytes kept of a question and its answer: twice what the protocol lets them have
 RESUMES = 2  # times that a broken answer goes on by itself for a client that waits for the whole
 TYPES = {404: "not_found_error", 429: "rate_limit_error", 500: "server_error", 503: "overloaded_error",
          504: "timeout_error"}  # fmt: skip
@@ -69,14 +70,23 @@
         for line in lines:
             if not line.startswith(b"data: {"):
                 continue
-            event = orjson.loads(line[6:])
-            for choice in event.get("choices") or ():
-                if text := (choice.get("delta") or {}).get("content"):
-                    session.events.append(text)
-                session.finish_reason = choice.get("finish_reason") or session.finish_reason
-            session.usage = event.get("usage") or session.usage
+            try:
+                self._take_in(orjson.loads(line[6:]))
+            except (ValueError, TypeError, AttributeError) as error:
+                raise h11.RemoteProtocolError(f"an event can't be read: {error}") from error
+        if session.size > MOST_ANSWER:
+            raise h11.RemoteProtocolError("the answer has no end")
         session.changed()
 
+    def _take_in(self, event: dict[str, Any]) -> None:
+        session = self._session
+        for choice in event.get("choices") or ():
+            if text := (choice.get("delta") or {}).get("content"):
+                session.size += len(text.encode())
+                session.events.append(text)
+            session.finish_reason = choice.get("finish_reason") or session.finish_reason
+        session.usage = event.get("usage") or session.usage
+
     def _end(self, end: End) -> None:
         self._session.end = end
         self._session.changed()
@@ -86,9 +96,16 @@
 class Chat:
     """Handles the requests of chat clients."""
 
-    def __init__(self, config: ChatConfig, settings: i.Settings, names: Names, conductor: Conductor) -> None:
+    def __init__(
+        self,
+        config: ChatConfig,
+        settings: i.Settings,
+        names: Names,
+        conductor: Conductor,
+        most_bytes: float,
+    ) -> None:
         self._config, self._settings, self._names, self._conductor = config, settings, names, conductor
-        self.sessions = Sessions(config.sessions, config.resume_for_s)
+        self.sessions = Sessions(config.sessions, most_bytes, config.resume_for_s)
 
     async def handle(self, conn: Connection, head: h11.Request) -> None:
         """Answer one request."""
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -52,6 +52,13 @@
 PEER_ERRORS = (OSError, h11.RemoteProtocolError, anyio.ClosedResourceError, HttpError)
 
 
+class Budget:
+    """Bytes of requests that all fronts may hold at once."""
+
+    def __init__(self, limit: float) -> None:
+        self.limit, self.used = limit, 0
+
+
 class Connection:
     """One socket, its buffer and its h11 state."""
 
@@ -63,6 +70,8 @@
         self.read_by = math.inf  # when what it is sending now must have come
         self.idle_since = 0.0  # the pool's note
         self.paused = False  # the front's: nothing is read from it for a while
+        self.budget: Budget | None = None  # the front's: what bodies may take of the memory
+        self._held = 0
         self._reads = 0  # since others had their turn
 
     async def next_event(self) -> h11.Event | type[h11.PAUSED]:
@@ -124,6 +133,21 @@
                 with anyio.fail_after(STALL_S):
                     await anyio.wait_writable(self.sock)
 
+    def hold(self, size: int) -> None:
+        """Count more of a body against the budget; HttpError where it is used up."""
+        if self.budget is not None:
+            self._held += size
+            self.budget.used += size
+            if self.budget.used > self.budget.limit:
+                after: Headers = [(b"Retry-After", b"1")]
+                raise HttpError(503, "no memory for one more request", "overloaded", headers=after)
+
+    def release(self) -> None:
+        """Its request is over: what it held is free."""
+        if self.budget is not None:
+            self.budget.used -= self._held
+            self._held = 0
+
     def next_cycle(self) -> bool:
         """Make ready for another exchange, where both sides are through with this one."""
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
@@ -194,6 +218,7 @@
             size += len(event.data)
             if size > limit:
                 raise HttpError(413, f"the body is longer than {limit} bytes")
+            conn.hold(len(event.data))
             parts.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             return b"".join(parts)
@@ -224,9 +249,16 @@
     """Accepts connections, bounded in number, and reads requests from them one after another."""
 
     def __init__(
-        self, name: str, limit: int, handler: Handler, error_body: ErrorBody, metrics: Metrics
+        self,
+        name: str,
+        limit: int,
+        budget: Budget,
+        handler: Handler,
+        error_body: ErrorBody,
+        metrics: Metrics,
     ) -> None:
-        self.name, self.limit, self._handler, self._error_body = name, limit, handler, error_body
+        self.name, self.limit, self._budget = name, limit, budget
+        self._handler, self._error_body = handler, error_body
         self._gauge, self._rejections = metrics.client_sockets.labels(name), metrics.rejections
         self.open: set[Connection] = set()
         self.resting: dict[Connection, float] = {}  # between requests and since when, longest first
@@ -261,6 +293,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         conn = Connection(sock, h11.SERVER)
+        conn.budget = self._budget
         self.open.add(conn)
         self.resting[conn] = anyio.current_time()
         self._gauge.set(len(self.open))
@@ -270,6 +303,7 @@
         try:
             conn.read_by = anyio.current_time() + REQUEST_S
             while await self._exchange(conn, crowded):
+                conn.release()
                 self.reading.pop(conn, None)
                 self.resting.setdefault(conn, anyio.current_time())
                 conn.read_by = math.inf
@@ -367,6 +401,7 @@
 
     def _close(self, conn: Connection) -> None:
         conn.close()
+        conn.release()
         self.open.discard(conn)
         self.resting.pop(conn, None)
         self.reading.pop(conn, None)
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import re
 import time
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -23,7 +25,11 @@
 from ringledge.memory.servers import ServerList
 from ringledge.wire.http import PEER_ERRORS, Connection, Headers, connect, header, read_body
 
-STREAM_SILENCE_S = 3.0  # a begun stream this silent is broken off: a vanished machine says nothing
+STREAM_SILENCE_S = 3.0  # a begun stream without a further whole chunk for so long is broken off: it vanished
+MAX_CHUNK = 64 * 1024  # bytes of a chunk, and of an opening without an event: events are far shorter
+MAX_INTERIM = 8  # answers of 1xx taken before the real one
+MAX_FIGURE = 1e9  # what a report or a count of tokens stays under, if it is to be believed
+EVENT = re.compile(rb"^data:(.*?)\r?\n\r?\n", re.MULTILINE | re.DOTALL)
 TAIL = 2048  # bytes at a stream's end in which usage and the load report stand
 RELEASE_TRY_S = 0.3  # one try to release; what is held may stay 500 ms
 RELEASE_FOR_S = 20.0  # tries go on so long at most: by then the server has freed it or is gone
@@ -103,7 +109,7 @@
                     end = End(i.Status.MOOT)
                 else:
                     end = await self._exchange(attempt, live, address)
-                    reusable = live.conn is not None and live.conn.next_cycle()
+                    reusable = live.conn is not None and _reusable(live.conn)
         except Exception as error:  # a fault of ours costs this attempt, not all the others
             end = End(i.Status.RESET if attempt.written else i.Status.CONNECT_FAILED)
             log.fault("attempt_crashed", error, server=attempt.server, request=attempt.record.name)
@@ -160,9 +166,7 @@
             return End(i.Status.CONNECT_FAILED)  # the last byte was never written: it can't have run
         attempt.written = True
         try:
-            head = await conn.next_event()
-            if not isinstance(head, h11.Response):
-                raise h11.RemoteProtocolError("the connection ended before an answer")
+            head = await _answer(conn)
             if head.status_code == 200:
                 return await self._stream(attempt, live, conn, head)
             body = await read_body(conn, head)
@@ -188,21 +192,28 @@
 
     async def _stream(self, attempt: Attempt, live: Live, conn: Connection, head: h11.Response) -> End:
         """Pass a stream on as it comes, to its last chunk."""
-        tail = b""
+        chunked = header(head, b"transfer-encoding") is not None
+        tail = piece = await _opening(conn, chunked)
+        live.scope.deadline = math.inf
+        if not self.conductor.first(attempt):
+            return End(i.Status.CANCELLED)
+        await self.conductor.piece(attempt, piece)
+        in_chunk, until = 0, anyio.current_time() + STREAM_SILENCE_S
         while True:
-            with anyio.move_on_after(STREAM_SILENCE_S if attempt.began else None) as silence:
+            with anyio.CancelScope(deadline=until) as silence:
                 event = await conn.next_event()
             if silence.cancelled_caught:
                 log.warning("stream_silent", server=attempt.server, request=attempt.record.name)
                 return End(i.Status.RESET)
             if isinstance(event, h11.Data):
-                if not attempt.began:
-                    live.scope.deadline = float("inf")
-                    if not self.conductor.first(attempt):
-                        return End(i.Status.CANCELLED)
                 piece = bytes(event.data)
+                in_chunk = len(piece) + (0 if event.chunk_start else in_chunk)
+                if in_chunk > MAX_CHUNK:
+                    raise h11.RemoteProtocolError("a chunk is too long for events")
                 tail = (tail + piece)[-TAIL:]
                 await self.conductor.piece(attempt, piece)
+                if event.chunk_end or not chunked:
+                    until = anyio.current_time() + STREAM_SILENCE_S
             elif isinstance(event, h11.EndOfMessage):
                 note, load = self._read_tail(tail)
                 return End(i.Status.OK, note, load or self._load(header(head, b"x-load-report")))
@@ -225,7 +236,7 @@
         known = {
             LOAD[name]: float(value)
             for name, value in report.items()
-            if name in LOAD and isinstance(value, int | float)
+            if name in LOAD and isinstance(value, int | float) and 0 <= value < MAX_FIGURE
         }
         return i.Load(**known) if known else None
 
@@ -238,11 +249,9 @@
         try:
             told: Headers = [(b"Host", address.encode())]
             await conn.send(h11.Request(method=method, target=path, headers=told), h11.EndOfMessage())
-            head = await conn.next_event()
-            if not isinstance(head, h11.Response):
-                raise h11.RemoteProtocolError("the connection ended before an answer")
+            head = await _answer(conn)
             body = await read_body(conn, head)
-            reusable = conn.next_cycle()
+            reusable = _reusable(conn)
             return head, body
         finally:
             if reusable:
@@ -314,4 +323,36 @@
         return 0
     details = told.get("prompt_tokens_details")
     value = told.get("cached_tokens", details.get("cached_tokens", 0) if isinstance(details, dict) else 0)
-    return int(value) if isinstance(value, int | float) else 0
+    return int(value) if isinstance(value, int | float) and 0 <= value < MAX_FIGURE else 0
+
+
+async def _answer(conn: Connection) -> h11.Response:
+    """The head of the answer, behind what the server says in the meantime."""
+    for _ in range(MAX_INTERIM):
+        head = await conn.next_event()
+        if isinstance(head, h11.Response):
+            return head
+        if not isinstance(head, h11.InformationalResponse):
+            raise h11.RemoteProtocolError("the connection ended before an answer")
+    raise h11.RemoteProtocolError("interim answers without end")
+
+
+async def _opening(conn: Connection, chunked: bool) -> bytes:
+    """A stream's first event, in whole chunks: what is spoilt before costs its attempt, not its client."""
+    opening = b""
+    while len(opening) <= MAX_CHUNK:
+        event = await conn.next_event()
+        if not isinstance(event, h11.Data):
+            raise h11.RemoteProtocolError("the stream ended before its first event")
+        opening += bytes(event.data)
+        whole = opening.endswith((b"\n\n", b"\r\n\r\n")) and (event.chunk_end or not chunked)
+        if whole and (first := EVENT.search(opening)):
+            if not _json(first[1]):
+                raise h11.RemoteProtocolError("the first event can't be read")
+            return opening
+    raise h11.RemoteProtocolError("the opening holds no event")
+
+
+def _reusable(conn: Connection) -> bool:
+    """Whether the exchange is over on both sides, and no byte of a further answer would spoil the next."""
+    return not conn.pending() and conn.next_cycle()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -70,6 +70,11 @@
             self.token(token)
         self.end()
 
+    def raw(self, text: bytes) -> None:
+        """Say just that, and leave the connection open."""
+        self._handler.wfile.write(text)
+        self.done.set()
+
     def drop(self) -> None:
         self._handler.close_connection = True
         self.done.set()
@@ -172,6 +177,7 @@
     readers: int = 1
     writers: int = 1
     sockets: int = 256
+    memory_mb: float = 192
     files: dict[str, str] = field(default_factory=dict)  # deploy files by name
 
     def __enter__(self) -> Node:
@@ -198,7 +204,7 @@
         self.config = {
             "name": "n1", "listen": "127.0.0.1:0", "discovery": self.discovery.address,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
             "known": self.listing(7), "settings": SETTINGS,
         }  # fmt: skip
         self.configure()
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -73,3 +73,5 @@
     pool.put("a", conns[1])
     now[0] += 15
     assert pool.take("a") is None and conns[1].closed and pool.open == 0
+    pool.retire()
+    assert len(pool) == 0  # an address that has left is not remembered
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -393,6 +393,23 @@
         assert sock.recv(65536).count(b" 404 ") < 10
 
 
+def test_bodies_take_their_part_of_the_memory_and_give_it_back(tmp_path: Path) -> None:
+    with Node(tmp_path, memory_mb=3) as node:
+        body = json.dumps({"text": "x" * 250_000}).encode()
+        clients = [node.post(f"a{number}", body) for number in range(2)]
+        calls = sorted((node.reader[0].next() for _ in clients), key=lambda call: call.id)
+        for _ in range(2):
+            refused = take(node.post("more", body))
+            assert refused.status == 503 and "retry-after" in refused.headers
+        for client, call in zip(clients, calls, strict=True):
+            call.read()
+            node.writer[0].next().serve("x")
+            assert take(client).status == 200
+        client, call = read(node, "a3", body=body)
+        call.serve("x")
+        assert take(client).status == 200
+
+
 def test_silent_connections_make_room_and_close(tmp_path: Path) -> None:
     with Node(tmp_path, sockets=82) as node:
         silent = [dial(node) for _ in range(40)]
@@ -400,3 +417,76 @@
         call.serve("x")
         assert take(client).status == 200
         assert [everything(sock) for sock in silent] == [b""] * 40
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(text: str) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(text), text.encode())
+
+
+@pytest.mark.parametrize("name", ["query", "booking"])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"\x08\x72\xb1 noise\r\n\r\n",
+        b"HTTP/1.1 2x0 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX: " + b"y" * 40_000,
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100,
+        HEAD + b"zz\r\n",
+        HEAD + b"c0000000\r\n" + b"x" * 100_000,
+        HEAD + b"ff\r\n" + event("one").encode() + b"\r\n0\r\n\r\n" + b"x" * 255,
+        HEAD + chunk("data: {oops\n\n"),
+        HEAD + b"0\r\n\r\n",
+    ],
+    ids="noise status head interim size 3-GB misfit event empty".split(),
+)
+def test_an_answer_spoilt_before_its_first_event_costs_its_attempt(
+    node: Node, name: str, spoilt: bytes
+) -> None:
+    client, call = read(node, X_Call_Class=name)
+    call.raw(spoilt)
+    if name == "query":
+        node.writer[0].next().serve("x")
+    answer = take(client)
+    assert answer.status == (200 if name == "query" else 500)
+    assert len(node.writer[0].seen) == (2 if name == "query" else 1)
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [b"zz\r\n", b"-1\r\n", b"c0000000\r\n" + b"x" * 100_000, b"5\r\nmore than five\r\n", b"ff\r\nless"],
+    ids="size negative 3-GB short long".split(),
+)
+def test_a_stream_spoilt_later_ends_its_client_without_the_last_chunk(node: Node, spoilt: bytes) -> None:
+    client, call = read(node)
+    started = time.monotonic()
+    call.raw(HEAD + chunk(event("one")) + spoilt)
+    with pytest.raises(http.client.IncompleteRead) as broken:
+        take(client)
+    assert broken.value.partial.startswith(event("one").encode())
+    assert time.monotonic() - started < 5
+
+
+@pytest.mark.parametrize(
+    ("front", "report", "behind"),
+    [
+        (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n", "{}", b""),
+        (b"", '{"x0":1e999,"x1":-1}', b""),
+        (b"", "\x00[", b""),
+        (b"", "{}", HEAD + chunk(event("another's")) + b"0\r\n\r\n"),
+    ],
+    ids="interim figures report second-answer".split(),
+)
+def test_a_good_answer_may_bring_more_than_belongs_to_it(
+    node: Node, front: bytes, report: str, behind: bytes
+) -> None:
+    client, call = read(node, X_Call_Class="booking")
+    call.raw(
+        front + HEAD + chunk(event("one")) + chunk(f": X-Load-Report: {report}\n\n") + b"0\r\n\r\n" + behind
+    )
+    assert event("one").encode() in take(client).body
+    client, call = read(node, "a2")
+    call.serve("two")
+    assert take(client).body.startswith(event("two").encode())
