Judge shares by what comes here while peers are down; bound what one slow read tells

And policy._learn divides a read's latency by its own unread tokens: 106 tokens behind 10,000 queued gave 3 ms a token, and moved the pace of an idle reader from 0.074 to 0.137 in a second, by which every wait was taken as twice as long (p50 of what was served: 360 ms).

Now a tenant keeps its fraction of the last second's arrivals where that is more, and a sample counts at most four times the pace so far.

--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -24,6 +24,8 @@
 NEW = 0.6  # weight of a new sample of a delay or failure: a router of many sees few, each tells much
 FADE_MS = 10_000.0  # ms after which evidence counts about a third: troubles last some times that
 EARLY = 4  # first reads, of which the fastest tells the pace: the very first may have waited in a queue
+SLOWEST = 4.0  # times the pace so far that one sample counts at most: a short read may stand behind long ones
+ARRIVED_MS = 1_000.0  # ms over which arrivals are counted: a tenant's bucket holds about a second's
 COME_BACK = 0.25  # of the longest wait that a client follows: a jam often clears within a try's time
 DONE_KEPT = 64  # times kept of work got done: enough to tell the usual rate
 SILENT = 4.0  # times the usual delay that make a server silent, if over the share of the time wanted above
@@ -102,6 +104,7 @@
         self.usual = {role: Fading() for role in i.Role}  # ms until servers of a role have read or written
         self.fetch_delays = defaultdict[int, Fading](Fading)  # ms until a cell's states are fetched
         self.tenant_room: dict[int, tuple[float, float]] = {}  # tokens left in the bucket, and when
+        self.arrived = (0.0, 0.0)  # requests lately, fading over a window, and when that was counted
         self.handlers: dict[type, Any] = {
             i.Members: self._members, i.Request: self._arrive, i.Outcome: self._outcome,
             i.FirstToken: self._first_token, i.ClientGone: self._client_gone, i.Timer: self._timer,
@@ -118,6 +121,8 @@
         classes = self.settings.classes
         if request.class_index >= len(classes):
             return self.actions.append(i.Refuse(request.request))
+        lately, at_ms = self.arrived
+        self.arrived = (lately * exp((at_ms - self.now_ms) / ARRIVED_MS) + 1, self.now_ms)
         value = classes[request.class_index].worth / max(each.worth for each in classes)
         if self._over_share(request.tenant):
             value *= self.settings.over_share_worth
@@ -132,7 +137,10 @@
         """Whether a tenant asks for more than this router's part of its quota (a token bucket)."""
         if tenant >= len(self.settings.tenants) or self.settings.tenants[tenant].quota_per_s is None:
             return False
-        rate = (self.settings.tenants[tenant].quota_per_s or 0.0) / self.settings.routers
+        share = self.settings.tenants[tenant]
+        # While peers are down theirs comes here as well: a tenant then keeps its part of what comes.
+        coming = self.arrived[0] * 1000 / ARRIVED_MS
+        rate = max((share.quota_per_s or 0.0) / self.settings.routers, share.fraction * coming)
         room, at_ms = self.tenant_room.get(tenant, (max(rate, BURST), self.now_ms))
         room = min(max(rate, BURST), room + rate * (self.now_ms - at_ms) / 1000)
         self.tenant_room[tenant] = (room - 1 if room >= 1 else room, self.now_ms)
@@ -338,6 +346,7 @@
         if status == i.Status.READ:
             unread = max(0.0, job.request.prompt_tokens - outcome.note)
             pace = outcome.latency_ms / (unread + READ_START_TOKENS)
+            pace = min(pace, SLOWEST * self.read_pace) if self.read_pace else pace
             rate = NEW / (6 if pace < self.read_pace else 60)  # seeks the pace of an idle reader
             early = len(self.done[server.role]) < EARLY and pace < self.read_pace
             self.read_pace += (1.0 if early or not self.read_pace else rate) * (pace - self.read_pace)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -254,3 +254,31 @@
         world.first(f"a{number}")
         world.outcome(f"a{number}", i.Status.OK, over=True)
     assert world.policy.read_pace < 0.1
+
+
+def test_a_tenant_keeps_its_part_of_what_comes_while_peers_are_down() -> None:
+    """All tenants then ask more of this router than its part of their quotas; one that alone does is over."""
+    tenants = (i.Tenant(0.5, quota_per_s=8.0), i.Tenant(0.5, quota_per_s=8.0))
+    over = {}
+    for both in (True, False):
+        world = World(tenants=tenants)
+        judged = []
+        for number in range(48):  # 16 a second are the quotas of both routers together; this one gets all
+            world.now_ms += 62.5
+            world.request(f"a{number}", session=number, tenant=number % 2 if both else 0)
+            judged.append(world.policy.jobs[f"a{number}"].value < 1)
+            world.end(f"a{number}")
+        over[both] = sum(judged)
+    assert over[True] <= 8 and over[False] >= 16
+
+
+def test_a_short_read_behind_long_ones_does_not_pass_for_a_slow_fleet() -> None:
+    world = World()
+    for number in range(8):
+        world.serve(f"a{number}", session=number)
+    before = world.policy.read_pace
+    for number in range(10):
+        world.request(f"b{number}", session=100 + number)
+        world.outcome(f"b{number}", i.Status.READ, latency_ms=1000, note=1000)  # nothing was left to read
+        world.end(f"b{number}")
+    assert world.policy.read_pace < 1.5 * before
