Tell fetches within a rack from those across its link, at the read and at the writer

Now each cell keeps two means. A read's wait takes the near one, and of the far one's excess the part of states that must leave; at the choice of a writer the excess weighs on those outside the cell only, and is taken off before a far writer's delay is learnt. Means of cells that left the list are dropped.

--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -102,7 +102,8 @@
         self.read_pace = 0.0  # ms per unread token at a reader that nobody else keeps busy
         self.done = {role: deque[float](maxlen=DONE_KEPT) for role in i.Role}  # times of work got done
         self.usual = {role: Fading() for role in i.Role}  # ms until servers of a role have read or written
-        self.fetch_delays = defaultdict[int, Fading](Fading)  # ms until a cell's states are fetched
+        # ms until a cell's states are fetched, within it (False) and from it (True)
+        self.fetch_delays = defaultdict[tuple[int, bool], Fading](Fading)
         self.tenant_room: dict[int, tuple[float, float]] = {}  # tokens left in the bucket, and when
         self.arrived = (0.0, 0.0)  # requests lately, fading over a window, and when that was counted
         self.handlers: dict[type, Any] = {
@@ -200,8 +201,10 @@
     def _read_ms(self, server: Server, request: i.Request) -> float:
         """How long it likely takes until a read from there is fetched."""
         tokens = server.tokens + self._unread(request, server) + READ_START_TOKENS
-        delay_ms = server.delay.now(self.now_ms) + self.fetch_delays[server.entry.cell].now(self.now_ms)
-        return delay_ms + tokens * self.read_pace
+        cell = server.entry.cell
+        fetch_ms = self.fetch_delays[cell, False].now(self.now_ms)
+        fetch_ms += max(0.0, self.leave.get(f"cell {cell}", 0.0)) * self._farther(cell)
+        return server.delay.now(self.now_ms) + fetch_ms + tokens * self.read_pace
 
     def _writer(self, job: Job, reader: Server) -> Server | None:
         """Late power of two choices: one of the reader's cell, one of its zone, if much lighter."""
@@ -214,6 +217,8 @@
         out_of_zone = chance < self.leave.get(f"zone {zone}", 0.0)
         far = rest if out_of_zone or not far else far
         waits = {s: EVEN * job.kind.aim_ms + s.delay.now(self.now_ms) for s in ready}
+        for server in rest:
+            waits[server] += self._farther(cell)
         drawn = [self.rng.choices(some, [1 / waits[s] for s in some])[0] for some in (near, far) if some]
         if len(drawn) < 2:
             return drawn[0] if drawn else None
@@ -223,6 +228,11 @@
         burdens = [(self._tokens(job) + s.tokens) * waits[s] for s in (first, second)]
         return second if burdens[1] < CLEARLY_LESS * burdens[0] else first
 
+    def _farther(self, cell: int) -> float:
+        """How much longer it takes to fetch a state from a cell than within it."""
+        near_ms, far_ms = (self.fetch_delays[cell, away].now(self.now_ms) for away in (False, True))
+        return max(0.0, far_ms - near_ms)
+
     def _tokens(self, job: Job) -> float:
         """Tokens a stream puts under way: its prompt and the hint, or else half of what it may produce."""
         pace, hint_ms = job.kind.token_aim_ms, job.request.hint_ms
@@ -388,10 +398,14 @@
         job = self.jobs.get(event.request)
         if job is None or job.at is None or event.attempt != job.sent - 1:
             return
+        far_ms = 0.0
         if job.state_at is not None:
-            self.fetch_delays[job.state_at.entry.cell].add(self.now_ms, event.latency_ms)
+            cell = job.state_at.entry.cell
+            away = job.at.entry.cell != cell
+            far_ms = self._farther(cell) if away else 0.0
+            self.fetch_delays[cell, away].add(self.now_ms, event.latency_ms)
         job.started, job.state_at = True, None
-        self._got_done(job, job.at, event.latency_ms)
+        self._got_done(job, job.at, max(0.0, event.latency_ms - far_ms))
         if job.at.role == i.Role.MIXED:
             self._bind(job, job.at)
 
@@ -473,6 +487,9 @@
         if not self.readers and self.settings.writers_read:
             self.readers = self.writers
         self.peak |= Counter(server.role for server in self.servers.values())  # the larger of both
+        cells = {server.entry.cell for server in self.servers.values()}
+        for gone in [key for key in self.fetch_delays if key[0] not in cells]:
+            del self.fetch_delays[gone]
         need = len(self.writers) / max(1, len(self.readers))
         reads, writes = Counter[str](), Counter[str]()
         for server in up:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -282,3 +282,33 @@
         world.outcome(f"b{number}", i.Status.READ, latency_ms=1000, note=1000)  # nothing was left to read
         world.end(f"b{number}")
     assert world.policy.read_pace < 1.5 * before
+
+
+def test_a_slow_link_out_of_a_cell_says_nothing_of_fetches_within_it() -> None:
+    world = World()
+    reader = world.read("a", session=1)
+    near = {"r0": {"w0", "w1"}, "r1": {"w0", "w1"}}.get(reader, {"w2", "w3"})
+    while world.at["a"] in near:
+        world.outcome("a", i.Status.FULL)
+    world.give(i.FirstToken("a", world.attempts["a"], world.at["a"], 3000))
+    assert world.read("b", session=1) == reader and world.at["b"] in near
+    world.first("b")
+    world.outcome("b", i.Status.OK, over=True)
+    assert sends(world.request("c", session=2))
+
+
+def test_nothing_is_kept_of_servers_and_cells_that_have_given_way() -> None:
+    """On a long day all of them do, under new names, again and again."""
+    world = World(())
+    sizes = []
+    for day in range(8):
+        fleet = tuple(replace(e, server=f"{e.server}-{day}", cell=2 * day + e.cell) for e in FLEET)
+        world.give(i.Members(i.ListForm.FULL, day + 1, fleet))
+        for number in range(12):
+            world.serve(f"a{day}-{number}", session=100 * day + number, prefix=1000 * day + number)
+        world.wait(70_000)
+        policy = world.policy
+        kept = len(policy.servers) + len(policy.homes) + len(policy.jobs) + len(policy.rankings)
+        kept += len(policy.fetch_delays) + len(policy.leave)
+        sizes.append(kept + sum(len(each.prefixes) for each in policy.servers.values()))
+    assert max(sizes) < 1.5 * sizes[0]
