Blame no server for a kept connection that broke; open new ones for bookings then

Now upstream tells with the outcome's note that a kept connection broke before a byte of its answer; the decisions keep the server, and the retry goes through them as before. The pool then drops its other connections to that server, and for 30 s opens new ones for what must not run twice.

--- a/crowstand/interface.py
+++ b/crowstand/interface.py
@@ -208,7 +208,7 @@
     status: Status
     latency_ms: float = 0.0
     over: bool = False
-    note: int = 0
+    note: int = 0  # read, ok: tokens found kept; full: 1 without a state; lost: 1 if a kept connection broke
     load: Load | None = None
 
 
--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -31,6 +31,7 @@
 SILENT = 4.0  # times the usual delay that make a server silent, if over the share of the time wanted above
 BURST = 4.0  # requests of a tenant that may come together: its part at one of many routers is under one
 
+LOST = (i.Status.CONNECT_FAILED, i.Status.RESET)  # with a note a kept connection broke: no server's fault
 NEVER_RAN = (i.Status.READ, i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.MOOT)
 
 
@@ -344,7 +345,7 @@
             job.state_at = None
         if outcome.status not in NEVER_RAN and server.role != i.Role.READER:
             job.may_have_run.append((server, job.sent_ms))
-        if outcome.status != i.Status.READ:
+        if outcome.status != i.Status.READ and not (outcome.status in LOST and outcome.note):
             job.avoid.append(server)
         job.ended = job.ended or outcome.over
         (self._forget if job.ended else self._proceed)(job)
@@ -364,7 +365,7 @@
             self._got_done(job, server, over_ms)
         elif not job.started and over_ms > server.delay.now(self.now_ms):
             server.delay.add(self.now_ms, over_ms)  # it would have taken at least so long
-        if status in (i.Status.CONNECT_FAILED, i.Status.RESET):
+        if status in LOST and not outcome.note:
             server.blame["all"].add(self.now_ms, 1.0)
         elif status in (i.Status.ERROR, i.Status.TIMEOUT) or (status == i.Status.FULL and not outcome.note):
             self._note(job, server, 1.0)
--- a/ringledge/core/ledger.py
+++ b/ringledge/core/ledger.py
@@ -16,6 +16,7 @@
     number: int
     server: str
     reads: bool  # the server is a reader: a state may be left there
+    once: bool  # it must never run twice
     sent_ms: float
     ends_ms: float  # clock reading at which it is timed out, unless it has begun
     written: bool = False  # the request's last byte is on its way: it may run from here on
--- a/ringledge/core/stages/route.py
+++ b/ringledge/core/stages/route.py
@@ -17,7 +17,8 @@
     if action.timeout_ms:
         timeout_ms = min(timeout_ms, action.timeout_ms)
     reads = desk.servers.role(action.server) == i.Role.READER
-    attempt = Attempt(record, len(record.attempts), action.server, reads, now_ms, now_ms + timeout_ms)
+    once = not reads and desk.settings.classes[record.request.class_index].effect is not i.Effect.SAFE
+    attempt = Attempt(record, len(record.attempts), action.server, reads, once, now_ms, now_ms + timeout_ms)
     another_out = any(each.out for each in record.attempts)
     record.attempts.append(attempt)
     # Two attempts of a request are never out together, whatever was decided.
--- a/ringledge/memory/pool.py
+++ b/ringledge/memory/pool.py
@@ -8,11 +8,14 @@
 
 from ringledge.memory.metrics import Metrics
 
+DISTRUST_S = 30.0  # after a kept connection broke, new ones are opened for what must not run twice
+
 
 class Pooled(Protocol):
     """What the pool needs of a connection."""
 
     idle_since: float
+    kept: bool
 
     def readable(self) -> bool:
         """Whether the peer has closed it or spoken unasked."""
@@ -30,10 +33,13 @@
     def __init__(self, limit: int, max_idle_s: float, metrics: Metrics) -> None:
         self.limit, self.max_idle_s, self.metrics = limit, max_idle_s, metrics
         self.open = 0
+        self.distrusted_until = 0.0  # servers break kept connections just now
         self._idle: defaultdict[str, list[C]] = defaultdict(list)
 
-    def take(self, address: str) -> C | None:
-        """An idle connection that can still be trusted."""
+    def take(self, address: str, once: bool = False) -> C | None:
+        """An idle connection that can still be trusted; what must not run twice asks for more trust."""
+        if once and time.monotonic() < self.distrusted_until:
+            return None
         idle = self._idle.get(address)
         while idle:
             conn = idle.pop()
@@ -45,7 +51,7 @@
 
     def put(self, address: str, conn: C) -> None:
         """Keep a connection whose exchange is over."""
-        conn.idle_since = time.monotonic()
+        conn.idle_since, conn.kept = time.monotonic(), True
         self._idle[address].append(conn)
 
     def reserve(self) -> bool:
@@ -85,6 +91,12 @@
         """How many addresses it keeps track of."""
         return len(self._idle)
 
+    def broke(self, address: str) -> None:
+        """A kept connection broke under its next request: others to that server may be no better."""
+        self.distrusted_until = time.monotonic() + DISTRUST_S
+        for conn in self._idle.pop(address, []):
+            self.drop(conn)
+
     def _count(self, change: int) -> None:
         self.open += change
         self.metrics.server_sockets.set(self.open)
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -69,6 +69,8 @@
         self.closed = False
         self.read_by = math.inf  # when what it is sending now must have come
         self.idle_since = 0.0  # the pool's note
+        self.kept = False  # the pool's: it has carried an exchange before
+        self.ended = False  # the peer has said its last
         self.paused = False  # the front's: nothing is read from it for a while
         self.budget: Budget | None = None  # the front's: what bodies may take of the memory
         self._held = 0
@@ -85,6 +87,7 @@
             if len(self.buffer) or await self.fill():
                 self.h11.receive_data(self.buffer.take())
             else:
+                self.ended = True
                 self.h11.receive_data(b"")
 
     def pending(self) -> bool:
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -124,9 +124,9 @@
             end = End(i.Status.TIMEOUT if attempt.written else i.Status.CONNECT_FAILED)
         self.conductor.outcome(attempt, *end)
 
-    async def _connection(self, address: str) -> Connection:
+    async def _connection(self, address: str, once: bool = False) -> Connection:
         """An idle connection or a new one; OSError or TimeoutError where none comes up."""
-        conn = self.pool.take(address)
+        conn = self.pool.take(address, once)
         if conn is not None:
             return conn
         if not self.pool.reserve():
@@ -142,7 +142,7 @@
         """Send the request and take the answer, by the protocol's table of outcomes."""
         record = attempt.record
         try:
-            live.conn = conn = await self._connection(address)
+            live.conn = conn = await self._connection(address, attempt.once)
         except OSError as error:
             log.info("connect_failed", server=attempt.server, request=record.name, error=str(error))
             return End(i.Status.CONNECT_FAILED)
@@ -163,10 +163,12 @@
             await conn.send(request, h11.Data(data=payload.body), h11.EndOfMessage())
         except OSError as error:
             log.info("send_failed", server=attempt.server, request=record.name, error=str(error))
-            return End(i.Status.CONNECT_FAILED)  # the last byte was never written: it can't have run
-        attempt.written = True
+            note = self._kept_broke(conn, address)
+            return End(i.Status.CONNECT_FAILED, note)  # the last byte was never written: it can't have run
+        attempt.written, heard = True, False
         try:
             head = await _answer(conn)
+            heard = True
             if head.status_code == 200:
                 return await self._stream(attempt, live, conn, head)
             body = await read_body(conn, head)
@@ -178,7 +180,8 @@
                 began=attempt.began,
                 error=str(error),
             )
-            return End(i.Status.RESET)
+            lost = isinstance(error, OSError) or conn.ended
+            return End(i.Status.RESET, self._kept_broke(conn, address) if lost and not heard else 0)
         load = self._load(header(head, b"x-load-report"))
         rejected = header(head, b"x-rejected") == b"1"
         if head.status_code == 202:
@@ -190,6 +193,12 @@
         log.info("attempt_error", server=attempt.server, request=record.name, status=head.status_code)
         return End(i.Status.ERROR, 0, load)
 
+    def _kept_broke(self, conn: Connection, address: str) -> int:
+        """The outcome's note: whether a kept connection broke unheard, which says little of its server."""
+        if conn.kept:
+            self.pool.broke(address)
+        return int(conn.kept)
+
     async def _stream(self, attempt: Attempt, live: Live, conn: Connection, head: h11.Response) -> End:
         """Pass a stream on as it comes, to its last chunk."""
         chunked = header(head, b"transfer-encoding") is not None
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -32,6 +32,11 @@
     def id(self) -> str:
         return self.headers["X-Call-Id"]
 
+    @property
+    def port(self) -> int:
+        """Where the connection comes from."""
+        return int(self._handler.client_address[1])
+
     def answer(self, status: int, body: str = "", **headers: str) -> None:
         self._handler.send_response(status)
         for name, value in headers.items():
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 from typing import Any
 
+import pytest
+
 from crowstand import interface as i
 from tests.world import FLEET, READER, SAFE, WRITER, World, cancelled, entry, finals, sends
 
@@ -312,3 +314,15 @@
         kept += len(policy.fetch_delays) + len(policy.leave)
         sizes.append(kept + sum(len(each.prefixes) for each in policy.servers.values()))
     assert max(sizes) < 1.5 * sizes[0]
+
+
+@pytest.mark.parametrize("status", [i.Status.RESET, i.Status.CONNECT_FAILED])
+def test_a_kept_connection_that_breaks_says_nothing_of_its_reader(status: i.Status) -> None:
+    world = World()
+    home = world.serve("a", session=1)
+    for number in range(20):
+        world.request(f"b{number}", session=1)
+        assert world.at[f"b{number}"] == home
+        world.outcome(f"b{number}", status, note=1)
+        assert world.at[f"b{number}"] == home
+        world.end(f"b{number}")
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -45,6 +45,7 @@
 
 class Idle:
     idle_since = 0.0
+    kept = False
 
     def __init__(self) -> None:
         self.stale = self.closed = False
@@ -71,6 +72,9 @@
     conns[2].stale = True
     assert pool.take("a") is conns[1] and conns[2].closed
     pool.put("a", conns[1])
+    pool.broke("b")
+    assert pool.take("a", once=True) is None and pool.take("a") is conns[1] and conns[1].kept
+    pool.put("a", conns[1])
     now[0] += 15
     assert pool.take("a") is None and conns[1].closed and pool.open == 0
     pool.retire()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -490,3 +490,21 @@
     client, call = read(node, "a2")
     call.serve("two")
     assert take(client).body.startswith(event("two").encode())
+
+
+def test_when_kept_connections_break_a_booking_gets_a_new_one(node: Node) -> None:
+    """A reset under it may mean that it ran; a query goes to the same reader again at once."""
+    client, call = read(node)
+    call.serve("x")
+    assert take(client).status == 200
+    client = node.post("a2")
+    node.reader[0].next().drop()
+    node.reader[0].next().read()
+    kept = node.writer[0].next()
+    assert kept.port == call.port
+    kept.serve("x")
+    assert take(client).status == 200
+    client, fresh = read(node, "a3", X_Call_Class="booking")
+    assert fresh.port != call.port
+    fresh.serve("x")
+    assert take(client).status == 200
