Draw writers less whose streams run on for twice as long as usual

Now a writer's streams, those still running included, are held against the usual length of their class; above twice as long it is drawn less, by the square.

--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -28,6 +28,10 @@
 ARRIVED_MS = 1_000.0  # ms over which arrivals are counted: a tenant's bucket holds about a second's
 COME_BACK = 0.25  # of the longest wait that a client follows: a jam often clears within a try's time
 DONE_KEPT = 64  # times kept of work got done: enough to tell the usual rate
+DRAGS = 2.0  # times as long as usual that a writer's streams must last to count: answers' lengths vary much
+SURE = 4.0  # usual streams that each writer is credited with: the first few say little
+STREAMS_FADE = 0.9  # weight of the streams before with each one that ends: about ten count
+STREAM_MS = 2_000.0  # ms that a stream is taken to last until some have ended: some 40 tokens at 50 ms
 SILENT = 4.0  # times the usual delay that make a server silent, if over the share of the time wanted above
 BURST = 4.0  # requests of a tenant that may come together: its part at one of many routers is under one
 
@@ -60,6 +64,8 @@
     tokens: float = 0.0  # this router's tokens under way there: to be read, or read and to be written
     out: list[Job] = field(default_factory=list)  # requests with an attempt there that has no outcome
     delay: Fading = field(default_factory=Fading)  # ms until it has read or written, beyond own load
+    streamed: float = 0.0  # time that its ended streams lasted, each against its class's usual
+    streams: float = 0.0  # how many ended; both fade with each further one
     prefixes: dict[int, float] = field(default_factory=dict)  # shared beginnings read there, and when
     blame: defaultdict[str, Fading] = field(default_factory=lambda: defaultdict(Fading))  # by what failed
     credit: float = 0.0  # sends that it may get from this router while cold
@@ -84,6 +90,7 @@
     may_have_run: list[tuple[Server, float]] = field(default_factory=list)  # where, and sent when
     avoid: list[Server] = field(default_factory=list)  # servers that failed it
     started: bool = False  # its answer streams
+    started_ms: float = 0.0  # since when
     ended: bool = False
 
 
@@ -103,6 +110,7 @@
         self.read_pace = 0.0  # ms per unread token at a reader that nobody else keeps busy
         self.done = {role: deque[float](maxlen=DONE_KEPT) for role in i.Role}  # times of work got done
         self.usual = {role: Fading() for role in i.Role}  # ms until servers of a role have read or written
+        self.stream_ms: dict[int, float] = {}  # how long a class's streams usually last
         # ms until a cell's states are fetched, within it (False) and from it (True)
         self.fetch_delays = defaultdict[tuple[int, bool], Fading](Fading)
         self.tenant_room: dict[int, tuple[float, float]] = {}  # tokens left in the bucket, and when
@@ -220,6 +228,8 @@
         waits = {s: EVEN * job.kind.aim_ms + s.delay.now(self.now_ms) for s in ready}
         for server in rest:
             waits[server] += self._farther(cell)
+        for server in ready:
+            waits[server] *= max(1.0, self._drag(server) / DRAGS) ** 2
         drawn = [self.rng.choices(some, [1 / waits[s] for s in some])[0] for some in (near, far) if some]
         if len(drawn) < 2:
             return drawn[0] if drawn else None
@@ -229,6 +239,15 @@
         burdens = [(self._tokens(job) + s.tokens) * waits[s] for s in (first, second)]
         return second if burdens[1] < CLEARLY_LESS * burdens[0] else first
 
+    def _drag(self, server: Server) -> float:
+        """How long its streams last against others', those that still run included: the slow ones run on."""
+        running = sum((self.now_ms - j.started_ms) / self._usual_ms(j) for j in server.out if j.started)
+        return (SURE + server.streamed + running) / (SURE + server.streams)
+
+    def _usual_ms(self, job: Job) -> float:
+        """How long a stream of its class usually lasts."""
+        return max(1.0, self.stream_ms.get(job.request.class_index, STREAM_MS))
+
     def _farther(self, cell: int) -> float:
         """How much longer it takes to fetch a state from a cell than within it."""
         near_ms, far_ms = (self.fetch_delays[cell, away].now(self.now_ms) for away in (False, True))
@@ -363,6 +382,11 @@
             self.read_pace += (1.0 if early or not self.read_pace else rate) * (pace - self.read_pace)
         if status == i.Status.READ or (status == i.Status.OK and not job.started):
             self._got_done(job, server, over_ms)
+        elif status == i.Status.OK:
+            lasted_ms, usual_ms = self.now_ms - job.started_ms, self._usual_ms(job)
+            self.stream_ms[job.request.class_index] = usual_ms + NEW / 20 * (lasted_ms - usual_ms)
+            server.streamed = STREAMS_FADE * server.streamed + lasted_ms / usual_ms
+            server.streams = STREAMS_FADE * server.streams + 1
         elif not job.started and over_ms > server.delay.now(self.now_ms):
             server.delay.add(self.now_ms, over_ms)  # it would have taken at least so long
         if status in LOST and not outcome.note:
@@ -405,7 +429,7 @@
             away = job.at.entry.cell != cell
             far_ms = self._farther(cell) if away else 0.0
             self.fetch_delays[cell, away].add(self.now_ms, event.latency_ms)
-        job.started, job.state_at = True, None
+        job.started, job.started_ms, job.state_at = True, self.now_ms, None
         self._got_done(job, job.at, max(0.0, event.latency_ms - far_ms))
         if job.at.role == i.Role.MIXED:
             self._bind(job, job.at)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -326,3 +326,18 @@
         world.outcome(f"b{number}", status, note=1)
         assert world.at[f"b{number}"] == home
         world.end(f"b{number}")
+
+
+def test_a_writer_whose_streams_run_on_is_drawn_less() -> None:
+    """Its first tokens come in time; what is slow is each further one, so those that still run count too."""
+    world = World((entry("r", READER), entry("fast", WRITER), entry("slow", WRITER)))
+    at = []
+    for number in range(200):
+        world.now_ms += 200
+        world.read(f"a{number}", session=1)
+        at.append(world.at[f"a{number}"])
+        world.first(f"a{number}")
+        for old in (number - 10, number - 100):  # streams last 2 s, at the slow one 20 s
+            if old >= 0 and (at[old] == "slow") == (old == number - 100):
+                world.outcome(f"a{old}", i.Status.OK, over=True)
+    assert at[50:].count("slow") < 0.3 * len(at[50:])
