Fail a booking whose read is still out at its deadline instead of refusing it

The tap shows a booking 11 s at a silent reader: policy._give_up refused it and cancelled the read only then, while the rule wants an outcome of every attempt before a refusal, whatever stage it is in. A read that ended is still no reason to fail.

--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -437,7 +437,7 @@
     def _give_up(self, job: Job) -> None:
         """Answer at once: refuse where a repeat is harmless, else fail; let go of what is held."""
         name = job.request.request
-        ran = bool(job.may_have_run) or (job.at is not None and job.at.role != i.Role.READER)
+        ran = bool(job.may_have_run) or job.at is not None  # one still out proves nothing, a read neither
         if not ran or job.kind.effect == i.Effect.SAFE or (
             job.kind.effect == i.Effect.KEYED and job.kind.group == i.Group.ALL
         ):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -250,3 +250,11 @@
     rest = tuple(each for each in FLEET if each.server != world.at["a"])
     assert world.give(i.Members(i.ListForm.FULL, 2, rest)) == [i.Cancel("a", 0)]
     assert world.give(i.Members(i.ListForm.FULL, 3, rest)) == []
+
+
+def test_a_booking_whose_read_is_still_out_is_failed_not_refused() -> None:
+    """A refusal needs an outcome of every attempt, of reads as well: else it counts as a duplicate."""
+    unsafe = replace(SAFE, effect=i.Effect.UNSAFE)
+    world = World(classes=(SAFE, unsafe), max_attempts=2)
+    world.request("a", class_index=1)
+    assert finals(world.wait(6000)) == [i.Fail("a")]
