--- a/ringledge/wire/chat.py
+++ b/ringledge/wire/chat.py
@@ -27,6 +27,7 @@
 
 PATH = b"/v1/chat/completions"
 MOST_ANSWER = 4 * MAX_BODY  # bytes kept of a question and its answer: twice what the protocol lets them have
+MOST_KEY = 256  # bytes of an idempotency key, which is kept as long as its answer
 RESUMES = 2  # times that a broken answer goes on by itself for a client that waits for the whole
 TYPES = {404: "not_found_error", 429: "rate_limit_error", 500: "server_error", 503: "overloaded_error",
          504: "timeout_error"}  # fmt: skip
@@ -151,6 +152,8 @@
         """A new session; or, for an idempotency key that is known, the one that it has begun."""
         question = _question(body)
         key = header(head, b"idempotency-key")
+        if key and len(key) > MOST_KEY:
+            raise HttpError(400, f"longer than {MOST_KEY} bytes", "invalid_value", "Idempotency-Key")
         known = self.sessions.by_key(key.decode("ascii", "replace")) if key else None
         if known is not None:
             record = known.record
--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -18,6 +18,7 @@
 
 AVAILABILITY = {"active": i.Availability.UP, "leaving": i.Availability.DRAINING, "left": i.Availability.GONE}
 SILENCE_S = 3.0  # an empty line comes every 2 s: a watch this silent is made anew
+MOST_LIST = 4 * 1024 * 1024  # bytes of a list, or of one line of changes
 RETRY_S = 0.05  # between tries to connect; the address is an agent on the same machine
 
 
@@ -97,6 +98,8 @@
                 if not isinstance(event, h11.Data):
                     return
                 *lines, rest = (rest + bytes(event.data)).split(b"\n")
+                if len(rest) > MOST_LIST:
+                    raise h11.RemoteProtocolError("a line without end")
                 for line in lines:
                     if line.strip():
                         self.apply(orjson.loads(line))
@@ -112,7 +115,7 @@
                 with anyio.fail_after(SILENCE_S):
                     conn, head = await self._ask("/v1/endpoints")
                     try:
-                        told = orjson.loads(await read_body(conn, head, limit=4 * 1024 * 1024))
+                        told = orjson.loads(await read_body(conn, head, limit=MOST_LIST))
                     finally:
                         conn.close()
                 self.apply(told)
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -136,9 +136,9 @@
             name = _text(head, b"x-call-id")
             if not re.fullmatch(r"[A-Za-z0-9._-]{1,64}", name):  # it becomes part of a path
                 raise ValueError("X-Call-Id is no plain word")
-            budget_ms = float(_text(head, b"x-budget-ms"))
-            if not 0 < budget_ms < 1e7:
-                raise ValueError("X-Budget-Ms is out of range")
+            budget = _text(head, b"x-budget-ms")
+            if not re.fullmatch(r"[0-9]{1,7}", budget) or not int(budget):  # int alone takes '1_0' and '+1'
+                raise ValueError("X-Budget-Ms is no number of milliseconds")
             class_index = self._names.index(self._names.classes, _text(head, b"x-call-class"))
             tenant = self._names.index(self._names.tenants, _text(head, b"x-caller", ""))
             if class_index == len(self._names.classes):
@@ -148,7 +148,7 @@
             again = _text(head, b"x-again", "")
             return i.Request(
                 name,
-                budget_ms,
+                float(budget),
                 class_index,
                 tenant,
                 _key(_text(head, b"x-route-hash", "")),
@@ -224,5 +224,7 @@
 
 
 def _key(text: str) -> int | None:
-    """A session or a shared beginning: hex digits, as a number."""
+    """A session or a shared beginning: hex digits, as a number; it is kept, so it has a bound."""
+    if text and not re.fullmatch(r"[0-9a-fA-F]{1,64}", text):
+        raise ValueError("a key is no hex digits")
     return int(text, 16) if text else None
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -103,6 +103,7 @@
         (HELLO, {"X_Call_Class": "none"}, 400, "unknown_class", "X-Call-Class"),
         (HELLO, {"X_Caller": "none"}, 400, "unknown_caller", "X-Caller"),
         (HELLO, {"X_Budget_Ms": "soon"}, 400, "invalid_value", "X-Budget-Ms"),
+        (HELLO, {"Idempotency_Key": "k" * 257}, 400, "invalid_value", "Idempotency-Key"),
         (STREAM, {"Last_Event_ID": "chatcmpl-1:4"}, 404, "stream_not_found", "Last-Event-ID"),
         pytest.param(b"x" * (256 * 1024 + 1), {}, 413, "invalid_request", None, id="too long"),
     ],
