--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -1,5 +1,6 @@
 """The chat front over real sockets: its path, its errors, and the hard cases of streams that break."""
 
+import http.client
 import json
 from collections.abc import Iterator
 from pathlib import Path
@@ -281,3 +282,11 @@
         ended[line["request"]] = line["how"]
     assert ended == expected
     assert len(node.writer[0].seen) == len(ends)
+
+
+def test_an_event_that_cannot_be_read_breaks_the_stream_and_is_no_fault_of_ours(node: Node) -> None:
+    client = node.chat(STREAM)
+    writing(node).begin().token("one").chunk("data: {oops\n\n")
+    with pytest.raises(http.client.IncompleteRead):
+        take(client)
+    assert "event can't be read" in node.logged("attempt_reset")["error"]
