Listen at the operators' address: healthcheck and figures, beyond clients' reach

An answer on a connection that is to end says so now (Connection: close, http.py), which also helps clients of a conductor that drains. Counts are by class, entered in book.end and where the last byte is written.

--- a/crowstand/interface.py
+++ b/crowstand/interface.py
@@ -261,6 +261,7 @@
     weight: float
     warmth: float  # 1: warm; less: the part of its capacity that it is trusted with
     doubt: float  # how likely it fails what it is sent
+    avoided: bool  # it gets nothing new, or hardly
 
 
 Event = Members | Request | Outcome | FirstToken | ClientGone | Probed | Timer
--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -33,6 +33,7 @@
 STREAMS_FADE = 0.9  # weight of the streams before with each one that ends: about ten count
 STREAM_MS = 2_000.0  # ms that a stream is taken to last until some have ended: some 40 tokens at 50 ms
 SILENT = 4.0  # times the usual delay that make a server silent, if over the share of the time wanted above
+AVOIDED = 0.5  # doubt from which a server counts as avoided: it is then left out more often than not
 BURST = 4.0  # requests of a tenant that may come together: its part at one of many routers is under one
 
 LOST = (i.Status.CONNECT_FAILED, i.Status.RESET)  # with a note a kept connection broke: no server's fault
@@ -311,7 +312,8 @@
         return [
             i.View(name, server.role, server.entry.zone, server.entry.cell, server.entry.availability,
                    server.entry.weight, self._warmth(server),
-                   server.blame.get("all", Fading()).now(now_ms))
+                   doubt := server.blame.get("all", Fading()).now(now_ms),
+                   doubt >= AVOIDED or server.entry.availability != i.Availability.UP)
             for name, server in sorted(self.servers.items())
         ]
 
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import heapq
+import math
+import time
 from collections import deque
 from itertools import count
 
@@ -19,6 +21,8 @@
 from ringledge.memory.metrics import Metrics
 from ringledge.memory.servers import ServerList
 
+LOOK_S = 1.0  # timers are looked at this often, though none falls due
+
 
 class Conductor:
     """Owns time, timers and the ledger; every choice of a server is the policy's."""
@@ -41,6 +45,7 @@
         self._timers: list[tuple[float, int, str]] = []
         self._numbers = count()
         self._wake = anyio.Event()
+        self._looked_s = -math.inf  # when timers were last looked at
 
     # What the wires report.
 
@@ -81,16 +86,24 @@
     async def run_timers(self) -> None:
         """Ring each timer when it falls due."""
         while True:
-            now_ms = self.clock.now_ms()
+            self._looked_s, now_ms = time.monotonic(), self.clock.now_ms()
             while self._timers and self._timers[0][0] <= now_ms:
                 due_ms, _, token = heapq.heappop(self._timers)
                 self.desk.metrics.lag.set((now_ms - due_ms) / 1000)
                 self._tell(i.Timer(token))
             self._wake = anyio.Event()
-            wait_s = (self._timers[0][0] - self.clock.now_ms()) / 1000 if self._timers else 60.0
-            with anyio.move_on_after(max(0.0, wait_s)):
+            wait_s = (self._timers[0][0] - self.clock.now_ms()) / 1000 if self._timers else LOOK_S
+            with anyio.move_on_after(min(LOOK_S, max(0.0, wait_s))):
                 await self._wake.wait()
 
+    def timers_run(self) -> bool:
+        """Whether timers are being rung now."""
+        return time.monotonic() - self._looked_s < 2 * LOOK_S
+
+    def avoided(self) -> int:
+        """How many servers of the list the policy avoids now."""
+        return sum(view.avoided for view in self.policy.view(self.clock.now_ms()))
+
     # Events to the policy, actions to the stages.
 
     def _tell(self, event: i.Event) -> None:
--- a/ringledge/core/ledger.py
+++ b/ringledge/core/ledger.py
@@ -73,6 +73,10 @@
     def __init__(self) -> None:
         self.records: dict[str, Record] = {}
 
+    def current(self) -> int:
+        """How many requests are still owed their answer's end."""
+        return sum(not record.over for record in self.records.values())
+
     def open(self, record: Record) -> None:
         """Enter a request."""
         self.records[record.name] = record
--- a/ringledge/core/stages/book.py
+++ b/ringledge/core/stages/book.py
@@ -41,7 +41,7 @@
 def end(desk: Desk, record: Record, how: str) -> None:
     """Mark the request over: nothing is owed any more."""
     record.over, record.how = True, how
-    desk.metrics.answers.labels(how).inc()
+    desk.metrics.answers.labels(how, str(record.request.class_index)).inc()
 
 
 def release(desk: Desk, record: Record) -> None:
--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -99,6 +99,7 @@
 
     name: str
     listen: str
+    operator: str  # the operators' address; empty: none
     discovery: str
     discovery_in_file: str  # what the file itself says, whatever RELAY_DISCOVERY overrides
     seed: int
@@ -154,9 +155,11 @@
             float(caps.get("connect_timeout_ms", 250)) / 1000,
             float(caps.get("max_retry_after_ms", 0)),
         )
+        operator = environ.get("RELAY_OPERATOR") or told.get("operator")
         return Config(
             environ.get("RELAY_NAME") or told["name"],
             _address(environ.get("RELAY_LISTEN") or told["listen"]),
+            _address(operator) if operator else "",
             _address(environ.get("RELAY_DISCOVERY") or told["discovery"]),
             _address(told["discovery"]),
             int(str(told.get("seed", "0")), 16),
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import socket
 import time
 from dataclasses import fields
 from functools import partial
@@ -22,6 +23,7 @@
 from ringledge.wire.chat import error_body as chat_error_body
 from ringledge.wire.discovery import Discovery
 from ringledge.wire.http import Budget, Front, listen
+from ringledge.wire.operator import CALL_S, CONNECTIONS, MEMORY, Operator
 from ringledge.wire.platform import Platform, error_body
 from ringledge.wire.remote_write import RemoteWrite, Scrape
 from ringledge.wire.upstream import Upstream
@@ -31,6 +33,7 @@
 BODIES_PART, ANSWERS_PART = 5, 8  # of the memory: a body is held about twice, the rest is the program's
 SPARE_SOCKETS = 64  # for discovery, listeners, logs and the interpreter
 TAKEN_AT_ONCE = ("discovery", "discovery_in_file", "seed", "known")  # on SIGHUP; seed and list start a run
+LIST_S = 1.0  # discovery may be silent: after so long the last list known has to do
 KEEP_TAKING_S = 0.6  # after SIGTERM new connections go on arriving so long
 
 
@@ -40,7 +43,8 @@
     metrics = Metrics()
     servers = ServerList(config.settings.kinds)
     # Half for servers, half for clients; each front lets an eighth more in, only to be refused.
-    sockets = max(8, (config.sockets - SPARE_SOCKETS) // 2)
+    spare = SPARE_SOCKETS + (CONNECTIONS if config.operator else 0)
+    sockets = max(8, (config.sockets - spare) // 2)
     for_clients = sockets * 8 // 9 // (1 if config.chat is None else 2)
     memory = config.memory_mb * 1024 * 1024
     budget = Budget(memory / BODIES_PART)
@@ -54,6 +58,23 @@
         platform = Platform(config.names, conductor)
         front = Front("platform", for_clients, budget, platform.handle, error_body, metrics)
         fronts = [(front, listen(config.listen))]
+        by_hand: list[tuple[Front, socket.socket]] = []  # what the operators meet: it lasts to the end
+        stopping = anyio.Event()
+        if config.operator:
+
+            def can_serve() -> bool:
+                """Whether all that serving takes is at work."""
+                silent_s = 0.0 if discovery.heard else LIST_S
+                listed = bool(servers.entries) and time.monotonic() - started >= silent_s
+                accepting = all(each.serving for each, _ in fronts)
+                return listed and accepting and conductor.timers_run() and not stopping.is_set()
+
+            operator = Operator(config.names.classes, metrics, can_serve)
+            operator_front = Front(
+                "operator", CONNECTIONS, Budget(MEMORY), operator.handle, error_body, metrics, CALL_S
+            )
+            operator_front.drain()  # each connection ends with its one call
+            by_hand.append((operator_front, listen(config.operator)))
         if config.chat is not None:
             chat = Chat(config.chat, config.settings, config.names, conductor, memory / ANSWERS_PART)
             chat_front = Front("chat", for_clients, budget, chat.handle, chat_error_body, metrics)
@@ -72,10 +93,10 @@
             tasks.start_soon(writer.collect)
             tasks.start_soon(writer.send)
         metrics.list_age.set_function(lambda: time.monotonic() - discovery.last_heard)
-        metrics.open_requests.set_function(lambda: len(conductor.ledger.records))
+        metrics.open_requests.set_function(conductor.ledger.current)
+        metrics.avoided.set_function(conductor.avoided)
         for state in (i.Availability.UP, i.Availability.DRAINING):
             metrics.servers.labels(state.value).set_function(partial(servers.count, state))
-        stopping = anyio.Event()
 
         def stop() -> None:
             platform.ready = False
@@ -102,12 +123,12 @@
         tasks.start_soon(discovery.watch)
         tasks.start_soon(discovery.fetch_when_asked, upstream)
         tasks.start_soon(upstream.retire_idle)
-        for each, listener in fronts:
+        for each, listener in fronts + by_hand:
             tasks.start_soon(each.serve, listener, tasks)
         gc.collect()
         gc.freeze()  # what is there now stays: later collections needn't look at it
         platform.ready = True
-        listening = {each.name: "%s:%d" % listener.getsockname() for each, listener in fronts}
+        listening = {each.name: "%s:%d" % listener.getsockname() for each, listener in fronts + by_hand}
         log.info(
             "configured",
             classes=config.names.classes,
--- a/ringledge/memory/metrics.py
+++ b/ringledge/memory/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.metrics import MetricWrapperBase
 
 FIRST_TOKEN_S = (0.1, 0.25, 0.5, 1, 1.5, 2.5, 5, 10)
 
@@ -14,8 +15,9 @@
         self.registry = CollectorRegistry()
         self.requests = self._counter("requests", "Requests taken in, by class index", "class")
         self.answers = self._counter(
-            "answers", "Requests ended: served, refused, failed, broken, gone", "how"
+            "answers", "Requests ended: served, refused, failed, broken, gone; by class index", "how", "class"
         )
+        self.sends = self._counter("sends", "Attempts written whole to servers")
         self.outcomes = self._counter("attempt_outcomes", "Attempts ended, by outcome", "status")
         self.releases = self._counter(
             "releases", "Calls that let go of held state: done, retried, gone, lost", "how"
@@ -39,9 +41,16 @@
         self.client_sockets = self._gauge("client_sockets", "Accepted connections open now", "front")
         self.server_sockets = self._gauge("server_sockets", "Connections to servers open now")
         self.servers = self._gauge("servers", "Servers in the list, by state", "state")
+        self.avoided = self._gauge("servers_avoided", "Servers in the list that get nothing new, or hardly")
         self.list_age = self._gauge("list_silence_seconds", "Time since discovery last wrote anything")
         self.lag = self._gauge("loop_lag_seconds", "How late the event loop last ran a timer")
 
+    @staticmethod
+    def read(metric: MetricWrapperBase) -> dict[tuple[str, ...], float]:
+        """What a counter or gauge says now, by its labels' values."""
+        samples = [sample for family in metric.collect() for sample in family.samples]
+        return {tuple(s.labels.values()): s.value for s in samples if not s.name.endswith("_created")}
+
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(f"ringledge_{name}", text, labels, registry=self.registry)
 
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -71,6 +71,7 @@
         self.idle_since = 0.0  # the pool's note
         self.kept = False  # the pool's: it has carried an exchange before
         self.ended = False  # the peer has said its last
+        self.last = False  # the front's: it ends with its next answer, and the answer says so
         self.paused = False  # the front's: nothing is read from it for a while
         self.budget: Budget | None = None  # the front's: what bodies may take of the memory
         self._held = 0
@@ -124,6 +125,8 @@
 
     async def send(self, *events: h11.Event) -> None:
         """Say something, to its last byte."""
+        if self.last:
+            events = tuple(map(_closing, events))
         await self.write(b"".join(self.h11.send(event) or b"" for event in events))
 
     async def write(self, data: bytes) -> None:
@@ -259,18 +262,21 @@
         handler: Handler,
         error_body: ErrorBody,
         metrics: Metrics,
+        request_s: float = REQUEST_S,
     ) -> None:
-        self.name, self.limit, self._budget = name, limit, budget
+        self.name, self.limit, self._budget, self._request_s = name, limit, budget, request_s
         self._handler, self._error_body = handler, error_body
         self._gauge, self._rejections = metrics.client_sockets.labels(name), metrics.rejections
         self.open: set[Connection] = set()
         self.resting: dict[Connection, float] = {}  # between requests and since when, longest first
         self.reading: dict[Connection, None] = {}  # in an exchange, longest first; some lack half a request
+        self.serving = False  # it accepts
         self.closing = False  # each connection ends with its next answer
 
     async def serve(self, listener: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
         """Accept until cancelled."""
         tasks.start_soon(self._close_idle)
+        self.serving = True
         while True:
             await anyio.wait_readable(listener)
             try:
@@ -296,7 +302,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         conn = Connection(sock, h11.SERVER)
-        conn.budget = self._budget
+        conn.budget, conn.last = self._budget, self.closing
         self.open.add(conn)
         self.resting[conn] = anyio.current_time()
         self._gauge.set(len(self.open))
@@ -304,7 +310,7 @@
 
     async def _converse(self, conn: Connection, crowded: bool) -> None:
         try:
-            conn.read_by = anyio.current_time() + REQUEST_S
+            conn.read_by = anyio.current_time() + self._request_s
             while await self._exchange(conn, crowded):
                 conn.release()
                 self.reading.pop(conn, None)
@@ -345,7 +351,7 @@
         """The head of the request that has begun; HttpError where its body's end would be a guess."""
         self.resting.pop(conn, None)
         self.reading[conn] = None
-        conn.read_by = min(conn.read_by, anyio.current_time() + REQUEST_S)
+        conn.read_by = min(conn.read_by, anyio.current_time() + self._request_s)
         with anyio.CancelScope(deadline=conn.read_by):
             head = await conn.next_event()
             if not isinstance(head, h11.Request):
@@ -386,6 +392,8 @@
     def drain(self) -> None:
         """Close what rests, and let every other connection end with its answer."""
         self.closing = True
+        for conn in self.open:
+            conn.last = True
         self.close_resting()
 
     def close_resting(self, older_s: float = 0.0) -> None:
@@ -411,6 +419,14 @@
         self._gauge.set(len(self.open))
 
 
+def _closing(event: h11.Event) -> h11.Event:
+    """The head of an answer as the connection's last one."""
+    if not isinstance(event, h11.Response) or header(event, b"connection"):
+        return event
+    headers = [*event.headers, (b"Connection", b"close")]
+    return h11.Response(status_code=event.status_code, headers=headers, reason=event.reason)
+
+
 def _quiet(conn: Connection) -> bool:
     """Whether no request may be waiting unread: that one would be owed an answer."""
     return conn.paused or not conn.readable()
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -166,6 +166,7 @@
             note = self._kept_broke(conn, address)
             return End(i.Status.CONNECT_FAILED, note)  # the last byte was never written: it can't have run
         attempt.written, heard = True, False
+        self._metrics.sends.inc()
         try:
             head = await _answer(conn)
             heard = True
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -184,6 +184,7 @@
     sockets: int = 256
     memory_mb: float = 192
     files: dict[str, str] = field(default_factory=dict)  # deploy files by name
+    operator: bool = False  # it listens at a second address too
 
     def __enter__(self) -> Node:
         gone = threading.Event()
@@ -212,11 +213,14 @@
             "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
             "known": self.listing(7), "settings": SETTINGS,
         }  # fmt: skip
+        if self.operator:
+            self.config["operator"] = "127.0.0.1:0"
         self.configure()
         for name, text in self.files.items():
             (self.folder / name).write_text(text)
         environ = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "RINGLEDGE_"))}
         environ |= {"RELAY_CONFIG": str(self.folder / "config.json"), "RINGLEDGE_DEPLOY": str(self.folder)}
+        environ["TMPDIR"] = str(self.folder)
         command = [sys.executable, "-m", "ringledge"]
         self.process = subprocess.Popen(command, cwd=ROOT, env=environ, stderr=subprocess.PIPE)
         self.lines = queue.Queue[dict[str, Any]]()
@@ -286,6 +290,17 @@
         client.request("POST", "/v1/chat/completions", text, {k: v for k, v in told.items() if v != "-"})
         return client
 
+    def call(self, method: str, path: str) -> Answer:
+        """One call at the operators' address."""
+        client = self.client("operator")
+        client.request(method, path)
+        return take(client)
+
+    def figures(self) -> dict[str, str]:
+        """What /stats says."""
+        lines = self.call("GET", "/stats").body.decode().splitlines()
+        return dict(line.split(":") for line in lines)
+
     def chat(self, told: Any, **headers: str) -> http.client.HTTPConnection:
         """Send a chat request and leave its answer to be taken."""
         client = self.client("chat")
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,96 @@
+"""The operators' address: what it answers, and that no client can crowd it."""
+
+import contextlib
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.loopback import WAIT_S, Node, take
+
+
+@pytest.fixture
+def node(tmp_path: Path) -> Iterator[Node]:
+    with Node(tmp_path, operator=True) as node:
+        yield node
+
+
+def until(what: Callable[[], bool]) -> None:
+    """Wait until that holds."""
+    end = time.monotonic() + WAIT_S
+    while not what():
+        assert time.monotonic() < end
+
+
+def test_healthcheck_says_yes_once_the_list_is_heard_and_no_after_a_stop(node: Node) -> None:
+    node.watches.get(timeout=WAIT_S).chunk("\n")
+    until(lambda: node.call("GET", "/healthcheck").status == 200)
+    node.post("a1")  # keeps it from ending
+    node.reader[0].next()
+    node.process.send_signal(signal.SIGTERM)
+    until(lambda: node.call("GET", "/healthcheck").status == 503)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [("POST", "/healthcheck", 405), ("POST", "/stats", 405), ("GET", "/", 404), ("GET", "/ready", 404)],
+)
+def test_what_is_no_call_is_a_no(node: Node, method: str, path: str, status: int) -> None:
+    assert node.call(method, path).status == status
+
+
+def test_a_call_ends_its_connection(node: Node) -> None:
+    assert node.call("GET", "/stats").headers["connection"] == "close"
+
+
+def test_figures_count_where_each_thing_ends(node: Node) -> None:
+    zero = {"relay.sends": "0|c", "relay.current": "0|g", "relay.cluster_size": "2|g"}
+    zero |= {"relay.cluster_unhealthy": "0|g"}
+    for how in ("answered", "deferred", "errored"):
+        zero |= {f"relay.{how}.query": "0|c", f"relay.{how}.booking": "0|c"}
+    assert node.figures() == zero
+    client = node.post("a1")
+    reader = node.reader[0].next()
+    assert node.figures() == zero | {"relay.sends": "1|c", "relay.current": "1|g"}
+    reader.read()
+    node.writer[0].next().serve("x")
+    take(client)
+    one = zero | {"relay.sends": "2|c", "relay.answered.query": "1|c"}
+    assert node.figures() == one
+    client = node.post("a2", X_Call_Class="booking")
+    node.reader[0].next().read()
+    node.writer[0].next().answer(500)
+    assert take(client).status == 500
+    assert node.figures() == one | {"relay.sends": "4|c", "relay.errored.booking": "1|c"}
+    client = node.post("a3", X_Budget_Ms="300")
+    node.reader[0].next()
+    assert take(client).status == 503
+    figures = node.figures()
+    assert figures["relay.deferred.query"] == "1|c" and figures["relay.current"] == "0|g"
+
+
+def test_no_client_takes_the_operators_connections(node: Node) -> None:
+    host, port = node.listening["platform"].split(":")
+    with contextlib.ExitStack() as stack:
+        for _ in range(300):  # past all that the limit on descriptors lets in
+            client = stack.enter_context(socket.create_connection((host, int(port))))
+            with contextlib.suppress(OSError):
+                client.sendall(b"POST /v1/chat")
+        assert node.call("GET", "/stats").status == 200
+
+
+def test_calls_are_answered_beside_half_ones(node: Node) -> None:
+    host, port = node.listening["operator"].split(":")
+    with contextlib.ExitStack() as stack:
+        halves = [stack.enter_context(socket.create_connection((host, int(port)))) for _ in range(60)]
+        for half in halves:
+            half.sendall(b"GET /stats HT")
+        begun = time.monotonic()
+        assert node.call("GET", "/stats").status == 200
+        assert time.monotonic() - begun < 1
+        halves[-1].settimeout(WAIT_S)
+        assert halves[-1].recv(100).startswith(b"HTTP/1.1 408")  # it has a time of its own
+        assert time.monotonic() - begun < 2
--- a/tests/test_prometheus.py
+++ b/tests/test_prometheus.py
@@ -40,7 +40,7 @@
         node.writer[0].next().serve("x")
         take(client)
         text = scrape(node)
-    assert 'ringledge_answers_total{how="served"} 1.0' in text
+    assert 'ringledge_answers_total{class="0",how="served"} 1.0' in text
     assert 'ringledge_servers{state="up"} 2.0' in text
     assert "ringledge_first_token_seconds_count 1.0" in text
 
