Leave instances out by hand, on disk before the yes and beyond any list

crowstand/policy.py takes ByHand(server, out): _level leaves such servers out of readers and writers; a call back makes a fresh Server (no doubt, nothing kept, warming from now), first in turn once for a repeatable request. The blame that its restart brought stays with the old one. memory/byhand.py is the file; wire/operator.py the two calls.

--- a/crowstand/interface.py
+++ b/crowstand/interface.py
@@ -246,6 +246,14 @@
     token: str
 
 
+@dataclass(slots=True, frozen=True)
+class ByHand:
+    """Operators have left a server out, or called it back; it may have restarted in between."""
+
+    server: str
+    out: bool
+
+
 # What is thought of a server, for those who ask from outside
 
 
@@ -264,7 +272,7 @@
     avoided: bool  # it gets nothing new, or hardly
 
 
-Event = Members | Request | Outcome | FirstToken | ClientGone | Probed | Timer
+Event = Members | Request | Outcome | FirstToken | ClientGone | Probed | Timer | ByHand
 
 
 # Actions
--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -71,6 +71,7 @@
     blame: defaultdict[str, Fading] = field(default_factory=lambda: defaultdict(Fading))  # by what failed
     credit: float = 0.0  # sends that it may get from this router while cold
     credit_ms: float = 0.0  # when the credit was counted
+    cold_ms: float = 0.0  # since when it warms: its start, or its call back; 0: long ago
 
 
 @dataclass(slots=True, eq=False)
@@ -102,7 +103,8 @@
         self.settings, self.rng = settings, random.Random(seed)
         self.now_ms, self.actions = 0.0, list[i.Action]()
         self.servers: dict[str, Server] = {}
-        self.readers, self.writers = list[Server](), list[Server]()  # those that are up
+        self.readers, self.writers = list[Server](), list[Server]()  # those that are up and not left out
+        self.out, self.recalled = set[str](), set[str]()  # by hand: left out; called back and not yet used
         self.rankings: dict[str, list[Server]] = {}
         self.peak = Counter[i.Role]()  # most servers listed at once
         self.leave: dict[str, float] = {}  # chance that a state leaves a place for want of writers
@@ -119,6 +121,7 @@
         self.handlers: dict[type, Any] = {
             i.Members: self._members, i.Request: self._arrive, i.Outcome: self._outcome,
             i.FirstToken: self._first_token, i.ClientGone: self._client_gone, i.Timer: self._timer,
+            i.ByHand: self._by_hand,
         }
 
     def handle(self, now_ms: float, event: i.Event) -> list[i.Action]:
@@ -264,6 +267,8 @@
         """Those it may be sent to, without those that chance leaves out by their blame, unless all are."""
         allowed = [s for s in servers if self._repeatable(job, s) and self._cold_room(s)]
         fresh = [s for s in allowed if s not in job.avoid] or allowed
+        if job.kind.effect == i.Effect.SAFE:  # who was called back is next, once: else chance may pass it by
+            fresh = [s for s in fresh if s.entry.server in self.recalled] or fresh
         return [s for s in fresh if not s.blame or self.rng.random() >= self._doubt(job, s)] or fresh
 
     def _doubt(self, job: Job, server: Server) -> float:
@@ -285,10 +290,9 @@
 
     def _cold_room(self, server: Server) -> bool:
         """Slow start: a fresh server gets its warmth's part of what a server here usually gets done."""
-        age_ms = self.now_ms - server.entry.started_ms
-        if server.entry.started_ms <= 0 or age_ms >= self.settings.warm_after_ms:
-            return True
         warmth = self._warmth(server)
+        if warmth == 1.0:
+            return True
         window_ms, done = self.settings.overload_for_ms, self.done[server.role]
         span_ms = max(window_ms, self.settings.warm_after_ms, self.now_ms - done[0] if done else 0.0)
         usual = len(done) * window_ms / span_ms / self.peak[server.role]
@@ -300,8 +304,8 @@
 
     def _warmth(self, server: Server) -> float:
         """The part of its capacity that a server is trusted with since its start."""
-        age_ms, warm_ms = self.now_ms - server.entry.started_ms, self.settings.warm_after_ms
-        if server.entry.started_ms <= 0 or age_ms >= warm_ms:
+        age_ms, warm_ms = self.now_ms - server.cold_ms, self.settings.warm_after_ms
+        if server.cold_ms <= 0 or age_ms >= warm_ms:
             return 1.0
         share = max(0.0, age_ms) / max(1.0, warm_ms)
         return self.settings.cold_share * (1 - share) + share
@@ -310,14 +314,20 @@
         """What is thought of each server now, for those who ask from outside; it decides nothing."""
         self.now_ms = now_ms
         return [
-            i.View(name, server.role, server.entry.zone, server.entry.cell, server.entry.availability,
+            i.View(name, server.role, server.entry.zone, server.entry.cell, self._availability(server),
                    server.entry.weight, self._warmth(server),
                    doubt := server.blame.get("all", Fading()).now(now_ms),
-                   doubt >= AVOIDED or server.entry.availability != i.Availability.UP)
+                   doubt >= AVOIDED or self._availability(server) != i.Availability.UP)
             for name, server in sorted(self.servers.items())
         ]
 
+    def _availability(self, server: Server) -> i.Availability:
+        """By the list, unless it was left out by hand: then it finishes what it has, as if it drained."""
+        out = server.entry.server in self.out
+        return i.Availability.DRAINING if out else server.entry.availability
+
     def _send(self, job: Job, server: Server) -> None:
+        self.recalled.discard(server.entry.server)
         tokens = self._unread(job.request, server) if job.state_at is None else self._tokens(job)
         job.ahead = server.tokens + tokens + READ_START_TOKENS if server.role == i.Role.READER else 0.0
         job.at, job.sent_ms, job.tokens = server, self.now_ms, tokens
@@ -500,14 +510,32 @@
                 continue
             server = self.servers.get(entry.server)
             if server is None or server.entry.started_ms != entry.started_ms:  # cold, with nothing kept
-                server = Server(entry, self.settings.kinds[entry.kind].role, credit=self.rng.random())
-                self.servers[entry.server], server.credit_ms = server, self.now_ms
+                server = self._fresh(entry, self.rng.random(), entry.started_ms)
             server.entry = entry
         self._level()
 
+    def _fresh(self, entry: i.ServerEntry, credit: float, cold_ms: float) -> Server:
+        """A server of which nothing is known yet."""
+        role = self.settings.kinds[entry.kind].role
+        server = Server(entry, role, credit=credit, credit_ms=self.now_ms, cold_ms=cold_ms)
+        self.servers[entry.server] = server
+        return server
+
+    def _by_hand(self, event: i.ByHand) -> None:
+        """Whom operators leave out gets nothing, whatever the list says; called back, it is cold and new."""
+        server = self.servers.get(event.server)
+        if event.out:
+            self.out.add(event.server)
+        elif event.server in self.out:
+            self.out.discard(event.server)
+            self.recalled.add(event.server)
+            if server is not None:
+                self._fresh(server.entry, 1.0, self.now_ms)
+        self._level()
+
     def _level(self) -> None:
         """What follows from the list: rankings, and how far each cell's writers fall short of its reads."""
-        up = [s for s in self.servers.values() if s.entry.availability == i.Availability.UP]
+        up = [s for s in self.servers.values() if self._availability(s) == i.Availability.UP]
         self.rankings.clear()
         self.readers = [s for s in up if s.role != i.Role.WRITER]
         self.writers = [s for s in up if s.role != i.Role.READER]
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -65,6 +65,11 @@
         self._events.appendleft(members)
         self._work()
 
+    def by_hand(self, server: str, out: bool) -> None:
+        """Operators have left a server out or called it back; like a drain, it is never overtaken."""
+        self._events.appendleft(i.ByHand(server, out))
+        self._work()
+
     def first(self, attempt: Attempt) -> bool:
         """An answer has started; False where nobody takes it any more."""
         return relay.begin(self.desk, attempt)
--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import tempfile
 import tomllib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
@@ -105,6 +106,7 @@
     seed: int
     sockets: int
     memory_mb: float
+    folder: Path  # $TMPDIR, which a conductor that takes over finds as it was left
     known: dict[str, Any]
     settings: i.Settings
     names: Names
@@ -165,6 +167,7 @@
             int(str(told.get("seed", "0")), 16),
             int(told.get("limits", {}).get("sockets", 1024)),
             float(told.get("limits", {}).get("memory_mb", 192)),
+            Path(environ.get("TMPDIR") or tempfile.gettempdir()),
             told.get("known") or {"index": 0, "snapshot": True, "endpoints": []},
             wirehost.settings(fields),
             names,
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -17,6 +17,7 @@
 from ringledge.lifecycle.config import Config, ConfigError
 from ringledge.lifecycle.logging import log
 from ringledge.lifecycle.signals import on_signals
+from ringledge.memory.byhand import ByHand
 from ringledge.memory.metrics import Metrics
 from ringledge.memory.servers import ServerList
 from ringledge.wire.chat import Chat
@@ -54,11 +55,13 @@
             config.settings, config.seed, Clock(), servers, metrics, upstream
         )
         discovery = Discovery(config.discovery, config.names, conductor)
+        by_hand = ByHand(config.folder, config.name, conductor.by_hand)
+        by_hand.look()  # before the first send
         discovery.apply(config.known, i.ListForm.KEPT)
         platform = Platform(config.names, conductor)
         front = Front("platform", for_clients, budget, platform.handle, error_body, metrics)
         fronts = [(front, listen(config.listen))]
-        by_hand: list[tuple[Front, socket.socket]] = []  # what the operators meet: it lasts to the end
+        operators: list[tuple[Front, socket.socket]] = []  # what they meet lasts to the end
         stopping = anyio.Event()
         if config.operator:
 
@@ -69,12 +72,19 @@
                 accepting = all(each.serving for each, _ in fronts)
                 return listed and accepting and conductor.timers_run() and not stopping.is_set()
 
-            operator = Operator(config.names.classes, metrics, can_serve)
+            operator = Operator(config.names.classes, metrics, servers, by_hand, can_serve)
             operator_front = Front(
-                "operator", CONNECTIONS, Budget(MEMORY), operator.handle, error_body, metrics, CALL_S
+                "operator",
+                CONNECTIONS,
+                Budget(MEMORY),
+                operator.handle,
+                error_body,
+                metrics,
+                request_s=CALL_S,
+                at_once=1,  # each is read before the next comes: half calls are known and make room
             )
             operator_front.drain()  # each connection ends with its one call
-            by_hand.append((operator_front, listen(config.operator)))
+            operators.append((operator_front, listen(config.operator)))
         if config.chat is not None:
             chat = Chat(config.chat, config.settings, config.names, conductor, memory / ANSWERS_PART)
             chat_front = Front("chat", for_clients, budget, chat.handle, chat_error_body, metrics)
@@ -123,12 +133,13 @@
         tasks.start_soon(discovery.watch)
         tasks.start_soon(discovery.fetch_when_asked, upstream)
         tasks.start_soon(upstream.retire_idle)
-        for each, listener in fronts + by_hand:
+        tasks.start_soon(by_hand.follow)
+        for each, listener in fronts + operators:
             tasks.start_soon(each.serve, listener, tasks)
         gc.collect()
         gc.freeze()  # what is there now stays: later collections needn't look at it
         platform.ready = True
-        listening = {each.name: "%s:%d" % listener.getsockname() for each, listener in fronts + by_hand}
+        listening = {each.name: "%s:%d" % listener.getsockname() for each, listener in fronts + operators}
         log.info(
             "configured",
             classes=config.names.classes,
--- /dev/null
+++ b/ringledge/memory/byhand.py
@@ -0,0 +1,89 @@
+"""Which servers operators have left out by hand: one file, which all processes of this conductor follow."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from collections.abc import Callable
+from pathlib import Path
+from urllib.parse import quote
+
+import anyio
+import orjson
+
+from ringledge.lifecycle.logging import log
+
+LOOK_S = 0.05  # how often the file is looked at: another process may have changed it
+LOCK_S = 0.5  # a change that waits for others' for so long is given up
+LOCK_AGAIN_S = 0.005
+
+
+class ByHand:
+    """The servers that are out, as the file has them."""
+
+    def __init__(self, folder: Path, name: str, tell: Callable[[str, bool], None]) -> None:
+        self.out: frozenset[str] = frozenset()
+        self._path = folder / f"ringledge-{quote(name, safe='')}.out.json"
+        self._tell = tell  # told of each server that goes out (True) or comes back
+        self._read: tuple[int, int, int] | None = None  # what tells the file's present text from others
+
+    def look(self) -> None:
+        """Take in what the file says, where it has changed."""
+        try:
+            with self._path.open("rb") as file:
+                stat = os.fstat(file.fileno())
+                version = (stat.st_ino, stat.st_mtime_ns, stat.st_size)
+                if version == self._read:
+                    return
+                self._read = version
+                told = orjson.loads(file.read())
+            out = frozenset(each for each in told if isinstance(each, str))
+        except FileNotFoundError:  # nobody was ever left out
+            return
+        except (OSError, ValueError, TypeError) as error:
+            return log.error("by_hand_unreadable", file=str(self._path), error=str(error))
+        before, self.out = self.out, out
+        for server in sorted(before ^ out):
+            log.info("by_hand", server=server, out=server in out)
+            self._tell(server, server in out)
+
+    async def change(self, server: str, out: bool) -> None:
+        """Leave a server out or call it back; on disk when this returns, OSError where it could not be."""
+        with self._path.with_suffix(".lock").open("ab") as lock:
+            with anyio.fail_after(LOCK_S):
+                while not _locked(lock.fileno()):
+                    await anyio.sleep(LOCK_AGAIN_S)
+            self.look()  # another process may have been first
+            changed = self.out | {server} if out else self.out - {server}
+            if changed != self.out:
+                self._write(orjson.dumps(sorted(changed)))
+                self.look()
+
+    def _write(self, text: bytes) -> None:
+        """Whole or not at all: a process that starts meanwhile reads the old text or the new one."""
+        new = self._path.with_suffix(".new")
+        with new.open("wb") as file:
+            file.write(text)
+            file.flush()
+            os.fsync(file.fileno())
+        new.replace(self._path)
+        folder = os.open(self._path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    async def follow(self) -> None:
+        """Keep up with the file."""
+        while True:
+            await anyio.sleep(LOOK_S)
+            self.look()
+
+
+def _locked(descriptor: int) -> bool:
+    """Take the lock if it is free; closing the file lets it go."""
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        return False
+    return True
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -263,9 +263,10 @@
         error_body: ErrorBody,
         metrics: Metrics,
         request_s: float = REQUEST_S,
+        at_once: int = ACCEPT_AT_ONCE,
     ) -> None:
         self.name, self.limit, self._budget, self._request_s = name, limit, budget, request_s
-        self._handler, self._error_body = handler, error_body
+        self._handler, self._error_body, self._at_once = handler, error_body, at_once
         self._gauge, self._rejections = metrics.client_sockets.labels(name), metrics.rejections
         self.open: set[Connection] = set()
         self.resting: dict[Connection, float] = {}  # between requests and since when, longest first
@@ -280,7 +281,7 @@
         while True:
             await anyio.wait_readable(listener)
             try:
-                for _ in range(ACCEPT_AT_ONCE):
+                for _ in range(self._at_once):
                     self._admit(listener.accept()[0], tasks)
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 continue
--- a/ringledge/wire/operator.py
+++ b/ringledge/wire/operator.py
@@ -1,17 +1,26 @@
-"""The operators' front: whether this process can serve, and its figures. One call to a connection."""
+"""The operators' front: whether this process serves, its figures, instances left out by hand.
+
+One call to a connection.
+"""
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
+from urllib.parse import unquote_to_bytes
 
 import h11
 
+from ringledge.lifecycle.logging import log
+from ringledge.memory.byhand import ByHand
 from ringledge.memory.metrics import Metrics
+from ringledge.memory.servers import ServerList
 from ringledge.wire.http import Connection, HttpError, only, read_body, respond
 
 CONNECTIONS = 24  # its own: no client can take them
 MEMORY = 64 * 1024  # bytes that all calls' bodies may hold: none needs any
 CALL_S = 1.0  # a call that has not come whole by then is turned away
+INSTANCE = re.compile(rb"/instances/([^/]+)/(maint|ready)")
 PREFIX = "relay"
 ANSWERED = {"served": "answered", "refused": "deferred", "failed": "errored", "broken": "errored"}
 
@@ -19,8 +28,16 @@
 class Operator:
     """Answers the operators' calls."""
 
-    def __init__(self, classes: tuple[str, ...], metrics: Metrics, can_serve: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        classes: tuple[str, ...],
+        metrics: Metrics,
+        servers: ServerList,
+        by_hand: ByHand,
+        can_serve: Callable[[], bool],
+    ) -> None:
         self._classes, self._metrics, self._can_serve = classes, metrics, can_serve
+        self._servers, self._by_hand = servers, by_hand
 
     async def handle(self, conn: Connection, head: h11.Request) -> None:
         """Answer one call."""
@@ -33,9 +50,23 @@
         elif path == b"/stats":
             only(head, b"GET")
             await respond(conn, 200, stats(self._metrics, self._classes).encode(), kind=b"text/plain")
+        elif told := INSTANCE.fullmatch(path):
+            only(head, b"POST")
+            await self._change(unquote_to_bytes(told[1]).decode("utf-8", "replace"), told[2] == b"maint")
+            await respond(conn, 200, b'{"out":%s}' % (b"true" if told[2] == b"maint" else b"false"))
         else:
             raise HttpError(404, "no such call", "not_found")
 
+    async def _change(self, server: str, out: bool) -> None:
+        """Leave an instance out or call it back; HttpError for one that nobody has."""
+        if server not in self._servers.entries and server not in self._by_hand.out:
+            raise HttpError(404, "no such instance", "not_found")
+        try:
+            await self._by_hand.change(server, out)
+        except OSError as error:
+            log.error("by_hand_failed", server=server, out=out, error=str(error))
+            raise HttpError(503, "it could not be written down", "unavailable") from error
+
 
 def stats(metrics: Metrics, classes: tuple[str, ...]) -> str:
     """The figures in statsd's form, from where Prometheus has them too."""
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -1,6 +1,8 @@
 """The operators' address: what it answers, and that no client can crowd it."""
 
 import contextlib
+import fcntl
+import json
 import signal
 import socket
 import time
@@ -94,3 +96,50 @@
         halves[-1].settimeout(WAIT_S)
         assert halves[-1].recv(100).startswith(b"HTTP/1.1 408")  # it has a time of its own
         assert time.monotonic() - begun < 2
+
+
+def test_an_instance_out_by_hand_gets_nothing_whatever_the_list_says(tmp_path: Path) -> None:
+    with Node(tmp_path, operator=True, writers=2) as node:
+        for _ in range(2):  # twice is the same as once
+            assert node.call("POST", "/instances/w0/maint").status == 200
+        assert node.figures()["relay.cluster_unhealthy"] == "1|g"
+        node.watches.get(timeout=WAIT_S).chunk(json.dumps(node.listing(8)) + "\n")
+        node.logged("list")
+        for number in range(8):
+            client = node.post(f"a{number}")
+            node.reader[0].next().read()
+            node.writer[1].next().serve("x")
+            assert take(client).status == 200
+        assert node.call("POST", "/instances/w0/ready").status == 200
+        assert node.figures()["relay.cluster_unhealthy"] == "0|g"
+        client = node.post("b1")
+        node.reader[0].next().read()
+        node.writer[0].next().serve("x")  # called back, it is used at once
+        assert take(client).status == 200
+
+
+def test_an_instance_stays_out_across_a_restart(tmp_path: Path) -> None:
+    with Node(tmp_path, operator=True) as node:
+        assert node.call("POST", "/instances/r0/maint").status == 200
+        node.process.kill()
+    with Node(tmp_path, operator=True) as node:
+        assert take(node.post("a1")).status == 503
+        node.call("POST", "/instances/r0/ready")
+        client = node.post("a2")
+        node.reader[0].next().read()
+        node.writer[0].next().serve("x")
+        assert take(client).status == 200
+
+
+@pytest.mark.parametrize("name", ["nobody", "r0%2Fx", "r0/x"])
+@pytest.mark.parametrize("what", ["maint", "ready"])
+def test_an_instance_that_nobody_has_is_a_no(node: Node, name: str, what: str) -> None:
+    assert node.call("POST", f"/instances/{name}/{what}").status == 404
+
+
+def test_a_call_that_can_not_be_written_down_is_a_no(node: Node) -> None:
+    lock = next(iter(node.folder.glob("*.lock")), node.folder / "ringledge-n1.out.lock")
+    with lock.open("ab") as file:  # another process never lets go
+        fcntl.flock(file, fcntl.LOCK_EX)
+        assert node.call("POST", "/instances/r0/maint").status == 503
+    assert node.call("POST", "/instances/r0/maint").status == 200
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -258,3 +258,39 @@
     world = World(classes=(SAFE, unsafe), max_attempts=2)
     world.request("a", class_index=1)
     assert finals(world.wait(6000)) == [i.Fail("a")]
+
+
+# Out by hand.
+
+
+@pytest.mark.parametrize("form", [i.ListForm.CHANGES, i.ListForm.FULL])
+def test_no_list_lifts_what_was_left_out_by_hand(form: i.ListForm) -> None:
+    world = World()
+    world.give(i.ByHand("w0", True))
+    world.give(i.Members(form, 2, FLEET))
+    restarted = tuple(replace(each, started_ms=world.now_ms) for each in FLEET if each.server == "w0")
+    world.give(i.Members(i.ListForm.CHANGES, 3, restarted))
+    for number in range(40):
+        world.read(f"a{number}", session=number)
+        assert world.at[f"a{number}"] != "w0"
+    view = {each.server: each for each in world.policy.view(world.now_ms)}
+    assert view["w0"].avoided and view["w0"].availability == i.Availability.DRAINING
+
+
+@pytest.mark.parametrize("server", ["r0", "w0"])
+def test_who_is_called_back_is_undoubted_used_at_once_and_paced_as_cold(server: str) -> None:
+    world = World()
+    for number in range(8):  # its restart shows as resets
+        world.read(f"a{number}", session=number)
+        if world.at[f"a{number}"] == "w0":
+            world.outcome(f"a{number}", i.Status.RESET)
+    world.give(i.ByHand(server, True))
+    world.wait(500)
+    world.give(i.ByHand(server, False))
+    view = {each.server: each for each in world.policy.view(world.now_ms)}[server]
+    assert (view.doubt, view.avoided) == (0.0, False) and view.warmth == pytest.approx(0.3)
+    used = []
+    for number in range(10):
+        reader = world.read(f"b{number}", session=100 + number)
+        used += [reader if server == "r0" else world.at[f"b{number}"]]
+    assert used[0] == server and used.count(server) == 1  # the next one only as its warmth allows
