Hand the listening sockets to the successor, so that an upgrade loses nothing at the door

Ruled out: an accept after the hand-over (none is possible, the loop is cancelled) and the idle close (2 s at most). A drain now reads no further request behind an answer; its client, closed on unread, asks the successor.

--- a/ringledge/core/ledger.py
+++ b/ringledge/core/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from crowstand import interface as i
 from ringledge.core.port import Caller, Payload
@@ -67,11 +68,25 @@
         return any(a.written and not a.reads and a.outcome not in never for a in self.attempts)
 
 
+class Peer(Protocol):
+    """Another process of this conductor, while the two overlap."""
+
+    ids: set[str]  # requests that it has open
+
+    def note(self, request: str, opened: bool) -> None:
+        """Have it told that a request was opened here, or has ended."""
+
+
 class Ledger:
     """The open requests by id."""
 
     def __init__(self) -> None:
         self.records: dict[str, Record] = {}
+        self.peers: list[Peer] = []
+
+    def taken(self, name: str) -> bool:
+        """Whether a request with that id is open, here or in another process."""
+        return name in self.records or any(name in peer.ids for peer in self.peers)
 
     def current(self) -> int:
         """How many requests are still owed their answer's end."""
@@ -80,3 +95,11 @@
     def open(self, record: Record) -> None:
         """Enter a request."""
         self.records[record.name] = record
+        for peer in self.peers:
+            peer.note(record.name, True)
+
+    def strike(self, record: Record) -> None:
+        """A request is done."""
+        del self.records[record.name]
+        for peer in self.peers:
+            peer.note(record.name, False)
--- a/ringledge/core/stages/book.py
+++ b/ringledge/core/stages/book.py
@@ -58,7 +58,7 @@
     """
     if record.done and desk.ledger.records.get(record.name) is record:
         release(desk, record)
-        del desk.ledger.records[record.name]
+        desk.ledger.strike(record)
         log.info(
             "request_ended",
             request=record.name,
--- a/ringledge/core/stages/take_in.py
+++ b/ringledge/core/stages/take_in.py
@@ -15,7 +15,7 @@
 
 def take_in(desk: Desk, request: i.Request, payload: Payload, caller: Caller) -> Record:
     """Enter the request; from here on exactly one final answer is owed."""
-    if request.request in desk.ledger.records:
+    if desk.ledger.taken(request.request):
         raise DuplicateError(request.request)
     record = Record(request, payload, caller, desk.clock.now_ms())
     desk.ledger.open(record)
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -9,137 +9,212 @@
 from functools import partial
 
 import anyio
+import anyio.abc
 
 from crowstand import interface as i
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
 from ringledge.lifecycle import config as configuration
+from ringledge.lifecycle import handover
 from ringledge.lifecycle.config import Config, ConfigError
 from ringledge.lifecycle.logging import log
 from ringledge.lifecycle.signals import on_signals
 from ringledge.memory.byhand import ByHand
 from ringledge.memory.metrics import Metrics
 from ringledge.memory.servers import ServerList
-from ringledge.wire.chat import Chat
-from ringledge.wire.chat import error_body as chat_error_body
+from ringledge.wire import operator
 from ringledge.wire.discovery import Discovery
-from ringledge.wire.http import Budget, Front, listen
-from ringledge.wire.operator import CALL_S, CONNECTIONS, MEMORY, Operator
+from ringledge.wire.http import Budget, ErrorBody, Front, Handler, listen
 from ringledge.wire.platform import Platform, error_body
-from ringledge.wire.remote_write import RemoteWrite, Scrape
 from ringledge.wire.upstream import Upstream
-from ringledge.wire.xds import Xds
-from ringledge.wire.xds import error_body as xds_error_body
 
 BODIES_PART, ANSWERS_PART = 5, 8  # of the memory: a body is held about twice, the rest is the program's
 SPARE_SOCKETS = 64  # for discovery, listeners, logs and the interpreter
 TAKEN_AT_ONCE = ("discovery", "discovery_in_file", "seed", "known")  # on SIGHUP; seed and list start a run
 LIST_S = 1.0  # discovery may be silent: after so long the last list known has to do
-KEEP_TAKING_S = 0.6  # after SIGTERM new connections go on arriving so long
+KEEP_TAKING_S = 0.6  # after SIGTERM new connections go on arriving so long, and on kept ones too
+LOOK_S = 0.02  # how often it is looked whether all is done
 
 
-async def serve(config: Config) -> None:
-    """Serve until a signal asks for a stop and all that was taken is answered."""
-    started = time.monotonic()
-    metrics = Metrics()
-    servers = ServerList(config.settings.kinds)
-    # Half for servers, half for clients; each front lets an eighth more in, only to be refused.
-    spare = SPARE_SOCKETS + (CONNECTIONS if config.operator else 0)
-    sockets = max(8, (config.sockets - spare) // 2)
-    for_clients = sockets * 8 // 9 // (1 if config.chat is None else 2)
-    memory = config.memory_mb * 1024 * 1024
-    budget = Budget(memory / BODIES_PART)
-    async with anyio.create_task_group() as tasks:
-        upstream = Upstream(tasks, servers, config.names, sockets, metrics)
-        conductor = upstream.conductor = Conductor(
-            config.settings, config.seed, Clock(), servers, metrics, upstream
+class Program:
+    """The parts of one conductor, put together."""
+
+    def __init__(
+        self, config: Config, tasks: anyio.abc.TaskGroup, inherited: dict[str, socket.socket]
+    ) -> None:
+        self.config, self._latest, self._tasks, self._inherited = config, config, tasks, inherited
+        self.started = time.monotonic()
+        self.stopping = anyio.Event()
+        # Half for servers, half for clients; each front lets an eighth more in, only to be refused.
+        spare = SPARE_SOCKETS + (operator.CONNECTIONS if config.operator else 0)
+        self._sockets = max(8, (config.sockets - spare) // 2)
+        self._memory = config.memory_mb * 1024 * 1024
+        self.budget = Budget(self._memory / BODIES_PART)
+        self.metrics = Metrics()
+        self.servers = ServerList(config.settings.kinds)
+        self.upstream = Upstream(tasks, self.servers, config.names, self._sockets, self.metrics)
+        self.conductor = self.upstream.conductor = Conductor(
+            config.settings, config.seed, Clock(), self.servers, self.metrics, self.upstream
         )
-        discovery = Discovery(config.discovery, config.names, conductor)
-        by_hand = ByHand(config.folder, config.name, conductor.by_hand)
-        by_hand.look()  # before the first send
-        discovery.apply(config.known, i.ListForm.KEPT)
-        platform = Platform(config.names, conductor)
-        front = Front("platform", for_clients, budget, platform.handle, error_body, metrics)
-        fronts = [(front, listen(config.listen))]
-        operators: list[tuple[Front, socket.socket]] = []  # what they meet lasts to the end
-        stopping = anyio.Event()
-        if config.operator:
+        self.by_hand = ByHand(config.folder, config.name, self.conductor.by_hand)
+        self.by_hand.look()  # before the first send
+        self.discovery = Discovery(config.discovery, config.names, self.conductor)
+        self.discovery.apply(config.known, i.ListForm.KEPT)
+        self.platform = Platform(config.names, self.conductor)
+        self.listeners: dict[str, socket.socket] = {}  # by address, as it is configured
+        self.clients: list[tuple[Front, socket.socket]] = []  # fronts that have to be through at the end
+        self.operators: list[tuple[Front, socket.socket]] = []  # what they meet lasts to the end
+        self._open_fronts()
+        self.handover = handover.Handover(
+            handover.path_for(config.folder, config.name),
+            self.listeners,
+            self.conductor.ledger,
+            self._share,
+            self._leave,
+            self._reopen,
+        )
+        self._set_figures()
+
+    def _listen(self, address: str) -> socket.socket:
+        """A predecessor's listening socket, or else one of our own."""
+        inherited = self._inherited
+        listener = inherited.pop(address) if address in inherited else listen(address)
+        self.listeners[address] = listener
+        return listener
 
-            def can_serve() -> bool:
-                """Whether all that serving takes is at work."""
-                silent_s = 0.0 if discovery.heard else LIST_S
-                listed = bool(servers.entries) and time.monotonic() - started >= silent_s
-                accepting = all(each.serving for each, _ in fronts)
-                return listed and accepting and conductor.timers_run() and not stopping.is_set()
+    def _for_clients(self, processes: int = 1) -> int:
+        return self._sockets * 8 // 9 // (1 if self.config.chat is None else 2) // processes
 
-            operator = Operator(config.names.classes, metrics, servers, by_hand, can_serve)
-            operator_front = Front(
+    def _client_front(self, name: str, limit: int, handler: Handler, errors: ErrorBody, address: str) -> None:
+        front = Front(name, limit, self.budget, handler, errors, self.metrics)
+        self.clients.append((front, self._listen(address)))
+
+    def _open_fronts(self) -> None:
+        """Each front with its listening socket; what is off is not even imported, for memory is short."""
+        config, small = self.config, SPARE_SOCKETS // 4
+        self._client_front(
+            "platform", self._for_clients(), self.platform.handle, error_body, config.listen
+        )
+        if config.operator:
+            calls = operator.Operator(
+                config.names.classes, self.metrics, self.servers, self.by_hand, self.can_serve
+            )
+            front = Front(
                 "operator",
-                CONNECTIONS,
-                Budget(MEMORY),
-                operator.handle,
+                operator.CONNECTIONS,
+                Budget(operator.MEMORY),
+                calls.handle,
                 error_body,
-                metrics,
-                request_s=CALL_S,
+                self.metrics,
+                request_s=operator.CALL_S,
                 at_once=1,  # each is read before the next comes: half calls are known and make room
             )
-            operator_front.drain()  # each connection ends with its one call
-            operators.append((operator_front, listen(config.operator)))
+            front.end_with_answers(True)  # one call to a connection
+            self.operators.append((front, self._listen(config.operator)))
         if config.chat is not None:
-            chat = Chat(config.chat, config.settings, config.names, conductor, memory / ANSWERS_PART)
-            chat_front = Front("chat", for_clients, budget, chat.handle, chat_error_body, metrics)
-            fronts.append((chat_front, listen(config.chat.listen)))
-            tasks.start_soon(chat.reap)
+            from ringledge.wire import chat
+
+            chats = chat.Chat(
+                config.chat, config.settings, config.names, self.conductor, self._memory / ANSWERS_PART
+            )
+            limit = self._for_clients()
+            self._client_front("chat", limit, chats.handle, chat.error_body, config.chat.listen)
+            self._tasks.start_soon(chats.reap)
         if config.xds is not None:
-            xds = Xds(config.xds, config.names, conductor, metrics)
-            xds_front = Front("xds", SPARE_SOCKETS // 4, budget, xds.handle, xds_error_body, metrics)
-            fronts.append((xds_front, listen(config.xds.listen)))
-        if config.prometheus is not None and config.prometheus.listen:
-            scrape = Scrape(metrics).handle
-            scrape_front = Front("prometheus", SPARE_SOCKETS // 4, budget, scrape, error_body, metrics)
-            fronts.append((scrape_front, listen(config.prometheus.listen)))
-        if config.prometheus is not None and config.prometheus.remote_write:
-            writer = RemoteWrite(config.prometheus, config.name, metrics)
-            tasks.start_soon(writer.collect)
-            tasks.start_soon(writer.send)
+            from ringledge.wire import xds
+
+            polls = xds.Xds(config.xds, config.names, self.conductor, self.metrics)
+            self._client_front("xds", small, polls.handle, xds.error_body, config.xds.listen)
+        if config.prometheus is not None:
+            from ringledge.wire import remote_write
+
+            if config.prometheus.listen:
+                scrape = remote_write.Scrape(self.metrics)
+                self._client_front(
+                    "prometheus", small, scrape.handle, error_body, config.prometheus.listen
+                )
+            if config.prometheus.remote_write:
+                writer = remote_write.RemoteWrite(config.prometheus, config.name, self.metrics)
+                self._tasks.start_soon(writer.collect)
+                self._tasks.start_soon(writer.send)
+
+    def _set_figures(self) -> None:
+        metrics, discovery = self.metrics, self.discovery
         metrics.list_age.set_function(lambda: time.monotonic() - discovery.last_heard)
-        metrics.open_requests.set_function(conductor.ledger.current)
-        metrics.avoided.set_function(conductor.avoided)
+        metrics.open_requests.set_function(self.conductor.ledger.current)
+        metrics.avoided.set_function(self.conductor.avoided)
         for state in (i.Availability.UP, i.Availability.DRAINING):
-            metrics.servers.labels(state.value).set_function(partial(servers.count, state))
-
-        def stop() -> None:
-            platform.ready = False
-            stopping.set()
-
-        now = config
-
-        def reload() -> None:
-            """Read the file anew. Discovery is what may change under way; the rest waits for a restart."""
-            nonlocal now
-            try:
-                new = configuration.load()
-            except ConfigError as error:  # half a file or none is no reason to stop serving
-                return log.error("reload_failed", error=str(error))
-            names = [each.name for each in fields(Config) if each.name not in TAKEN_AT_ONCE]
-            waits = [name for name in names if getattr(new, name) != getattr(config, name)]
-            if new.discovery_in_file != now.discovery_in_file:  # newer than what RELAY_DISCOVERY said
-                discovery.move(new.discovery_in_file)
-            now = new
-            log.info("reloaded", discovery=discovery.address, waits_for_restart=waits)
-
-        tasks.start_soon(on_signals, stop, reload)
-        tasks.start_soon(conductor.run_timers)
-        tasks.start_soon(discovery.watch)
-        tasks.start_soon(discovery.fetch_when_asked, upstream)
-        tasks.start_soon(upstream.retire_idle)
-        tasks.start_soon(by_hand.follow)
-        for each, listener in fronts + operators:
-            tasks.start_soon(each.serve, listener, tasks)
+            metrics.servers.labels(state.value).set_function(partial(self.servers.count, state))
+
+    def listed(self) -> bool:
+        """Whether the list is as discovery has it, or as good as can be while discovery is silent."""
+        waited = self.discovery.heard or time.monotonic() - self.started >= LIST_S
+        return bool(self.servers.entries) and waited
+
+    def can_serve(self) -> bool:
+        """Whether all that serving takes is at work."""
+        accepting = all(front.serving for front, _ in self.clients)
+        return self.listed() and accepting and self.conductor.timers_run() and not self.stopping.is_set()
+
+    def stop(self) -> None:
+        """Asked for by a signal; where a successor serves, its `/ready` speaks for both."""
+        self.platform.ready = self.handover.left
+        self.stopping.set()
+
+    def reload(self) -> None:
+        """Read the file anew. Discovery is what may change under way; the rest waits for a restart."""
+        try:
+            new = configuration.load()
+        except ConfigError as error:  # half a file or none is no reason to stop serving
+            return log.error("reload_failed", error=str(error))
+        names = [each.name for each in fields(Config) if each.name not in TAKEN_AT_ONCE]
+        waits = [name for name in names if getattr(new, name) != getattr(self.config, name)]
+        if new.discovery_in_file != self._latest.discovery_in_file:  # newer than what RELAY_DISCOVERY said
+            self.discovery.move(new.discovery_in_file)
+        self._latest = new
+        log.info("reloaded", discovery=self.discovery.address, waits_for_restart=waits)
+
+    def _share(self, processes: int) -> None:
+        """Divide the limits among the processes that there are of this conductor."""
+        self.budget.limit = self._memory / BODIES_PART / processes
+        self.upstream.pool.shrink(self._sockets // processes)
+        for front, _ in self.clients:
+            if front.name in ("platform", "chat"):
+                front.shrink(self._for_clients(processes))
+
+    def _leave(self, addresses: set[str]) -> None:
+        """A successor serves at those."""
+        theirs = [listener for address, listener in self.listeners.items() if address in addresses]
+        for front, listener in self.clients:
+            if listener in theirs:
+                front.leave()
+
+    def _reopen(self) -> None:
+        for front, _ in self.clients:
+            front.reopen()
+
+    async def run(self, predecessor: socket.socket | None) -> None:
+        """Serve until a signal asks for a stop and all that was taken is answered."""
+        config, tasks, serving = self.config, self._tasks, anyio.Event()
+        tasks.start_soon(on_signals, self.stop, self.reload)
+        tasks.start_soon(self.conductor.run_timers)
+        tasks.start_soon(self.discovery.watch)
+        tasks.start_soon(self.discovery.fetch_when_asked, self.upstream)
+        tasks.start_soon(self.upstream.retire_idle)
+        tasks.start_soon(self.by_hand.follow)
+        for front, listener in self.operators:
+            tasks.start_soon(front.serve, listener, tasks)
         gc.collect()
         gc.freeze()  # what is there now stays: later collections needn't look at it
-        platform.ready = True
-        listening = {each.name: "%s:%d" % listener.getsockname() for each, listener in fronts + operators}
+        if predecessor is not None:
+            tasks.start_soon(self.handover.follow, predecessor, serving)
+            while not self.listed() and not self.stopping.is_set():  # until then the predecessor accepts
+                await anyio.sleep(LOOK_S)
+        for front, listener in self.clients:
+            tasks.start_soon(front.serve, listener, tasks)
+        self.platform.ready = not self.stopping.is_set()
+        tasks.start_soon(self.handover.offer)
+        serving.set()
         log.info(
             "configured",
             classes=config.names.classes,
@@ -151,14 +226,34 @@
             max_retry_after_ms=config.settings.max_retry_after_ms,
             keepalive_s=config.names.keepalive_s,
         )
-        log.info("ready", listening=listening, took_s=round(time.monotonic() - started, 3))
-        await stopping.wait()
-        await anyio.sleep(KEEP_TAKING_S)
-        while any(each.open for each, _ in fronts) or conductor.ledger.records or upstream.releases:
-            for each, _ in fronts:
-                each.drain()
-            await anyio.sleep(0.02)
-        for _, listener in fronts:
+        fronts = self.clients + self.operators
+        listening = {front.name: "%s:%d" % listener.getsockname() for front, listener in fronts}
+        log.info("ready", listening=listening, took_s=round(time.monotonic() - self.started, 3))
+        await self.stopping.wait()
+        await self._finish()
+        for listener in self.listeners.values():
             listener.close()
+        self.handover.close()
         log.info("stopped")
         tasks.cancel_scope.cancel()
+
+    async def _finish(self) -> None:
+        """Return once all that was taken is answered."""
+        await anyio.sleep(KEEP_TAKING_S)
+        while any(front.open for front, _ in self.clients) or self._busy():
+            for front, _ in self.clients:
+                front.drain()
+            await anyio.sleep(LOOK_S)
+
+    def _busy(self) -> bool:
+        return bool(self.conductor.ledger.records or self.upstream.releases)
+
+
+async def serve(config: Config) -> None:
+    """Serve until a signal asks for a stop."""
+    predecessor, inherited = await handover.ask(handover.path_for(config.folder, config.name))
+    async with anyio.create_task_group() as tasks:
+        program = Program(config, tasks, inherited)
+        for unwanted in inherited.values():
+            unwanted.close()
+        await program.run(predecessor)
--- a/ringledge/memory/pool.py
+++ b/ringledge/memory/pool.py
@@ -54,6 +54,11 @@
         conn.idle_since, conn.kept = time.monotonic(), True
         self._idle[address].append(conn)
 
+    def shrink(self, limit: int) -> None:
+        """Hold fewer connections; the oldest idle ones go."""
+        self.limit = limit
+        self.retire(0.0, most=max(0, self.open - limit))
+
     def reserve(self) -> bool:
         """Count a new connection, at the cost of the oldest idle one if need be; False past the limit."""
         if self.open >= self.limit:
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -203,6 +203,7 @@
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)  # a process that hangs there stops no start
     sock.setblocking(False)
     sock.bind((host, int(port)))
     sock.listen(1024)
@@ -273,11 +274,19 @@
         self.reading: dict[Connection, None] = {}  # in an exchange, longest first; some lack half a request
         self.serving = False  # it accepts
         self.closing = False  # each connection ends with its next answer
+        self.draining = False  # what rests is closed, and no further request read behind an answer
+        self._accepting, self._reopened = anyio.CancelScope(), anyio.Event()
 
     async def serve(self, listener: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
-        """Accept until cancelled."""
+        """Accept until cancelled, save while another process does."""
         tasks.start_soon(self._close_idle)
         self.serving = True
+        while True:
+            with anyio.CancelScope() as self._accepting:
+                await self._accept(listener, tasks)
+            await self._reopened.wait()
+
+    async def _accept(self, listener: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
         while True:
             await anyio.wait_readable(listener)
             try:
@@ -346,7 +355,9 @@
             return False
         if rejected:
             await self._pause(conn)
-        return not conn.closed and (not self.closing or conn.pending() or conn.readable())
+        # One more that came meanwhile is answered as well, but not in a drain: it may end before the answer.
+        more = not self.closing or (not self.draining and (conn.pending() or conn.readable()))
+        return not conn.closed and more
 
     async def _head(self, conn: Connection) -> h11.Request | None:
         """The head of the request that has begun; HttpError where its body's end would be a guess."""
@@ -392,11 +403,33 @@
 
     def drain(self) -> None:
         """Close what rests, and let every other connection end with its answer."""
-        self.closing = True
-        for conn in self.open:
-            conn.last = True
+        self.draining = True
+        self.end_with_answers(True)
         self.close_resting()
 
+    def end_with_answers(self, closing: bool) -> None:
+        """Whether each connection ends with its next answer."""
+        self.closing = closing
+        for conn in self.open:
+            conn.last = closing
+
+    def leave(self) -> None:
+        """Another process accepts now; here each connection ends with its next answer, not before it."""
+        self._reopened = anyio.Event()
+        self._accepting.cancel()
+        self.end_with_answers(True)
+
+    def reopen(self) -> None:
+        """Accept again."""
+        self.end_with_answers(False)
+        self._reopened.set()
+
+    def shrink(self, limit: int) -> None:
+        """Let fewer connections in; of those that rest, the longest resting go."""
+        self.limit = limit
+        for conn in [conn for conn in self.resting if _quiet(conn)][: max(0, len(self.open) - limit)]:
+            self._close(conn)
+
     def close_resting(self, older_s: float = 0.0) -> None:
         """Close connections between requests that rest for so long."""
         until = anyio.current_time() - older_s
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -174,8 +174,62 @@
         return json.loads(self.body)
 
 
+class Process:
+    """The program, started with a folder's configuration; its log as it comes."""
+
+    def start(self, folder: Path) -> None:
+        environ = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "RINGLEDGE_"))}
+        environ |= {"RELAY_CONFIG": str(folder / "config.json"), "RINGLEDGE_DEPLOY": str(folder)}
+        environ["TMPDIR"] = str(folder)
+        command = [sys.executable, "-m", "ringledge"]
+        self.process = subprocess.Popen(command, cwd=ROOT, env=environ, stderr=subprocess.PIPE)
+        self.lines = queue.Queue[dict[str, Any]]()
+        threading.Thread(target=self._read_log, daemon=True).start()
+        self.listening = self.logged("ready")["listening"]
+
+    def kill(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+    def _read_log(self) -> None:
+        assert self.process.stderr
+        for line in self.process.stderr:
+            try:
+                self.lines.put(json.loads(line))
+            except ValueError:
+                self.lines.put({"event": "text", "text": line.decode()})
+
+    def logged(self, name: str) -> dict[str, Any]:
+        """The next log line of that event."""
+        seen, until = [], time.monotonic() + WAIT_S
+        while time.monotonic() < until:
+            try:
+                line = self.lines.get(timeout=WAIT_S)
+            except queue.Empty:
+                break
+            if line["event"] == name:
+                return line
+            seen.append(line)
+        raise AssertionError(f"no {name} among {seen}")
+
+    def client(self, front: str = "platform") -> http.client.HTTPConnection:
+        host, port = self.listening[front].split(":")
+        return http.client.HTTPConnection(host, int(port), timeout=WAIT_S)
+
+    def call(self, method: str, path: str) -> Answer:
+        """One call at the operators' address."""
+        client = self.client("operator")
+        client.request(method, path)
+        return take(client)
+
+    def figures(self) -> dict[str, str]:
+        """What /stats says."""
+        lines = self.call("GET", "/stats").body.decode().splitlines()
+        return dict(line.split(":") for line in lines)
+
+
 @dataclass
-class Node:
+class Node(Process):
     """The program with one reader, one writer (or more of them) and discovery."""
 
     folder: Path
@@ -214,28 +268,28 @@
             "known": self.listing(7), "settings": SETTINGS,
         }  # fmt: skip
         if self.operator:
-            self.config["operator"] = "127.0.0.1:0"
+            self.config["operator"] = "127.0.0.2:0"
         self.configure()
         for name, text in self.files.items():
             (self.folder / name).write_text(text)
-        environ = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "RINGLEDGE_"))}
-        environ |= {"RELAY_CONFIG": str(self.folder / "config.json"), "RINGLEDGE_DEPLOY": str(self.folder)}
-        environ["TMPDIR"] = str(self.folder)
-        command = [sys.executable, "-m", "ringledge"]
-        self.process = subprocess.Popen(command, cwd=ROOT, env=environ, stderr=subprocess.PIPE)
-        self.lines = queue.Queue[dict[str, Any]]()
-        threading.Thread(target=self._read_log, daemon=True).start()
-        self.listening = self.logged("ready")["listening"]
+        self.later: list[Process] = []
+        self.start(self.folder)
         return self
 
     def __exit__(self, *_: object) -> None:
-        self.process.kill()
-        self.process.wait()
-        assert self.process.stderr
+        for process in (self, *self.later):
+            process.kill()
         self.stop_watches.set()
         for each in [*self.reader, *self.writer, self.discovery]:
             each.close()
 
+    def successor(self) -> Process:
+        """Start the program again beside this one, with another second address."""
+        self.configure(operator=f"127.0.0.{len(self.later) + 3}:0")
+        self.later.append(Process())
+        self.later[-1].start(self.folder)
+        return self.later[-1]
+
     def configure(self, **changes: Any) -> None:
         """Write the configuration's file, with changes."""
         self.config |= changes
@@ -252,31 +306,6 @@
         ]  # fmt: skip
         return {"index": index, "snapshot": True, "endpoints": entries}
 
-    def _read_log(self) -> None:
-        assert self.process.stderr
-        for line in self.process.stderr:
-            try:
-                self.lines.put(json.loads(line))
-            except ValueError:
-                self.lines.put({"event": "text", "text": line.decode()})
-
-    def logged(self, name: str) -> dict[str, Any]:
-        """The next log line of that event."""
-        seen, until = [], time.monotonic() + WAIT_S
-        while time.monotonic() < until:
-            try:
-                line = self.lines.get(timeout=WAIT_S)
-            except queue.Empty:
-                break
-            if line["event"] == name:
-                return line
-            seen.append(line)
-        raise AssertionError(f"no {name} among {seen}")
-
-    def client(self, front: str = "platform") -> http.client.HTTPConnection:
-        host, port = self.listening[front].split(":")
-        return http.client.HTTPConnection(host, int(port), timeout=WAIT_S)
-
     def post(self, name: str, body: bytes | None = None, **headers: str) -> http.client.HTTPConnection:
         """Send a platform request and leave its answer to be taken."""
         told = {
@@ -290,17 +319,6 @@
         client.request("POST", "/v1/chat/completions", text, {k: v for k, v in told.items() if v != "-"})
         return client
 
-    def call(self, method: str, path: str) -> Answer:
-        """One call at the operators' address."""
-        client = self.client("operator")
-        client.request(method, path)
-        return take(client)
-
-    def figures(self) -> dict[str, str]:
-        """What /stats says."""
-        lines = self.call("GET", "/stats").body.decode().splitlines()
-        return dict(line.split(":") for line in lines)
-
     def chat(self, told: Any, **headers: str) -> http.client.HTTPConnection:
         """Send a chat request and leave its answer to be taken."""
         client = self.client("chat")
