Hand what the decisions have learned to the successor

It also lacked homes and the pace.

Design: crowstand/learned.py tells the policy's evidence as plain values in parts (homes, kept text, pace, work done, doubt, credit), over the channel of the hand-over, right behind the listening sockets. What can't be read is learned anew. Rejected: pickle (the two processes may be of different versions), a file (it would be stale after a kill).

--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -6,11 +6,14 @@
 import math
 import time
 from collections import deque
+from collections.abc import Iterator
 from itertools import count
+from typing import Any
 
 import anyio
 
 from crowstand import interface as i
+from crowstand import learned
 from crowstand.policy import Policy
 from ringledge.core.clock import Clock
 from ringledge.core.desk import Desk
@@ -86,6 +89,19 @@
         """A probe has been answered, or not."""
         self._tell(probed)
 
+    # Between the processes of one conductor, while one takes over from the other.
+
+    def learned(self) -> Iterator[dict[str, Any]]:
+        """What the policy has learned, in parts."""
+        return learned.tell(self.policy)
+
+    def learn(self, part: dict[str, Any]) -> None:
+        """Take over what a predecessor's policy has learned."""
+        try:
+            learned.take(self.policy, part)
+        except (ValueError, TypeError, KeyError) as error:  # of another version: we learn it anew
+            log.warning("learned_unreadable", error=repr(error))
+
     # Time.
 
     async def run_timers(self) -> None:
--- a/ringledge/lifecycle/handover.py
+++ b/ringledge/lifecycle/handover.py
@@ -160,10 +160,13 @@
         share: Callable[[int], None],  # told among how many processes the limits are divided
         leave: Callable[[set[str]], None],  # called when a successor serves, with the addresses that it has
         reopen: Callable[[], None],  # called when a successor that served is gone
+        learned: Callable[[], Iterable[dict[str, Any]]],  # what a successor should know, in parts
+        learn: Callable[[dict[str, Any]], None],  # told a part of what the predecessor knows
     ) -> None:
         self.left = False  # a successor serves
         self._path, self._listeners, self._ledger = path, listeners, ledger
         self._share, self._leave, self._reopen = share, leave, reopen
+        self._learned, self._learn = learned, learn
         self._processes = 1
 
     def _count(self, change: int) -> None:
@@ -183,7 +186,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(tell)
-                await peer.follow(lambda _: None)
+                await peer.follow(lambda told: self._learn(told.get("learned", {})))
                 tasks.cancel_scope.cancel()
         finally:
             self._count(-1)
@@ -228,6 +231,8 @@
                     raise OSError("it ended the channel")
                 fds = [each.fileno() for each in self._listeners.values()]
                 await _send(channel, {"listeners": list(self._listeners)}, fds)
+                for part in self._learned():
+                    await _send(channel, {"learned": part})
         except BROKEN as error:
             log.warning("successor_lost", error=repr(error))
             _close(channel)
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -72,6 +72,8 @@
             self._share,
             self._leave,
             self._reopen,
+            self.conductor.learned,
+            self.conductor.learn,
         )
         self._set_figures()
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -157,3 +157,12 @@
     node.watches.get(timeout=WAIT_S)
     node.watches.get(timeout=WAIT_S).chunk(json.dumps(node.listing(8)) + "\n")
     assert new.logged("list")["form"] == "full"
+
+
+def test_the_successor_knows_what_the_old_one_has_learned(node: Node) -> None:
+    client = node.post("a1", X_Budget_Ms="60000")
+    for _ in range(4):
+        node.reader[0].next().drop()
+    assert node.figures()["relay.cluster_unhealthy"] == "1|g"
+    assert upgrade(node).figures()["relay.cluster_unhealthy"] == "1|g"
+    client.close()
--- /dev/null
+++ b/tests/test_learned.py
@@ -0,0 +1,65 @@
+"""What a policy has learned reaches the one that takes over."""
+
+from dataclasses import replace
+
+import orjson
+import pytest
+
+from crowstand import interface as i
+from crowstand import learned
+from tests.world import FLEET, World
+
+
+def taken_over(old: World, **settings: int) -> World:
+    """A fresh router that was told what the old one knows."""
+    new = World(tuple(each.entry for each in old.policy.servers.values()), seed=2, **settings)
+    new.now_ms = old.now_ms
+    for part in learned.tell(old.policy):
+        new.policy.now_ms = new.now_ms
+        learned.take(new.policy, orjson.loads(orjson.dumps(part)))
+    return new
+
+
+def test_homes_pace_and_doubt_are_taken_over() -> None:
+    old = World()
+    homes = {session: old.serve(f"a{session}", session=session, prefix=2**200) for session in range(20)}
+    old.give(i.ByHand("w0", True))
+    old.give(i.ByHand("w0", False))
+    old.read("b1")
+    old.outcome("b1", i.Status.RESET)
+    new = taken_over(old)
+    assert new.policy.read_pace == old.policy.read_pace > 0
+    assert new.policy.view(new.now_ms) == old.policy.view(old.now_ms)
+    assert {new.read(f"c{session}", session=session) == home for session, home in homes.items()} == {True}
+
+
+def test_a_cold_server_is_paced_by_the_work_that_the_old_one_got_done() -> None:
+    old = World(routers=8)
+    for number in range(60):
+        old.wait(100)
+        old.serve(f"a{number}", session=number)
+    cold = tuple(replace(each, started_ms=old.now_ms) for each in FLEET if each.server == "r0")
+    old.give(i.Members(i.ListForm.CHANGES, 2, cold))
+    news = [taken_over(old, routers=8), World(tuple(s.entry for s in old.policy.servers.values()), 2, routers=8)]
+    used = []
+    for new in news:
+        new.now_ms = old.now_ms
+        reads = 0
+        for number in range(60):
+            new.wait(50)
+            new.request(f"b{number}", session=1000 + number)
+            reads += new.at[f"b{number}"] == "r0"
+        used.append(reads)
+    assert used[0] > used[1]
+
+
+@pytest.mark.parametrize(
+    "part",
+    [{"servers": [["nobody", 0, 0, 0, 0, 0, 0, 0, 0]]}, {"homes": [["ff", "nobody", 1, 1]]}, {"new": [[1]]},
+     {"blame": [["nobody", "all", 1, 1]]}, {"usual": [["reader", 1, 2, 3, 4]]}],
+)  # fmt: skip
+def test_what_is_not_known_here_changes_nothing(part: dict[str, list[list[object]]]) -> None:
+    world = World()
+    before = world.policy.view(world.now_ms)
+    learned.take(world.policy, part)
+    assert world.policy.view(world.now_ms) == before and not world.policy.homes
