--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -40,7 +40,8 @@
         old.serve(f"a{number}", session=number)
     cold = tuple(replace(each, started_ms=old.now_ms) for each in FLEET if each.server == "r0")
     old.give(i.Members(i.ListForm.CHANGES, 2, cold))
-    news = [taken_over(old, routers=8), World(tuple(s.entry for s in old.policy.servers.values()), 2, routers=8)]
+    fleet = tuple(each.entry for each in old.policy.servers.values())
+    news = [taken_over(old, routers=8), World(fleet, seed=2, routers=8)]
     used = []
     for new in news:
         new.now_ms = old.now_ms
