--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -174,6 +174,20 @@
     assert sum(windows) >= 3  # and it is not starved
 
 
+def test_a_busy_router_paces_a_cold_server_by_all_the_work_it_gets_done() -> None:
+    world = World(routers=8)
+    for number in range(200):  # 20 a second while a server would warm, about 5 at each of four readers
+        world.wait(50)
+        world.serve(f"a{number}", session=number)
+    cold = tuple(replace(each, started_ms=world.now_ms) for each in FLEET if each.server == "r0")
+    world.give(i.Members(i.ListForm.CHANGES, 2, cold))
+    used = 0
+    for number in range(60):
+        world.wait(50)
+        used += world.serve(f"b{number}", session=1000 + number) == "r0"
+    assert used >= 4  # 0.3 of 5 a second and rising, for 3 s; a quarter of the work tells a quarter
+
+
 def test_all_cold_and_spent_means_a_refusal_not_a_push() -> None:
     world = World((entry("r", READER, started_ms=1_000_000.0), entry("w", WRITER)))
     sent = [sends(world.request(f"a{n}", session=n)) for n in range(4)]
