Give up what has not begun half a second before SIGKILL, so that nothing stays held

A request that the old process still had in hand left its read state at a reader. serve.py _finish waited for all that was taken, however long its deadline. Ruled out: releases under way (each is tried until answered), the new process (the request is the old one's), late requests (none is read 0.6 s after SIGTERM).

PROTOCOL says when the kill comes: the longest deadline (3 s at most) and 0.7 s. Half a second before, the decisions get LastCall: each request with no answer begun is refused (with Retry-After, its client asks the successor) or, if it may have run, failed; its state is let go. Begun streams go on. Rejected: leaving it to the deadlines, for a booking's is 12 s; closing connections instead of answering.

--- a/crowstand/interface.py
+++ b/crowstand/interface.py
@@ -254,6 +254,11 @@
     out: bool
 
 
+@dataclass(slots=True, frozen=True)
+class LastCall:
+    """The process is about to end: what has not begun by now has no time left."""
+
+
 # What is thought of a server, for those who ask from outside
 
 
@@ -272,7 +277,7 @@
     avoided: bool  # it gets nothing new, or hardly
 
 
-Event = Members | Request | Outcome | FirstToken | ClientGone | Probed | Timer | ByHand
+Event = Members | Request | Outcome | FirstToken | ClientGone | Probed | Timer | ByHand | LastCall
 
 
 # Actions
--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -121,7 +121,7 @@
         self.handlers: dict[type, Any] = {
             i.Members: self._members, i.Request: self._arrive, i.Outcome: self._outcome,
             i.FirstToken: self._first_token, i.ClientGone: self._client_gone, i.Timer: self._timer,
-            i.ByHand: self._by_hand,
+            i.ByHand: self._by_hand, i.LastCall: self._last_call,
         }
 
     def handle(self, now_ms: float, event: i.Event) -> list[i.Action]:
@@ -162,8 +162,7 @@
 
     def _proceed(self, job: Job) -> None:
         """Take the next step of a request with no attempt out: read, write, or give up."""
-        reader = job.state_at
-        server = self._reader(job) if reader is None else self._writer(job, reader)
+        server = self._writer(job, job.state_at) if job.state_at else self._reader(job)
         if server is None or job.sent + (server.role == i.Role.READER) >= self.settings.max_attempts:
             self._give_up(job)  # a read needs one more attempt, for the writer
         else:
@@ -471,6 +470,11 @@
                 self.actions.append(i.Release(job.request.request))
             del self.jobs[job.request.request]
 
+    def _last_call(self, _: i.LastCall) -> None:
+        """Give up all that has not begun while there is time to say so and to let go of what is held."""
+        for job in [job for job in self.jobs.values() if not (job.started or job.ended)]:
+            self._give_up(job)
+
     def _client_gone(self, event: i.ClientGone) -> None:
         job = self.jobs.get(event.request)
         if job is not None:
@@ -516,21 +520,19 @@
 
     def _fresh(self, entry: i.ServerEntry, credit: float, cold_ms: float) -> Server:
         """A server of which nothing is known yet."""
-        role = self.settings.kinds[entry.kind].role
-        server = Server(entry, role, credit=credit, credit_ms=self.now_ms, cold_ms=cold_ms)
-        self.servers[entry.server] = server
-        return server
+        role, name = self.settings.kinds[entry.kind].role, entry.server
+        self.servers[name] = Server(entry, role, credit=credit, credit_ms=self.now_ms, cold_ms=cold_ms)
+        return self.servers[name]
 
     def _by_hand(self, event: i.ByHand) -> None:
         """Whom operators leave out gets nothing, whatever the list says; called back, it is cold and new."""
-        server = self.servers.get(event.server)
         if event.out:
             self.out.add(event.server)
         elif event.server in self.out:
             self.out.discard(event.server)
             self.recalled.add(event.server)
-            if server is not None:
-                self._fresh(server.entry, 1.0, self.now_ms)
+            if event.server in self.servers:
+                self._fresh(self.servers[event.server].entry, 1.0, self.now_ms)
         self._level()
 
     def _level(self) -> None:
@@ -543,8 +545,7 @@
             self.readers = self.writers
         self.peak |= Counter(server.role for server in self.servers.values())  # the larger of both
         cells = {server.entry.cell for server in self.servers.values()}
-        for gone in [key for key in self.fetch_delays if key[0] not in cells]:
-            del self.fetch_delays[gone]
+        self.fetch_delays = defaultdict(Fading, {k: v for k, v in self.fetch_delays.items() if k[0] in cells})
         need = len(self.writers) / max(1, len(self.readers))
         reads, writes = Counter[str](), Counter[str]()
         for server in up:
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -102,6 +102,10 @@
         except (ValueError, TypeError, KeyError) as error:  # of another version: we learn it anew
             log.warning("learned_unreadable", error=repr(error))
 
+    def last_call(self) -> None:
+        """Have all that has not begun given up: the process is about to end."""
+        self._tell(i.LastCall())
+
     # Time.
 
     async def run_timers(self) -> None:
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -33,6 +33,8 @@
 TAKEN_AT_ONCE = ("discovery", "discovery_in_file", "seed", "known")  # on SIGHUP; seed and list start a run
 LIST_S = 1.0  # discovery may be silent: after so long the last list known has to do
 KEEP_TAKING_S = 0.6  # after SIGTERM new connections go on arriving so long, and on kept ones too
+END_S, LONGEST_S = 0.7, 3.0  # SIGKILL comes after the longest deadline (at most so long) and END_S
+LAST_CALL_S = 0.5  # before it, what has not begun is given up: its client is told, and its state let go
 LOOK_S = 0.02  # how often it is looked whether all is done
 
 
@@ -241,10 +243,14 @@
 
     async def _finish(self) -> None:
         """Return once all that was taken is answered."""
+        longest_s = max((each.deadline_ms / 1000 for each in self.config.settings.classes), default=LONGEST_S)
+        last_call = anyio.current_time() + min(LONGEST_S, longest_s) + END_S - LAST_CALL_S
         await anyio.sleep(KEEP_TAKING_S)
         while any(front.open for front, _ in self.clients) or self._busy():
             for front, _ in self.clients:
                 front.drain()
+            if anyio.current_time() >= last_call:
+                self.conductor.last_call()
             await anyio.sleep(LOOK_S)
 
     def _busy(self) -> bool:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -256,6 +256,22 @@
     assert node.process.wait(10) == 0
 
 
+@pytest.mark.parametrize(("name", "status"), [("booking", 500), ("query", 503)])
+def test_what_has_not_begun_when_a_stop_runs_out_is_answered_before_the_kill(
+    node: Node, name: str, status: int
+) -> None:
+    """Its class's deadline is 5 s, which counts as 3 s; the kill comes 0.7 s later."""
+    client = node.post("a1", X_Call_Class=name, X_Budget_Ms="60000")
+    node.reader[0].next().read()
+    node.writer[0].next()  # silent
+    node.process.send_signal(signal.SIGTERM)
+    begun = time.monotonic()
+    answer = take(client)
+    assert answer.status == status and (status == 500 or float(answer.headers["retry-after"]) > 0)
+    assert node.deleted.get(timeout=10).path.endswith("/a1")
+    assert node.process.wait(10) == 0 and time.monotonic() - begun < 10  # not the 60 s that the client waits
+
+
 @pytest.mark.parametrize(
     ("body", "headers", "status"),
     [
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -308,3 +308,21 @@
         reader = world.read(f"b{number}", session=100 + number)
         used += [reader if server == "r0" else world.at[f"b{number}"]]
     assert used[0] == server and used.count(server) == 1  # the next one only as its warmth allows
+
+
+# The last call.
+
+
+def test_at_the_last_call_what_has_not_begun_is_answered_and_let_go() -> None:
+    world = World(classes=(SAFE, UNSAFE), retry_after=True)
+    world.read("begun")
+    world.first("begun")
+    world.request("reading")
+    world.read("writing", class_index=1)
+    last = world.give(i.LastCall())
+    refused = [action for action in last if isinstance(action, i.Refuse)]
+    assert [each.request for each in refused] == ["reading"] and refused[0].come_back_ms
+    assert [action.request for action in last if isinstance(action, i.Fail)] == ["writing"]  # it may have run
+    world.outcome("reading", i.Status.READ, over=True)
+    assert released(world.last)
+    assert world.give(i.LastCall()) == []
