--- a/ringledge/lifecycle/handover.py
+++ b/ringledge/lifecycle/handover.py
@@ -231,7 +231,7 @@
                     raise OSError("it ended the channel")
                 fds = [each.fileno() for each in self._listeners.values()]
                 await _send(channel, {"listeners": list(self._listeners)}, fds)
-                for part in self._learned():
+                for part in list(self._learned()):  # all at once: it goes on learning meanwhile
                     await _send(channel, {"learned": part})
         except BROKEN as error:
             log.warning("successor_lost", error=repr(error))
@@ -258,6 +258,6 @@
         return served
 
     def close(self) -> None:
-        """Leave no socket file behind that nobody listens at."""
-        if not self.left:
+        """Leave no socket file behind that nobody listens at; a successor's own may be there already."""
+        if self._processes == 1:
             self._path.unlink(missing_ok=True)
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -24,7 +24,7 @@
 from ringledge.memory.servers import ServerList
 from ringledge.wire import operator
 from ringledge.wire.discovery import Discovery
-from ringledge.wire.http import Budget, ErrorBody, Front, Handler, listen
+from ringledge.wire.http import Budget, ErrorBody, Front, Handler, Refused, listen
 from ringledge.wire.platform import Platform, error_body
 from ringledge.wire.upstream import Upstream
 
@@ -89,15 +89,24 @@
     def _for_clients(self, processes: int = 1) -> int:
         return self._sockets * 8 // 9 // (1 if self.config.chat is None else 2) // processes
 
-    def _client_front(self, name: str, limit: int, handler: Handler, errors: ErrorBody, address: str) -> None:
-        front = Front(name, limit, self.budget, handler, errors, self.metrics)
+    def _client_front(
+        self,
+        name: str,
+        limit: int,
+        handler: Handler,
+        errors: ErrorBody,
+        address: str,
+        refused: Refused | None = None,
+    ) -> None:
+        front = Front(name, limit, self.budget, handler, errors, self.metrics, refused=refused)
         self.clients.append((front, self._listen(address)))
 
     def _open_fronts(self) -> None:
         """Each front with its listening socket; what is off is not even imported, for memory is short."""
         config, small = self.config, SPARE_SOCKETS // 4
+        platform = self.platform
         self._client_front(
-            "platform", self._for_clients(), self.platform.handle, error_body, config.listen
+            "platform", self._for_clients(), platform.handle, error_body, config.listen, platform.refused
         )
         if config.operator:
             calls = operator.Operator(
@@ -151,14 +160,14 @@
             metrics.servers.labels(state.value).set_function(partial(self.servers.count, state))
 
     def listed(self) -> bool:
-        """Whether the list is as discovery has it, or as good as can be while discovery is silent."""
-        waited = self.discovery.heard or time.monotonic() - self.started >= LIST_S
-        return bool(self.servers.entries) and waited
+        """Whether the list is as discovery has it, or as good as it gets while discovery is silent."""
+        return self.discovery.heard or time.monotonic() - self.started >= LIST_S
 
     def can_serve(self) -> bool:
         """Whether all that serving takes is at work."""
+        listed = self.listed() and (self.discovery.heard or bool(self.servers.entries))
         accepting = all(front.serving for front, _ in self.clients)
-        return self.listed() and accepting and self.conductor.timers_run() and not self.stopping.is_set()
+        return listed and accepting and self.conductor.timers_run() and not self.stopping.is_set()
 
     def stop(self) -> None:
         """Asked for by a signal; where a successor serves, its `/ready` speaks for both."""
--- a/ringledge/memory/byhand.py
+++ b/ringledge/memory/byhand.py
@@ -25,19 +25,16 @@
         self.out: frozenset[str] = frozenset()
         self._path = folder / f"ringledge-{quote(name, safe='')}.out.json"
         self._tell = tell  # told of each server that goes out (True) or comes back
-        self._read: tuple[int, int, int] | None = None  # what tells the file's present text from others
+        self._text: bytes | None = None  # what was read last
 
     def look(self) -> None:
         """Take in what the file says, where it has changed."""
         try:
-            with self._path.open("rb") as file:
-                stat = os.fstat(file.fileno())
-                version = (stat.st_ino, stat.st_mtime_ns, stat.st_size)
-                if version == self._read:
-                    return
-                self._read = version
-                told = orjson.loads(file.read())
-            out = frozenset(each for each in told if isinstance(each, str))
+            text = self._path.read_bytes()  # a line: no shorter way is surer to see each change
+            if text == self._text:
+                return
+            self._text = text
+            out = frozenset(each for each in orjson.loads(text) if isinstance(each, str))
         except FileNotFoundError:  # nobody was ever left out
             return
         except (OSError, ValueError, TypeError) as error:
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -248,6 +248,7 @@
         raise HttpError(405, f"only {method.decode()} here", "method_not_allowed", headers=allow)
 
 
+Refused = Callable[[h11.Request], None]
 Handler = Callable[[Connection, h11.Request], Awaitable[None]]
 ErrorBody = Callable[[HttpError], bytes]
 
@@ -265,9 +266,11 @@
         metrics: Metrics,
         request_s: float = REQUEST_S,
         at_once: int = ACCEPT_AT_ONCE,
+        refused: Refused | None = None,
     ) -> None:
         self.name, self.limit, self._budget, self._request_s = name, limit, budget, request_s
         self._handler, self._error_body, self._at_once = handler, error_body, at_once
+        self._refused = refused  # told of each request that is answered 503 or 429 here
         self._gauge, self._rejections = metrics.client_sockets.labels(name), metrics.rejections
         self.open: set[Connection] = set()
         self.resting: dict[Connection, float] = {}  # between requests and since when, longest first
@@ -335,7 +338,7 @@
 
     async def _exchange(self, conn: Connection, crowded: bool) -> bool:
         """Read one request and have it answered; False once the connection is through."""
-        rejected = False
+        rejected, head = False, None
         try:
             if not conn.pending() and not await conn.fill():
                 return False
@@ -343,11 +346,14 @@
             if head is None:
                 return False
             if crowded:
+                await read_body(conn, head)  # half a request is none, and may have to make room itself
                 log.often("connections_exhausted", front=self.name, open=len(self.open))
                 raise HttpError(503, "too many connections", "overloaded", headers=[(b"Retry-After", b"1")])
             await self._handler(conn, head)
         except HttpError as error:
             rejected = True
+            if head is not None and self._refused is not None and error.status in (429, 503):
+                self._refused(head)
             await self._reject(conn, error, crowded or self.closing)
         except h11.RemoteProtocolError as error:
             await self._reject(conn, HttpError(error.error_status_hint, str(error)), True)
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -107,6 +107,13 @@
         finally:
             self._conductor.client_gone(record)  # for a request that is over it changes nothing
 
+    def refused(self, head: h11.Request) -> None:
+        """Count a request that was turned away before the core took it: to its client it is one more no."""
+        names = self._names.classes
+        index = self._names.index(names, (header(head, b"x-call-class") or b"").decode("latin1"))
+        if index < len(names):
+            self._conductor.desk.metrics.answers.labels("refused", str(index)).inc()
+
     async def _answer(self, conn: Connection, exchange: Exchange) -> None:
         """Write the one answer, as it comes."""
         begun = False
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -31,8 +31,9 @@
 def test_check_config_says_what_it_holds(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(GOOD))
-    told = run("check-config", config=path, RELAY_NAME="n7")
+    told = run("check-config", config=path, RELAY_NAME="n7", RELAY_OPERATOR="127.0.0.1:9100")
     assert told.returncode == 0 and told.stdout.startswith("n7: listens at 127.0.0.1:0")
+    assert "operators call at 127.0.0.1:9100" in told.stdout
     assert "classes query, booking" in told.stdout
 
 
@@ -42,6 +43,7 @@
         ("{", "config.json: "),
         ("[]", "config.json: "),
         ("{}", "missing or unknown 'settings'"),
+        (json.dumps(GOOD | {"operator": "9100"}), "no address: '9100'"),
         (json.dumps(GOOD | {"seed": "xyz"}), "invalid literal"),
         (json.dumps(GOOD | {"settings": SETTINGS | {"membership_mode": "odd"}}), "missing or unknown 'odd'"),
     ],
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -74,6 +74,16 @@
     assert figures["relay.deferred.query"] == "1|c" and figures["relay.current"] == "0|g"
 
 
+def test_who_is_turned_away_at_the_door_counts_as_refused(tmp_path: Path) -> None:
+    with Node(tmp_path, operator=True, sockets=104) as node, contextlib.ExitStack() as stack:  # 7 clients
+        busy = [stack.enter_context(contextlib.closing(node.post(f"a{n}"))) for n in range(7)]
+        for _ in busy:
+            node.reader[0].next()
+        answer = take(node.post("b1", X_Call_Class="booking"))
+        assert answer.status == 503 and b"too many connections" in answer.body
+        assert node.figures()["relay.deferred.booking"] == "1|c"
+
+
 def test_no_client_takes_the_operators_connections(node: Node) -> None:
     host, port = node.listening["platform"].split(":")
     with contextlib.ExitStack() as stack:
