--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -114,8 +114,7 @@
         self.done = {role: deque[float](maxlen=DONE_KEPT) for role in i.Role}  # times of work got done
         self.usual = {role: Fading() for role in i.Role}  # ms until servers of a role have read or written
         self.stream_ms: dict[int, float] = {}  # how long a class's streams usually last
-        # ms until a cell's states are fetched, within it (False) and from it (True)
-        self.fetch_delays = defaultdict[tuple[int, bool], Fading](Fading)
+        self.fetch_delays = defaultdict[tuple[int, bool], Fading](Fading)  # ms; from a cell, and out of it?
         self.tenant_room: dict[int, tuple[float, float]] = {}  # tokens left in the bucket, and when
         self.arrived = (0.0, 0.0)  # requests lately, fading over a window, and when that was counted
         self.handlers: dict[type, Any] = {
@@ -273,6 +272,9 @@
     def _doubt(self, job: Job, server: Server) -> float:
         """How likely it fails this request: what failed there is the server, or its class and its tenant."""
         marks = [server.blame[scope].now(self.now_ms) for scope in job.scopes]
+        once = job.state_at is not None and job.kind.effect == i.Effect.UNSAFE  # it gets no second try
+        if once and server.blame.get("error", Fading()).now(self.now_ms) > NEW:
+            return 1.0  # an error alone may be chance, two of anyone's lately are not
         return max(server.blame["all"].now(self.now_ms), min(marks))
 
     def _repeatable(self, job: Job, server: Server) -> bool:
@@ -332,8 +334,7 @@
         job.at, job.sent_ms, job.tokens = server, self.now_ms, tokens
         job.sent += 1
         server.out.append(job)
-        server.credit -= 1.0
-        server.tokens += tokens
+        server.credit, server.tokens = server.credit - 1.0, server.tokens + tokens
         patience_ms = None if self.settings.may_cancel else self._patience(job, server)
         self.actions.append(i.Send(job.request.request, server.entry.server, patience_ms))
 
@@ -400,6 +401,8 @@
             server.streams = STREAMS_FADE * server.streams + 1
         elif not job.started and over_ms > server.delay.now(self.now_ms):
             server.delay.add(self.now_ms, over_ms)  # it would have taken at least so long
+        if status == i.Status.ERROR and server.role != i.Role.READER:
+            server.blame["error"].add(self.now_ms, 1.0)
         if status in LOST and not outcome.note:
             server.blame["all"].add(self.now_ms, 1.0)
         elif status in (i.Status.ERROR, i.Status.TIMEOUT) or (status == i.Status.FULL and not outcome.note):
@@ -447,15 +450,14 @@
 
     def _give_up(self, job: Job) -> None:
         """Answer at once: refuse where a repeat is harmless, else fail; let go of what is held."""
-        name = job.request.request
         ran = bool(job.may_have_run) or job.at is not None  # one still out proves nothing, a read neither
         if not ran or job.kind.effect == i.Effect.SAFE or (
             job.kind.effect == i.Effect.KEYED and job.kind.group == i.Group.ALL
         ):
             come_back_ms = COME_BACK * self.settings.max_retry_after_ms if self.settings.retry_after else None
-            self.actions.append(i.Refuse(name, come_back_ms))
+            self.actions.append(i.Refuse(job.request.request, come_back_ms))
         else:
-            self.actions.append(i.Fail(name))
+            self.actions.append(i.Fail(job.request.request))
         self._end(job)
 
     def _end(self, job: Job) -> None:
@@ -476,9 +478,8 @@
             self._give_up(job)
 
     def _client_gone(self, event: i.ClientGone) -> None:
-        job = self.jobs.get(event.request)
-        if job is not None:
-            self._end(job)
+        if event.request in self.jobs:
+            self._end(self.jobs[event.request])
 
     def _timer(self, timer: i.Timer) -> None:
         what, _, name = timer.token.partition(":")
@@ -541,8 +542,7 @@
         self.rankings.clear()
         self.readers = [s for s in up if s.role != i.Role.WRITER]
         self.writers = [s for s in up if s.role != i.Role.READER]
-        if not self.readers and self.settings.writers_read:
-            self.readers = self.writers
+        self.readers = self.readers or (self.writers if self.settings.writers_read else [])
         self.peak |= Counter(server.role for server in self.servers.values())  # the larger of both
         cells = {server.entry.cell for server in self.servers.values()}
         self.fetch_delays = defaultdict(Fading, {k: v for k, v in self.fetch_delays.items() if k[0] in cells})
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -341,3 +341,27 @@
             if old >= 0 and (at[old] == "slow") == (old == number - 100):
                 world.outcome(f"a{old}", i.Status.OK, over=True)
     assert at[50:].count("slow") < 0.3 * len(at[50:])
+
+
+@pytest.mark.parametrize(("effect", "errors", "left"), [
+    (i.Effect.UNSAFE, 2, True), (i.Effect.UNSAFE, 1, False), (i.Effect.SAFE, 2, False),
+])  # fmt: skip
+def test_a_booking_stays_away_from_a_writer_that_answered_two_of_anyones_with_errors(
+    effect: i.Effect, errors: int, left: bool
+) -> None:
+    fleet = tuple(each for each in FLEET if each.server in ("r0", "w0", "w1"))
+    world = World(fleet, classes=(SAFE, replace(SAFE, effect=effect)))
+    number = 0
+    while errors:
+        number += 1
+        world.read(f"a{number}", session=number)
+        if world.at[f"a{number}"] == "w0":
+            world.outcome(f"a{number}", i.Status.ERROR)
+            errors -= 1
+        world.end(f"a{number}")
+    chosen = []
+    for number in range(40):
+        world.read(f"b{number}", session=number, class_index=1)
+        chosen.append(world.at[f"b{number}"])
+        world.end(f"b{number}")
+    assert ("w0" not in chosen) == left and "w1" in chosen
