Leave log lines out rather than wait for a reader that stands still

Not proved: the cause. What could stop the loop from outside is a full pipe of the log, which logging.py waited for.

Each line now asks first whether the pipe has room; lines left out are counted in the next one (`lost`). Also, two tasks never wait for the same channel any more (handover.Peer.send), which would have ended the process.

--- a/ringledge/lifecycle/handover.py
+++ b/ringledge/lifecycle/handover.py
@@ -110,6 +110,7 @@
         self._channel, self._ledger = channel, ledger
         self._untold = dict.fromkeys(ledger.records, True)
         self._news = anyio.Event()
+        self._sending = anyio.Lock()  # two tasks may not wait for the same socket
         ledger.peers.append(self)
 
     def note(self, request: str, opened: bool) -> None:
@@ -120,7 +121,8 @@
     async def send(self, **told: Any) -> None:
         """Tell it something; where the channel has ended, `follow` finds that."""
         with suppress(*BROKEN):
-            await _send(self._channel, told)
+            async with self._sending:
+                await _send(self._channel, told)
 
     async def follow(self, heard: Callable[[dict[str, Any]], None]) -> None:
         """Hand on what it says until it is gone."""
--- a/ringledge/lifecycle/logging.py
+++ b/ringledge/lifecycle/logging.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import sys
 import time
 import traceback
@@ -14,12 +15,20 @@
 LEVELS = ("debug", "info", "warning", "error")
 
 
+def _room() -> bool:
+    """Whether standard error takes a line now; a pipe that says so has room for 4 KB."""
+    ready = select.poll()
+    ready.register(sys.stderr.fileno(), select.POLLOUT)
+    return bool(ready.poll(0))
+
+
 class Log:
     """Writes events at or above a level."""
 
     def __init__(self) -> None:
         self.level = LEVELS.index("info")
         self.name = ""
+        self._lost = 0  # lines that the reader left no room for
         self._often: dict[str, tuple[int, int]] = {}  # by event: the second, and lines in it
 
     def configure(self, level: str, name: str) -> None:
@@ -35,6 +44,12 @@
                 "conductor": self.name,
                 **fields,
             }
+            if self._lost:
+                line["lost"] = self._lost
+            if not _room():  # a reader that stands still must not hold up what is served
+                self._lost += 1
+                return
+            self._lost = 0
             with suppress(OSError):  # where nobody takes the log any more, requests are served all the same
                 sys.stderr.buffer.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
                 sys.stderr.buffer.flush()
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -1,5 +1,7 @@
 """The sub-commands, and plain words for a configuration that can't be used."""
 
+import contextlib
+import http.client
 import json
 import os
 import subprocess
@@ -65,3 +67,26 @@
     (tmp_path / "chat.toml").write_text(text)
     told = run("check-config", config=path, RINGLEDGE_DEPLOY=str(tmp_path))
     assert told.returncode == 2 and "chat.toml" in told.stderr
+
+
+def test_a_log_that_nobody_reads_holds_nothing_up(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD))
+    environ = os.environ | {"RELAY_CONFIG": str(path), "TMPDIR": str(tmp_path)}
+    command = [sys.executable, "-m", "ringledge"]
+    with (
+        subprocess.Popen(command, cwd=ROOT, env=environ, stderr=subprocess.PIPE) as process,
+        contextlib.ExitStack() as stack,
+    ):
+        stack.callback(process.kill)
+        assert process.stderr
+        line: dict[str, Any] = {}
+        while line.get("event") != "ready":
+            line = json.loads(process.stderr.readline())
+        host, port = line["listening"]["platform"].split(":")
+        client = http.client.HTTPConnection(host, int(port), timeout=10)
+        told = {"X-Call-Class": "query", "X-Caller": "farm", "X-Budget-Ms": "4800"}
+        for number in range(1000):  # each is refused at once, for there are no servers, and logged
+            client.request("POST", "/v1/chat/completions", b"{}", told | {"X-Call-Id": f"a{number}"})
+            answer = client.getresponse()
+            assert (answer.status, bool(answer.read())) == (503, True)
