--- a/ringledge/__init__.py
+++ b/ringledge/__init__.py
@@ -1,3 +1,3 @@
 """ringledge: a conductor on real sockets around the decisions of crowstand."""
 
-__version__ = "0.3.0"
+__version__ = "0.4.0"
