--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, a script each; `python -m benchmarks.NAME --help` says how."""
--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,116 @@
+"""One core under 1 to 3 times what it can do: bookings in time, loop delay, goodput. JSON on standard output.
+
+The conductor runs on a core of its own; capacity is the highest rate at which 97 of 100 requests of each
+class are served in time, found with the shedding off. `--tree` measures another checkout of this repository,
+the version before say.
+"""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+import psutil
+
+from ringledge.lab import load
+from ringledge.lab.stage import Stage, stage
+
+PROMETHEUS = 'enabled = true\nlisten = "127.0.0.1:0"\n'
+OVERLOAD = "enabled = true\n"
+KEPT = 0.97  # of the requests served in time: the core keeps up
+
+
+def plan(on: Stage, rate: float, seconds: float, kb: float, seed: int) -> load.Plan:
+    """The issue's load: 19% bookings, by the tenants' shares."""
+    to, watch = on.listening["platform"], on.listening["operator"]
+    return load.Plan(to, rate, seconds, 0.19, kb, 0.0, load.shares(""), (), 0, watch, seed)
+
+
+def once(
+    rate: float, seconds: float, kb: float, seed: int, tree: Path | None, core: int, on: bool
+) -> dict[str, Any]:
+    """One run on a fresh conductor."""
+    deploy = {"prometheus.toml": PROMETHEUS} | ({"overload.toml": OVERLOAD} if on else {})
+    servers = ("--sockets", "4096", "--readers", "4", "--writers", "4")
+    with stage(servers, deploy, tree, core) as staged:
+        process = psutil.Process(staged.pid)
+        before = sum(process.cpu_times()[:2])
+        report: dict[str, Any] = orjson.loads(load.run(plan(staged, rate, seconds, kb, seed)))
+        cpu_s = sum(process.cpu_times()[:2]) - before
+        served = sum(each["ends"].get("served", 0) for each in report["classes"].values())
+        figures = staged.figures()
+        report |= {
+            "rate": rate,
+            "cpu_s": round(cpu_s, 2),
+            "cpu_ms_per_served": round(1000 * cpu_s / max(1, served), 2),
+            "rss_mb": round(process.memory_info().rss / 1e6, 1),
+            "audit": staged.audit(),
+            "loop_delay_ms": loop_delay(figures),
+        }
+        return report
+
+
+def loop_delay(figures: str) -> dict[str, float]:
+    """Quantiles of the conductor's own histogram of loop delays: the upper bounds of their buckets, in ms."""
+    buckets = re.findall(r'ringledge_loop_delay_seconds_bucket\{le="([^"]+)"\} (\S+)', figures)
+    if not buckets or not float(buckets[-1][1]):
+        return {}
+    total = float(buckets[-1][1])
+    bounds = [(1000 * float(le), float(count) / total) for le, count in buckets]
+    return {f"p{q}": next(le for le, part in bounds if part >= q / 100) for q in (50, 99)}
+
+
+def capacity(
+    seconds: float, kb: float, seed: int, tree: Path | None, core: int, low: float, high: float
+) -> float:
+    """The highest rate that the core keeps up with, to within 5%."""
+    while high / low > 1.05:
+        rate = (low * high) ** 0.5
+        report = once(rate, seconds, kb, seed, tree, core, False)
+        kept = min(each["in_time_share"] for each in report["classes"].values()) >= KEPT
+        low, high = (rate, high) if kept else (low, rate)
+    return low
+
+
+@click.command()
+@click.option("--tree", type=click.Path(exists=True, path_type=Path), help="Another checkout to measure.")
+@click.option("--capacity", "known", type=float, help="Requests a second; found if not given.")
+@click.option("--kb", default=2.0, show_default=True, help="Size of a prompt.")
+@click.option("--seconds", default=12.0, show_default=True, help="Length of a run.")
+@click.option("--times", default="1,1.5,2,3", show_default=True, help="Multiples of the capacity.")
+@click.option("--runs", default=1, show_default=True, help="Runs of each, with seeds from 1 on.")
+@click.option("--core", default=0, show_default=True, help="The conductor's core.")
+@click.option("--off", is_flag=True, help="Without overload.toml.")
+@click.option("--low", default=20.0, show_default=True, help="Where the search for the capacity begins.")
+@click.option("--high", default=1500.0, show_default=True, help="Where it ends.")
+def main(tree: Path | None, known: float | None, kb: float, seconds: float, times: str, runs: int, core: int,
+         off: bool, low: float, high: float) -> None:  # fmt: skip
+    """Measure, and print one JSON object with a run a line."""
+    base = known or capacity(5.0, kb, 1, tree, core, low, high)
+    rows = []
+    for multiple in map(float, times.split(",")):
+        for seed in range(1, runs + 1):
+            report = once(base * multiple, seconds, kb, seed, tree, core, not off)
+            query, booking = report["classes"].values()
+            row = {
+                "times": multiple, "rate": round(base * multiple), "seed": seed,
+                "bookings_in_time": booking["in_time_share"], "queries_in_time": query["in_time_share"],
+                "goodput_per_s": report["goodput_per_s"], "booking_ms": booking["first_token_ms"],
+                "refused_ms": query["refused_ms"], "loop_delay_ms": report["loop_delay_ms"],
+                "healthcheck_p99_ms": report["healthcheck_ms"].get("p99"), "cpu_s": report["cpu_s"],
+                "cpu_ms_per_served": report["cpu_ms_per_served"], "rss_mb": report["rss_mb"],
+                "ends": {name: each["ends"] for name, each in report["classes"].items()},
+                "unanswered": report["unanswered"], "audit": report["audit"],
+                "generator_kept_up": report["generator_kept_up"],
+            }  # fmt: skip
+            click.echo(orjson.dumps(row).decode(), err=True)
+            rows.append(row)
+    told = {"capacity_per_s": round(base, 1), "kb": kb, "overload": not off, "rows": rows}
+    click.echo(orjson.dumps(told, option=orjson.OPT_INDENT_2).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/ringledge/cli.py
+++ b/ringledge/cli/serve.py
@@ -1,4 +1,4 @@
-"""The command line."""
+"""Serving, and what belongs to it."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from ringledge.lifecycle import config as configuration
 from ringledge.lifecycle import serve as serving
 from ringledge.lifecycle import signals
-from ringledge.lifecycle.logging import LEVELS, log
+from ringledge.observe.logging import LEVELS, log
 
 
 @click.group(invoke_without_command=True)
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -20,9 +20,9 @@
 from ringledge.core.ledger import Attempt, Ledger, Record
 from ringledge.core.port import Caller, Payload, Servers
 from ringledge.core.stages import admit, book, relay, route, send, take_in
-from ringledge.lifecycle.logging import log
-from ringledge.memory.metrics import Metrics
 from ringledge.memory.servers import ServerList
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
 
 LOOK_S = 1.0  # timers are looked at this often, though none falls due
 
--- a/ringledge/core/desk.py
+++ b/ringledge/core/desk.py
@@ -9,8 +9,8 @@
 from ringledge.core.clock import Clock
 from ringledge.core.ledger import Ledger
 from ringledge.core.port import Servers
-from ringledge.memory.metrics import Metrics
 from ringledge.memory.servers import ServerList
+from ringledge.observe.metrics import Metrics
 
 
 @dataclass(slots=True)
--- a/ringledge/core/stages/book.py
+++ b/ringledge/core/stages/book.py
@@ -5,7 +5,7 @@
 from crowstand import interface as i
 from ringledge.core.desk import Desk
 from ringledge.core.ledger import Attempt, Record
-from ringledge.lifecycle.logging import log
+from ringledge.observe.logging import log
 
 # Ends of a read that may have crossed its 202: the state that it left is held like any other.
 CROSSED = (i.Status.CANCELLED, i.Status.TIMEOUT, i.Status.RESET)
--- a/ringledge/lifecycle/handover.py
+++ b/ringledge/lifecycle/handover.py
@@ -18,7 +18,7 @@
 import orjson
 
 from ringledge.core.ledger import Ledger
-from ringledge.lifecycle.logging import log
+from ringledge.observe.logging import log
 
 ANSWER_S = 1.0  # a predecessor that says nothing for so long hangs: its addresses are bound anew
 MESSAGE = 64 * 1024  # bytes of a message at most
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -17,11 +17,11 @@
 from ringledge.lifecycle import config as configuration
 from ringledge.lifecycle import handover
 from ringledge.lifecycle.config import Config, ConfigError
-from ringledge.lifecycle.logging import log
 from ringledge.lifecycle.signals import on_signals
 from ringledge.memory.byhand import ByHand
-from ringledge.memory.metrics import Metrics
 from ringledge.memory.servers import ServerList
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
 from ringledge.wire import operator
 from ringledge.wire.discovery import Discovery
 from ringledge.wire.http import Budget, ErrorBody, Front, Handler, Refused, listen
--- a/ringledge/lifecycle/signals.py
+++ b/ringledge/lifecycle/signals.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ringledge.lifecycle.logging import log
+from ringledge.observe.logging import log
 
 HANGUP = frozenset({signal.SIGHUP})
 
--- a/ringledge/memory/byhand.py
+++ b/ringledge/memory/byhand.py
@@ -11,7 +11,7 @@
 import anyio
 import orjson
 
-from ringledge.lifecycle.logging import log
+from ringledge.observe.logging import log
 
 LOOK_S = 0.05  # how often the file is looked at: another process may have changed it
 LOCK_S = 0.5  # a change that waits for others' for so long is given up
--- a/ringledge/memory/pool.py
+++ b/ringledge/memory/pool.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 from typing import Generic, Protocol, TypeVar
 
-from ringledge.memory.metrics import Metrics
+from ringledge.observe.metrics import Metrics
 
 DISTRUST_S = 30.0  # after a kept connection broke, new ones are opened for what must not run twice
 
--- /dev/null
+++ b/ringledge/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logging and metrics, which every floor uses."""
--- a/ringledge/wire/chat.py
+++ b/ringledge/wire/chat.py
@@ -20,8 +20,8 @@
 from ringledge.core.conductor import Conductor
 from ringledge.core.port import Payload
 from ringledge.lifecycle.config import ChatConfig, Names
-from ringledge.lifecycle.logging import log
 from ringledge.memory.sessions import End, Session, Sessions
+from ringledge.observe.logging import log
 from ringledge.wire.http import MAX_BODY, Connection, HttpError, header, only, read_body, respond
 from ringledge.wire.platform import converse, retry_after, stream_head
 
--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -12,7 +12,7 @@
 from crowstand import interface as i
 from ringledge.core.conductor import Conductor
 from ringledge.lifecycle.config import Names
-from ringledge.lifecycle.logging import log
+from ringledge.observe.logging import log
 from ringledge.wire.http import PEER_ERRORS, Connection, connect, read_body
 from ringledge.wire.upstream import Upstream
 
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -13,8 +13,8 @@
 import anyio.lowlevel
 import h11
 
-from ringledge.lifecycle.logging import log
-from ringledge.memory.metrics import Metrics
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
 from ringledge.wire.buffer import Buffer
 
 MAX_BODY = 256 * 1024  # bytes: the protocol's limit
--- a/ringledge/wire/operator.py
+++ b/ringledge/wire/operator.py
@@ -11,10 +11,10 @@
 
 import h11
 
-from ringledge.lifecycle.logging import log
 from ringledge.memory.byhand import ByHand
-from ringledge.memory.metrics import Metrics
 from ringledge.memory.servers import ServerList
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
 from ringledge.wire.http import Connection, HttpError, only, read_body, respond
 
 CONNECTIONS = 24  # its own: no client can take them
--- a/ringledge/wire/remote_write.py
+++ b/ringledge/wire/remote_write.py
@@ -15,8 +15,8 @@
 
 from ringledge import __version__
 from ringledge.lifecycle.config import PrometheusConfig
-from ringledge.lifecycle.logging import log
-from ringledge.memory.metrics import Metrics
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
 from ringledge.wire.http import PEER_ERRORS, Connection, HttpError, connect, header, only, read_body, respond
 
 FIRST_BACKOFF_S, MOST_BACKOFF_S = 0.5, 30.0
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -19,10 +19,10 @@
 from ringledge.core.conductor import Conductor
 from ringledge.core.ledger import Attempt
 from ringledge.lifecycle.config import Names
-from ringledge.lifecycle.logging import log
-from ringledge.memory.metrics import Metrics
 from ringledge.memory.pool import Pool
 from ringledge.memory.servers import ServerList
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
 from ringledge.wire.http import PEER_ERRORS, Connection, Headers, connect, header, read_body
 
 STREAM_SILENCE_S = 3.0  # a begun stream without a further whole chunk for so long is broken off: it vanished
--- a/ringledge/wire/xds.py
+++ b/ringledge/wire/xds.py
@@ -18,8 +18,8 @@
 from crowstand import interface as i
 from ringledge.core.conductor import Conductor
 from ringledge.lifecycle.config import Names, XdsConfig
-from ringledge.lifecycle.logging import log
-from ringledge.memory.metrics import Metrics
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
 from ringledge.wire.http import Connection, HttpError, only, read_body, respond
 from ringledge.wire.platform import converse
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -4,8 +4,8 @@
 
 from ringledge.core.clock import Clock
 from ringledge.lifecycle.config import flatten
-from ringledge.memory.metrics import Metrics
 from ringledge.memory.pool import Pool
+from ringledge.observe.metrics import Metrics
 from ringledge.wire.buffer import Buffer
 
 
