Shed the least worth before the process falls behind, by what it measures of itself

Offered three times what one core can do, all classes turned late together: the program measured nothing of itself, and each refusal was made by the policy after the body was read.

ringledge/decide/overload.py keeps a budget of CPU time (a token bucket that bands of worth may draw down to their own reserves) and closes bands by memory; shares.py tells tenants over their share; core/gate.py feeds it from memory/vitals.py (heartbeat and timers, CPU, RSS, descriptors, time unread by TCP_INFO) and asks it by a request's head alone, in both fronts. Turned away: 503 (429 over the share), Retry-After spread, the body let go by behind the answer, the connection kept. Bodies are checked in bounded turns. Off unless deploy/overload.toml says so; deploy files are read by msgspec, and a bad key or value is told with file, key and what is allowed.

--- a/ringledge/cli/serve.py
+++ b/ringledge/cli/serve.py
@@ -40,7 +40,12 @@
     click.echo(f"{config.name}: listens at {config.listen}, discovery at {config.discovery}")
     click.echo(f"operators call at {config.operator or 'no address'}")
     click.echo(f"classes {', '.join(config.names.classes)}; {known} servers known")
-    extras = (("chat", config.chat), ("xds", config.xds), ("prometheus", config.prometheus))
+    extras = (
+        ("chat", config.chat),
+        ("xds", config.xds),
+        ("prometheus", config.prometheus),
+        ("overload", config.overload),
+    )
     click.echo(f"beside it: {', '.join(name for name, told in extras if told) or 'nothing'}")
 
 
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -48,6 +48,7 @@
         self._timers: list[tuple[float, int, str]] = []
         self._numbers = count()
         self._wake = anyio.Event()
+        self._late_ms = 0.0  # the latest timer since it was asked
         self._looked_s = -math.inf  # when timers were last looked at
 
     # What the wires report.
@@ -115,12 +116,18 @@
             while self._timers and self._timers[0][0] <= now_ms:
                 due_ms, _, token = heapq.heappop(self._timers)
                 self.desk.metrics.lag.set((now_ms - due_ms) / 1000)
+                self._late_ms = max(self._late_ms, now_ms - due_ms)
                 self._tell(i.Timer(token))
             self._wake = anyio.Event()
             wait_s = (self._timers[0][0] - self.clock.now_ms()) / 1000 if self._timers else LOOK_S
             with anyio.move_on_after(min(LOOK_S, max(0.0, wait_s))):
                 await self._wake.wait()
 
+    def timer_lag_ms(self) -> float:
+        """How late a timer was at worst since this was asked last."""
+        late_ms, self._late_ms = self._late_ms, 0.0
+        return late_ms
+
     def timers_run(self) -> bool:
         """Whether timers are being rung now."""
         return time.monotonic() - self._looked_s < 2 * LOOK_S
--- a/ringledge/lab/load.py
+++ b/ringledge/lab/load.py
@@ -12,7 +12,7 @@
 from collections import Counter, defaultdict, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from time import monotonic
+from time import monotonic, sleep
 from typing import Any
 
 import httptools
@@ -26,6 +26,7 @@
 MOST_BYTES = 250_000  # of a request's body: the protocol's limit is 256 KiB
 QUANTILES = (50, 90, 99, 99.9, 100)
 WATCH_S = 0.1  # between two calls of the operators' /healthcheck
+UNREAD_S = 0.02  # between two clients that read nothing: they are to fill memory, not the core
 LATE_S = 0.05  # a generator that is itself later than this says so
 SMALL = socket.SO_RCVBUF, 4096  # a client that reads nothing takes as little as the system allows
 
@@ -317,7 +318,7 @@
             pending.add(task)
             task.add_done_callback(pending.discard)
 
-    def _unread(self) -> list[socket.socket]:
+    def unread(self) -> list[socket.socket]:
         """Clients that ask and then read nothing."""
         held = []
         for number in range(self.plan.unread):
@@ -332,11 +333,12 @@
                 % (self.plan.seed, number, told, next(iter(self.plan.tenants)).encode())
             )
             held.append(sock)
+            sleep(UNREAD_S)
         return held
 
     async def go(self) -> dict[str, Any]:
         """Send all, wait for what is open, and report."""
-        held = self._unread()
+        held = self.unread()
         self.started = monotonic()
         watching = asyncio.ensure_future(self._watch()) if self.plan.watch else None
         await self._arrive()
--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -4,16 +4,19 @@
 
 import os
 import tempfile
-import tomllib
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
+import msgspec
 import orjson
+from msgspec import Meta
 
 from crowstand import interface as i
 from crowstand import wirehost
+from ringledge.decide.overload_settings import OverloadConfig
+from ringledge.lifecycle import strict
 
 DEPLOY = "deploy"  # the folder of our own files; RINGLEDGE_DEPLOY names another
 
@@ -61,37 +64,40 @@
         return names.index(name) if name in names else len(names)
 
 
-@dataclass(slots=True, frozen=True)
-class ChatConfig:
+Address = Annotated[str, Meta(pattern=r"^\S+:[0-9]{1,5}$")]
+MaybeAddress = Annotated[str, Meta(pattern=r"^(\S+:[0-9]{1,5})?$")]
+Count = Annotated[int, Meta(ge=1)]
+Seconds = Annotated[float, Meta(gt=0)]
+
+
+class ChatConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where and how the chat front listens (chat.toml)."""
 
-    listen: str
+    listen: Address
     models: dict[str, str]  # the class that each model's requests belong to
     tenant: str = ""  # of a client that names none
-    max_tokens: int = 800  # where a request names no limit
-    resume_for_s: float = 60.0  # how long an answer that has ended can be come back to
-    sessions: int = 512  # answers kept at most
+    max_tokens: Count = 800  # where a request names no limit
+    resume_for_s: Seconds = 60.0  # how long an answer that has ended can be come back to
+    sessions: Count = 512  # answers kept at most
 
 
-@dataclass(slots=True, frozen=True)
-class XdsConfig:
+class XdsConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where xDS is served (xds.toml)."""
 
-    listen: str
+    listen: Address
     cluster: str = "ringledge-xds"  # the name under which the proxies know this listener
-    poll_s: float = 10.0  # a poll that finds nothing new is answered after so long
+    poll_s: Seconds = 10.0  # a poll that finds nothing new is answered after so long
 
 
-@dataclass(slots=True, frozen=True)
-class PrometheusConfig:
+class PrometheusConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where /metrics is scraped and where figures are written to (prometheus.toml)."""
 
-    listen: str = ""
+    listen: MaybeAddress = ""
     remote_write: str = ""  # the receiver's http address; empty: none
-    interval_s: float = 15.0
-    queue: int = 40  # collections that may wait
-    timeout_s: float = 5.0
-    labels: dict[str, str] = field(default_factory=dict)  # added to each series that is written
+    interval_s: Seconds = 15.0
+    queue: Count = 40  # collections that may wait
+    timeout_s: Seconds = 5.0
+    labels: dict[str, str] = {}  # added to each series that is written
 
 
 @dataclass(slots=True, frozen=True)
@@ -106,6 +112,7 @@
     seed: int
     sockets: int
     memory_mb: float
+    cores: float
     folder: Path  # $TMPDIR, which a conductor that takes over finds as it was left
     known: dict[str, Any]
     settings: i.Settings
@@ -113,6 +120,7 @@
     chat: ChatConfig | None
     xds: XdsConfig | None
     prometheus: PrometheusConfig | None
+    overload: OverloadConfig | None
 
 
 def _address(text: str) -> str:
@@ -123,19 +131,15 @@
     return text
 
 
-C = TypeVar("C")
+S = TypeVar("S", bound=msgspec.Struct)
 
 
-def optional(kind: type[C], file: str, environ: Mapping[str, str]) -> C | None:
+def optional(kind: type[S], file: str, environ: Mapping[str, str]) -> S | None:
     """Read one of our own files under deploy/; None where it is absent or not enabled."""
-    path = Path(environ.get("RINGLEDGE_DEPLOY", DEPLOY)) / file
-    if not path.exists():
-        return None
     try:
-        told = tomllib.loads(path.read_text())
-        return kind(**told) if told.pop("enabled", False) else None
-    except (tomllib.TOMLDecodeError, TypeError) as error:
-        raise ConfigError(f"{path}: {error}") from error
+        return strict.read(kind, Path(environ.get("RINGLEDGE_DEPLOY", DEPLOY)) / file)
+    except strict.SettingsError as error:
+        raise ConfigError(str(error)) from error
 
 
 def load(environ: Mapping[str, str] = os.environ) -> Config:
@@ -167,6 +171,7 @@
             int(str(told.get("seed", "0")), 16),
             int(told.get("limits", {}).get("sockets", 1024)),
             float(told.get("limits", {}).get("memory_mb", 192)),
+            float(told.get("limits", {}).get("cores", 1.0)),
             Path(environ.get("TMPDIR") or tempfile.gettempdir()),
             told.get("known") or {"index": 0, "snapshot": True, "endpoints": []},
             wirehost.settings(fields),
@@ -174,6 +179,7 @@
             optional(ChatConfig, "chat.toml", environ),
             optional(XdsConfig, "xds.toml", environ),
             optional(PrometheusConfig, "prometheus.toml", environ),
+            optional(OverloadConfig, "overload.toml", environ),
         )
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from error
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -5,11 +5,14 @@
 import gc
 import socket
 import time
+from collections.abc import Callable
 from dataclasses import fields
 from functools import partial
+from typing import TYPE_CHECKING
 
 import anyio
 import anyio.abc
+import h11
 
 from crowstand import interface as i
 from ringledge.core.clock import Clock
@@ -29,6 +32,12 @@
 from ringledge.wire.platform import Platform, error_body
 from ringledge.wire.upstream import Upstream
 
+if TYPE_CHECKING:
+    from ringledge.core.gate import Gate
+    from ringledge.decide.overload_settings import OverloadConfig
+    from ringledge.memory.held import Held
+    from ringledge.wire.turns import Turns
+
 BODIES_PART, ANSWERS_PART = 5, 8  # of the memory: a body is held about twice, the rest is the program's
 SPARE_SOCKETS = 64  # for discovery, listeners, logs and the interpreter
 TAKEN_AT_ONCE = ("discovery", "discovery_in_file", "seed", "known")  # on SIGHUP; seed and list start a run
@@ -63,7 +72,10 @@
         self.by_hand.look()  # before the first send
         self.discovery = Discovery(config.discovery, config.names, self.conductor)
         self.discovery.apply(config.known, i.ListForm.KEPT)
-        self.platform = Platform(config.names, self.conductor)
+        self.gate: Gate | None = None
+        self.held: Held | None = None
+        turns = None if config.overload is None else self._open_gate(config.overload)
+        self.platform = Platform(config.names, self.conductor, self.gate, turns, self.held)
         self.listeners: dict[str, socket.socket] = {}  # by address, as it is configured
         self.clients: list[tuple[Front, socket.socket]] = []  # fronts that have to be through at the end
         self.operators: list[tuple[Front, socket.socket]] = []  # what they meet lasts to the end
@@ -80,6 +92,30 @@
         )
         self._set_figures()
 
+    def _open_gate(self, told: OverloadConfig) -> Turns:
+        """The gate, which turns requests away before the process falls behind."""
+        from ringledge.core.gate import Caps, Gate
+        from ringledge.memory.held import Held
+        from ringledge.memory.vitals import Vitals
+        from ringledge.wire.turns import Turns
+
+        config = self.config
+        caps = Caps(config.cores, self._memory, config.sockets)
+        vitals = Vitals(self.metrics, self.conductor.timer_lag_ms)
+        self.held = Held()
+        self.gate = Gate(
+            told,
+            caps,
+            config.settings,
+            config.names.classes,
+            self.conductor.clock,
+            vitals,
+            self.held,
+            self.metrics,
+            config.seed,
+        )
+        return Turns(told.turn_ms / 1000)
+
     def _listen(self, address: str) -> socket.socket:
         """A predecessor's listening socket, or else one of our own."""
         inherited = self._inherited
@@ -98,8 +134,12 @@
         errors: ErrorBody,
         address: str,
         refused: Refused | None = None,
+        keeps: Callable[[h11.Request], bool] | None = None,
     ) -> None:
-        front = Front(name, limit, self.budget, handler, errors, self.metrics, refused=refused)
+        aged = None if self.gate is None else self.gate.vitals.waited
+        front = Front(
+            name, limit, self.budget, handler, errors, self.metrics, refused=refused, aged=aged, keeps=keeps
+        )
         self.clients.append((front, self._listen(address)))
 
     def _open_fronts(self) -> None:
@@ -107,7 +147,13 @@
         config, small = self.config, SPARE_SOCKETS // 4
         platform = self.platform
         self._client_front(
-            "platform", self._for_clients(), platform.handle, error_body, config.listen, platform.refused
+            "platform",
+            self._for_clients(),
+            platform.handle,
+            error_body,
+            config.listen,
+            platform.refused,
+            None if self.gate is None else platform.keeps,
         )
         if config.operator:
             calls = operator.Operator(
@@ -129,7 +175,13 @@
             from ringledge.wire import chat
 
             chats = chat.Chat(
-                config.chat, config.settings, config.names, self.conductor, self._memory / ANSWERS_PART
+                config.chat,
+                config.settings,
+                config.names,
+                self.conductor,
+                self._memory / ANSWERS_PART,
+                self.gate,
+                self.held,
             )
             limit = self._for_clients()
             self._client_front("chat", limit, chats.handle, chat.error_body, config.chat.listen)
@@ -191,6 +243,8 @@
     def _share(self, processes: int) -> None:
         """Divide the limits among the processes that there are of this conductor."""
         self.budget.limit = self._memory / BODIES_PART / processes
+        if self.gate is not None:
+            self.gate.share(processes)
         self.upstream.pool.shrink(self._sockets // processes)
         for front, _ in self.clients:
             if front.name in ("platform", "chat"):
@@ -220,6 +274,7 @@
         for front, listener in self.operators:
             tasks.start_soon(front.serve, listener, tasks)
         gc.collect()
+        gc.set_threshold(20_000, 50, 100)
         gc.freeze()  # what is there now stays: later collections needn't look at it
         if predecessor is not None:
             tasks.start_soon(self.handover.follow, predecessor, serving)
@@ -230,6 +285,8 @@
         self.platform.ready = not self.stopping.is_set()
         tasks.start_soon(self.handover.offer)
         serving.set()
+        if self.gate is not None:
+            self.gate.start()
         log.info(
             "configured",
             classes=config.names.classes,
--- a/ringledge/memory/sessions.py
+++ b/ringledge/memory/sessions.py
@@ -71,16 +71,27 @@
     def room(self) -> bool:
         """Make room for one more at the cost of the oldest that has ended; False if all still run."""
         self.reap()
-        while len(self._sessions) >= self.most or self._bytes() > self.most_bytes:
+        while len(self._sessions) >= self.most or self.size() > self.most_bytes:
             ended = list(self._ended())
             if not ended:
                 return False
             self._drop(min(ended, key=lambda each: each.touched))
         return True
 
-    def _bytes(self) -> int:
+    def size(self) -> int:
+        """How many bytes are kept, of answers that run and of those that ended."""
         return sum(each.size for each in self._sessions.values())
 
+    def give_up(self, size: int) -> int:
+        """Drop answers that have ended, those longest untouched first, until so many bytes are free."""
+        dropped = 0
+        for each in sorted(self._ended(), key=lambda each: each.touched):
+            if dropped >= size:
+                break
+            dropped += each.size
+            self._drop(each)
+        return dropped
+
     def add(self, session: Session, key: str | None) -> None:
         """Keep a new session, and the idempotency key that it answers to."""
         self._sessions[session.name] = session
--- a/ringledge/observe/logging.py
+++ b/ringledge/observe/logging.py
@@ -15,11 +15,21 @@
 LEVELS = ("debug", "info", "warning", "error")
 
 
-def _room() -> bool:
+class _Room:
     """Whether standard error takes a line now; a pipe that says so has room for 4 KB."""
-    ready = select.poll()
-    ready.register(sys.stderr.fileno(), select.POLLOUT)
-    return bool(ready.poll(0))
+
+    def __init__(self) -> None:
+        self._fd = -1
+
+    def __call__(self) -> bool:
+        """Look, without waiting."""
+        if (fd := sys.stderr.fileno()) != self._fd:  # tests put another one in its place
+            self._fd, self._poll = fd, select.poll()
+            self._poll.register(fd, select.POLLOUT)
+        return bool(self._poll.poll(0))
+
+
+_room = _Room()
 
 
 class Log:
--- a/ringledge/observe/metrics.py
+++ b/ringledge/observe/metrics.py
@@ -6,6 +6,9 @@
 from prometheus_client.metrics import MetricWrapperBase
 
 FIRST_TOKEN_S = (0.1, 0.25, 0.5, 1, 1.5, 2.5, 5, 10)
+LOOP_S = (0.001, 0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.04, 0.05, 0.075, 0.1, 0.2, 0.5, 1, 2)
+BODY_S = (0.00003, 0.0001, 0.0003, 0.001, 0.003, 0.01)
+BODY_KB = (4, 16, 64, 256)  # sizes by which the cost of bodies is told
 
 
 class Metrics:
@@ -31,12 +34,32 @@
         self.xds_rejections = self._counter(
             "xds_rejections", "Versions of the endpoints that a proxy refused"
         )
+        self.shed = self._counter("shed", "Requests turned away by the gate", "class", "reason")
+        self.overload_changes = self._counter("overload_changes", "Times that the gate was closed or opened")
         self.first_token = Histogram(
             "ringledge_first_token_seconds",
             "Time from a request's arrival to its first token",
             buckets=FIRST_TOKEN_S,
             registry=self.registry,
         )
+        self.loop_delay = Histogram(
+            "ringledge_loop_delay_seconds",
+            "How late heartbeats of the event loop were",
+            buckets=LOOP_S,
+            registry=self.registry,
+        )
+        self.body = Histogram(
+            "ringledge_body_seconds",
+            "Time spent on checking a request's body",
+            ("kb",),
+            buckets=BODY_S,
+            registry=self.registry,
+        )
+        self.admitted = self._gauge(
+            "admitted_share", "Requests let in over the last second; by class and share", "class", "share"
+        )
+        self.resident = self._gauge("resident_bytes", "Resident memory of the process")
+        self.held = self._gauge("held_bytes", "Bytes that answers hold for slow clients or for a return")
         self.open_requests = self._gauge("open_requests", "Requests open now")
         self.client_sockets = self._gauge("client_sockets", "Accepted connections open now", "front")
         self.server_sockets = self._gauge("server_sockets", "Connections to servers open now")
--- /dev/null
+++ b/ringledge/structures/__init__.py
@@ -0,0 +1,1 @@
+"""Data structures that know nothing of ringledge."""
--- a/ringledge/wire/chat.py
+++ b/ringledge/wire/chat.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from dataclasses import replace
 from hashlib import blake2b
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from uuid import uuid4
 
 import anyio
@@ -23,7 +23,11 @@
 from ringledge.memory.sessions import End, Session, Sessions
 from ringledge.observe.logging import log
 from ringledge.wire.http import MAX_BODY, Connection, HttpError, header, only, read_body, respond
-from ringledge.wire.platform import STREAM_HEAD, converse, retry_after
+from ringledge.wire.platform import STREAM_HEAD, converse, retry_after, shed
+
+if TYPE_CHECKING:
+    from ringledge.core.gate import Gate
+    from ringledge.memory.held import Held
 
 PATH = b"/v1/chat/completions"
 MOST_ANSWER = 4 * MAX_BODY  # bytes kept of a question and its answer: twice what the protocol lets them have
@@ -104,9 +108,14 @@
         names: Names,
         conductor: Conductor,
         most_bytes: float,
+        gate: Gate | None = None,
+        held: Held | None = None,
     ) -> None:
         self._config, self._settings, self._names, self._conductor = config, settings, names, conductor
         self.sessions = Sessions(config.sessions, most_bytes, config.resume_for_s)
+        self._gate = gate
+        if held is not None:
+            held.keeps(self.sessions.size, self.sessions.give_up)
 
     async def handle(self, conn: Connection, head: h11.Request) -> None:
         """Answer one request."""
@@ -118,6 +127,7 @@
         if path != PATH:
             raise HttpError(404, f"no such path: {path.decode('ascii', 'replace')}", "unknown_url")
         only(head, b"POST")
+        self._look(head)
         body = await read_body(conn, head)
         last_event = header(head, b"last-event-id")
         if last_event:
@@ -134,6 +144,27 @@
             session.readers -= 1
             self._left(session)
 
+    def _look(self, head: h11.Request) -> None:
+        """Turn away before the body is read, as far as the head tells the class; else the body does."""
+        if self._gate is None or header(head, b"last-event-id") or header(head, b"idempotency-key"):
+            return  # what has begun goes on
+        told = _header(head, b"x-call-class")
+        length = header(head, b"content-length")
+        if told in self._names.classes:
+            self._ask(self._names.classes.index(told), head, int(length or 0))
+        elif reason := self._gate.hopeless():
+            class_index = self._names.classes.index(next(iter(self._config.models.values())))
+            raise shed(self._gate.turn_away(class_index, reason))
+
+    def _ask(self, class_index: int, head: h11.Request, size: int) -> None:
+        """Have the gate decide."""
+        if self._gate is not None:
+            caller = _header(head, b"x-caller") or self._config.tenant
+            tenant = self._names.index(self._names.tenants, caller)
+            no = self._gate.ask(class_index, tenant, min(size, MAX_BODY))
+            if no is not None:
+                raise shed(no)
+
     def _left(self, session: Session) -> None:
         """A client has gone, or has its answer.
 
@@ -162,6 +193,8 @@
             if record is not None and record.may_have_run and not self._safe(known.class_index):
                 raise HttpError(409, "this request may have run before; it is not run again", "may_have_run")
         class_index, request = self._request(head, question)
+        if key or not _header(head, b"x-call-class"):  # else it was asked about by its head
+            self._ask(class_index, head, len(body))
         if not self.sessions.room():
             raise HttpError(429, "too many answers are under way", "rate_limit_exceeded")
         session = Session(
--- a/ringledge/wire/front.py
+++ b/ringledge/wire/front.py
@@ -9,15 +9,27 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import h11
 
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
-from ringledge.wire.http import Budget, Connection, HttpError, header, read_body, respond
+from ringledge.wire.http import (
+    MAX_BODY,
+    Budget,
+    Connection,
+    HttpError,
+    ShedError,
+    header,
+    read_body,
+    respond,
+)
 
 REQUEST_S = 2.5  # from a request's first byte, on a new connection from its opening, to its last byte
 IDLE_S = 2.0  # a client's connection without an open request is closed then
 LOOK_S = 0.2  # how often idle connections are looked for
+SEND_BYTES = 64 * 1024  # of an answer that the kernel may hold, where memory is watched
+DRAIN_S = 1.0  # for the rest of a body whose request was turned away
 PAUSE_S = 0.5  # before more is read from a client whose request was turned away: it may ask without end
 LINGER_S, LINGER_BYTES = 0.5, 1024 * 1024  # what is still read of a client that was turned away and cut off
 ACCEPT_AT_ONCE = 16  # new connections before others get their turn
@@ -41,9 +53,13 @@
         request_s: float = REQUEST_S,
         at_once: int = ACCEPT_AT_ONCE,
         refused: Refused | None = None,
+        aged: Callable[[float], None] | None = None,
+        keeps: Callable[[h11.Request], bool] | None = None,
     ) -> None:
         self.name, self.limit, self._budget, self._request_s = name, limit, budget, request_s
         self._handler, self._error_body, self._at_once = handler, error_body, at_once
+        self._keeps = keeps  # asked whether a request past the limit is served all the same
+        self._aged = aged  # told how long each request lay unread
         self._refused = refused  # told of each request that is answered 503 or 429 here
         self._gauge, self._rejections = metrics.client_sockets.labels(name), metrics.rejections
         self.open: set[Connection] = set()
@@ -88,8 +104,10 @@
             return sock.close()  # at once: in the backlog it would wait for nothing
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._aged is not None:  # what the kernel holds for a client that reads nothing counts, too
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
         conn = Connection(sock, h11.SERVER)
-        conn.budget, conn.last = self._budget, self.closing
+        conn.budget, conn.last, conn.aged = self._budget, self.closing, self._aged
         self.open.add(conn)
         self.resting[conn] = anyio.current_time()
         self._gauge.set(len(self.open))
@@ -119,11 +137,18 @@
             head = await self._head(conn)
             if head is None:
                 return False
-            if crowded:
+            if conn.aged is not None:
+                conn.aged(conn.unread_ms)
+            if crowded and not (self._keeps is not None and self._keeps(head)):
                 await read_body(conn, head)  # half a request is none, and may have to make room itself
                 log.often("connections_exhausted", front=self.name, open=len(self.open))
                 raise HttpError(503, "too many connections", "overloaded", headers=[(b"Retry-After", b"1")])
             await self._handler(conn, head)
+        except ShedError as error:
+            assert head is not None
+            if self._refused is not None:
+                self._refused(head)
+            await self._turn_away(conn, head, error)
         except HttpError as error:
             rejected = True
             if head is not None and self._refused is not None and error.status in (429, 503):
@@ -155,6 +180,23 @@
             return head
         raise HttpError(408, "the request did not come in time", "timeout")
 
+    async def _turn_away(self, conn: Connection, head: h11.Request, error: ShedError) -> None:
+        """Answer at once, and only then let the body go by: it is never kept, nor awaited for long."""
+        length = header(head, b"content-length")
+        # A longer body than the protocol's, or one that tells no length: to let it go by might take for ever.
+        bounded = header(head, b"transfer-encoding") is None and int(length or 0) <= MAX_BODY
+        if not bounded or self.closing:
+            return await self._reject(conn, error, True)
+        self._rejections.labels(self.name, str(error.status)).inc()
+        await respond(conn, error.status, self._error_body(error), error.headers)
+        with anyio.move_on_after(DRAIN_S):
+            while conn.h11.their_state is h11.SEND_BODY:
+                await conn.next_event()
+        if conn.h11.their_state is not h11.DONE:
+            conn.close()
+        # No pause: connections of a front carry others' bookings, too. But what is sent ahead waits its turn.
+        await anyio.lowlevel.checkpoint()
+
     async def _pause(self, conn: Connection) -> None:
         """Let a client that was turned away wait: its next request would be no better, but cost as much."""
         self.resting[conn] = anyio.current_time()
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import socket
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -18,6 +19,7 @@
 BODY_S = 10.0  # a peer's body that takes longer is given up
 STALL_S = 20.0  # a peer that takes nothing for so long has gone
 READ_AHEAD = 16 * 1024  # bytes read while nobody waits for them, of a next request say
+LAST_DATA_RECEIVED = 52  # offset in Linux's struct tcp_info: ms since a segment with data came
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -37,6 +39,10 @@
         self.headers: Headers = headers or []
 
 
+class ShedError(HttpError):
+    """A request that the gate turned away, before its body was read; its connection may go on."""
+
+
 # What ends an exchange with a peer: its socket, its HTTP, or an answer past all bounds.
 PEER_ERRORS = (OSError, h11.RemoteProtocolError, anyio.ClosedResourceError, HttpError)
 
@@ -64,6 +70,8 @@
         self.idle_since = 0.0  # the pool's note
         self.kept = False  # the pool's: it has carried an exchange before
         self.ended = False  # the peer has said its last
+        self.aged: Callable[[float], None] | None = None  # the front's: told how long a request lay unread
+        self.unread_ms = 0.0  # that the bytes read last had lain in the socket
         self.last = False  # the front's: it ends with its next answer, and the answer says so
         self.paused = False  # the front's: nothing is read from it for a while
         self.budget: Budget | None = None  # the front's: what bodies may take of the memory
@@ -126,6 +134,8 @@
         """Read once: a peer that sends without end keeps no others waiting."""
         if self._waiter is None and len(self.buffer) >= READ_AHEAD:
             return self.deafen()
+        if self.aged is not None and not len(self.buffer):
+            self.unread_ms = unread_ms(self.sock)
         with self.buffer.room() as room:
             try:
                 size = self.sock.recv_into(room)
@@ -225,6 +235,18 @@
             self.sock.close()
 
 
+def unread_ms(sock: socket.socket) -> float:
+    """How long the newest bytes on a socket have been there, in the kernel's ticks; ask before reading them.
+
+    0 where it can't be told, on other than TCP sockets say.
+    """
+    try:
+        told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED + 4)
+        return float(struct.unpack_from("=I", told, LAST_DATA_RECEIVED)[0])
+    except (OSError, struct.error):
+        return 0.0
+
+
 async def connect(address: str, timeout_s: float) -> Connection:
     """Open a connection; OSError if it is refused, TimeoutError if it doesn't come up."""
     host, _, port = address.rpartition(":")
@@ -280,6 +302,14 @@
             raise h11.RemoteProtocolError("the message ended early")
 
 
+def fields(head: h11.Request | h11.Response) -> dict[bytes, bytes]:
+    """All headers by name (in lower case), the first of each; one walk costs less than several look-ups."""
+    told: dict[bytes, bytes] = {}
+    for key, value in head.headers:
+        told.setdefault(key, value)
+    return told
+
+
 def header(head: h11.Request | h11.Response, name: bytes) -> bytes | None:
     """The first header of that name (in lower case)."""
     for key, value in head.headers:
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import re
+import time
 from collections.abc import Awaitable
+from typing import TYPE_CHECKING
 
 import anyio
 import h11
@@ -14,7 +16,24 @@
 from ringledge.core.port import Payload
 from ringledge.core.stages.take_in import DuplicateError
 from ringledge.lifecycle.config import Names
-from ringledge.wire.http import Connection, Headers, HttpError, header, only, read_body, respond
+from ringledge.wire.http import (
+    MAX_BODY,
+    Connection,
+    Headers,
+    HttpError,
+    ShedError,
+    fields,
+    header,
+    only,
+    read_body,
+    respond,
+)
+
+if TYPE_CHECKING:
+    from ringledge.core.gate import Gate
+    from ringledge.decide.overload import No
+    from ringledge.memory.held import Held
+    from ringledge.wire.turns import Turns
 
 HIGH_WATER = 64 * 1024  # bytes of a stream that may wait for a slow client
 PATH = b"/v1/chat/completions"
@@ -23,7 +42,8 @@
 class Exchange:
     """One request's client side. Pieces go straight to the socket; what it leaves waits for the task."""
 
-    def __init__(self, conn: Connection) -> None:
+    def __init__(self, conn: Connection, held: Held | None = None) -> None:
+        self._held = held
         self.begun = False
         self.end: str | None = None
         self.come_back_ms: float | None = None
@@ -61,12 +81,21 @@
                 return  # the client has gone: its connection's task is told so
         if data:
             self._pieces.append(data)
-            self._waiting += len(data)
+            self._count(len(data))
             self._news.set()
         while self._waiting > HIGH_WATER:
             self._room = anyio.Event()
             await self._room.wait()
 
+    def _count(self, change: int) -> None:
+        self._waiting += change
+        if self._held is not None:
+            self._held.streams += change
+
+    def forget(self) -> None:
+        """Nobody takes what still waits."""
+        self._count(-self._waiting)
+
     def _finish(self, how: str) -> None:
         self.end = how
         self._news.set()
@@ -78,7 +107,7 @@
                 data = b"".join(self._pieces)
                 self._pieces.clear()
                 await self._conn.write(data)
-                self._waiting -= len(data)
+                self._count(-len(data))
                 self._room.set()
             else:
                 self._news = anyio.Event()
@@ -88,8 +117,16 @@
 class Platform:
     """Handles the requests of the platform's clients."""
 
-    def __init__(self, names: Names, conductor: Conductor) -> None:
-        self._names, self._conductor = names, conductor
+    def __init__(
+        self,
+        names: Names,
+        conductor: Conductor,
+        gate: Gate | None = None,
+        turns: Turns | None = None,
+        held: Held | None = None,
+    ) -> None:
+        self._names, self._conductor, self._gate, self._turns = names, conductor, gate, turns
+        self._held = held
         self.ready = False
 
     async def handle(self, conn: Connection, head: h11.Request) -> None:
@@ -104,10 +141,17 @@
         if path != PATH:
             raise HttpError(404, "no such path", "not_found")
         only(head, b"POST")
+        if self._gate is not None:
+            self._ask(self._gate, head)
         body = await read_body(conn, head)
+        if self._turns is not None:
+            await self._turns.take()
+        began = time.perf_counter()
         request = self._request(head, body)
+        if self._gate is not None:
+            self._gate.checked(len(body), time.perf_counter() - began)
         payload = Payload(head.target, body, header(head, b"content-type") or b"application/json")
-        exchange = Exchange(conn)
+        exchange = Exchange(conn, self._held)
         try:
             record = self._conductor.take(request, payload, exchange)
         except DuplicateError as error:
@@ -115,8 +159,26 @@
         try:
             await converse(conn, self._answer(conn, exchange))
         finally:
+            exchange.forget()
             self._conductor.client_gone(record)  # for a request that is over it changes nothing
 
+    def keeps(self, head: h11.Request) -> bool:
+        """Whether a request is served on a connection past the limit: it has a descriptor, as a no would."""
+        name = (header(head, b"x-call-class") or b"").decode("latin1")
+        return self._gate is not None and self._gate.worthiest(name)
+
+    def _ask(self, gate: Gate, head: h11.Request) -> None:
+        """Have the gate decide by the head alone; what names no class or tenant is not its matter."""
+        names = self._names
+        class_index = names.index(names.classes, (header(head, b"x-call-class") or b"").decode("latin1"))
+        if class_index == len(names.classes):
+            return
+        tenant = names.index(names.tenants, (header(head, b"x-caller") or b"").decode("latin1"))
+        length = header(head, b"content-length")
+        no = gate.ask(class_index, tenant, min(int(length), MAX_BODY) if length else 0)
+        if no is not None:
+            raise shed(no)
+
     def refused(self, head: h11.Request) -> None:
         """Count a request that was turned away before the core took it: to its client it is one more no."""
         names = self._names.classes
@@ -139,30 +201,31 @@
 
     def _request(self, head: h11.Request, body: bytes) -> i.Request:
         """Translate the headers; HttpError 400 names what is wrong."""
-        info = dict(part.partition("=")[::2] for part in _text(head, b"x-call-info", "").split(",") if part)
+        told = fields(head)
+        info = dict(part.partition("=")[::2] for part in _text(told, b"x-call-info", "").split(",") if part)
         info = {key.strip(): value.strip() for key, value in info.items()}
         try:
             if not isinstance(orjson.loads(body), dict):
                 raise ValueError("the body is no JSON object")
-            name = _text(head, b"x-call-id")
+            name = _text(told, b"x-call-id")
             if not re.fullmatch(r"[A-Za-z0-9._-]{1,64}", name):  # it becomes part of a path
                 raise ValueError("X-Call-Id is no plain word")
-            budget = _text(head, b"x-budget-ms")
+            budget = _text(told, b"x-budget-ms")
             if not re.fullmatch(r"[0-9]{1,7}", budget) or not int(budget):  # int alone takes '1_0' and '+1'
                 raise ValueError("X-Budget-Ms is no number of milliseconds")
-            class_index = self._names.index(self._names.classes, _text(head, b"x-call-class"))
-            tenant = self._names.index(self._names.tenants, _text(head, b"x-caller", ""))
+            class_index = self._names.index(self._names.classes, _text(told, b"x-call-class"))
+            tenant = self._names.index(self._names.tenants, _text(told, b"x-caller", ""))
             if class_index == len(self._names.classes):
                 raise ValueError("X-Call-Class names no class")
             if self._names.tenants and tenant == len(self._names.tenants):
                 raise ValueError("X-Caller names no tenant")
-            again = _text(head, b"x-again", "")
+            again = _text(told, b"x-again", "")
             return i.Request(
                 name,
                 float(budget),
                 class_index,
                 tenant,
-                _key(_text(head, b"x-route-hash", "")),
+                _key(_text(told, b"x-route-hash", "")),
                 _key(info.get("prefix", "")),
                 _tokens(info.get("prefix_len", 0)),
                 _tokens(info.get("prompt_len", len(body) / 4)),  # a token is four characters
@@ -175,6 +238,15 @@
             raise HttpError(400, str(error)) from error
 
 
+def shed(no: No) -> ShedError:
+    """What a client that the gate turned away is told: when to come back, and whose limit it met."""
+    headers: Headers = [(b"Retry-After", b"%.3f" % (no.come_back_ms / 1000))]
+    if no.over_share:
+        reason = "overloaded, and this caller is over its share; nothing has run"
+        return ShedError(429, reason, "rate_limit_exceeded", headers=headers)
+    return ShedError(503, "overloaded, nothing has run", "overloaded", headers=headers)
+
+
 async def converse(conn: Connection, answer: Awaitable[None]) -> None:
     """Write the answer while watching for the client's disconnect, also when nothing is written."""
     with anyio.CancelScope() as scope:
@@ -212,8 +284,8 @@
     return orjson.dumps({"error": error.reason})
 
 
-def _text(head: h11.Request, name: bytes, default: str | None = None) -> str:
-    value = header(head, name)
+def _text(told: dict[bytes, bytes], name: bytes, default: str | None = None) -> str:
+    value = told.get(name)
     if value is None:
         if default is None:
             raise ValueError(f"{name.decode()} is missing")
--- /dev/null
+++ b/tests/core/test_gate.py
@@ -0,0 +1,191 @@
+"""The gate in the real program: who is turned away, how it is told, and what it leaves alone."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import orjson
+import pytest
+
+from ringledge.lab import load
+from ringledge.lab.stage import stage
+from tests.loopback import WAIT_S, Node, take
+
+# Memory closes the queries' band from the start, whatever machine this is; bookings go on.
+QUERIES_OUT = "enabled = true\nmemory_from = 0.05\nmemory_to = 1.0\n"
+CHAT = """enabled = true
+listen = "127.0.0.1:0"
+tenant = "farm"
+[models]
+ask = "query"
+book = "booking"
+"""
+METRICS = 'enabled = true\nlisten = "127.0.0.1:0"\n'
+
+
+@pytest.fixture
+def node(tmp_path: Path) -> Iterator[Node]:
+    files = {"overload.toml": QUERIES_OUT, "chat.toml": CHAT}
+    with Node(tmp_path, files=files, operator=True) as each:
+        yield each
+
+
+def until(holds: Callable[[], object]) -> None:
+    """Wait until it holds."""
+    give_up = time.monotonic() + WAIT_S
+    while not holds():
+        assert time.monotonic() < give_up
+        time.sleep(0.02)
+
+
+def test_a_query_is_turned_away_by_its_head_and_its_connection_goes_on(node: Node) -> None:
+    host, port = node.listening["platform"].split(":")
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Call-Id: {}\r\nX-Call-Class: {}\r\n"
+        "X-Caller: farm\r\nX-Budget-Ms: 4800\r\nContent-Length: {}\r\n\r\n"
+    )
+    with socket.create_connection((host, int(port)), WAIT_S) as sock:
+        sock.sendall(head.format("a1", "query", 200_000).encode())
+        answer = sock.recv(4096)  # before a byte of the body was sent
+        assert answer.startswith(b"HTTP/1.1 503") and b"connection: close" not in answer.lower()
+        told = re.search(rb"retry-after: ([0-9.]+)", answer.lower())
+        assert told and 0.5 <= float(told[1]) <= 1.5
+        sock.sendall(b" " * 200_000 + head.format("b1", "booking", 2).encode() + b"{}")
+        node.reader[0].next().read()
+        node.writer[0].next().serve("ok")
+        answer = b""
+        while b"0\r\n\r\n" not in answer:
+            answer += sock.recv(4096)
+        assert answer.startswith(b"HTTP/1.1 200")
+
+
+def test_a_body_without_bounds_ends_its_connection(node: Node) -> None:
+    host, port = node.listening["platform"].split(":")
+    for framing in ("Content-Length: 60000000", "Transfer-Encoding: chunked"):
+        with socket.create_connection((host, int(port)), WAIT_S) as sock:
+            head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Call-Id: a1\r\nX-Call-Class: query\r\n"
+            sock.sendall(f"{head}X-Caller: farm\r\nX-Budget-Ms: 4800\r\n{framing}\r\n\r\n".encode())
+            answer = b""
+            while data := sock.recv(4096):
+                answer += data
+            assert answer.startswith(b"HTTP/1.1 503") and b"connection: close" in answer.lower()
+
+
+def test_what_is_turned_away_reaches_no_server_and_is_counted_as_deferred(node: Node) -> None:
+    before = int(node.figures()["relay.deferred.query"].split("|")[0])
+    seen = len(node.reader[0].seen)
+    for number in range(20):
+        assert take(node.post(f"a{number}")).status == 503
+    told = node.figures()
+    assert int(told["relay.deferred.query"].split("|")[0]) == before + 20
+    assert told["relay.current"] == "0|g" and len(node.reader[0].seen) == seen
+    assert node.logged("request_shed")["reason"] == "memory"
+
+
+def test_the_chat_front_asks_the_same_gate(node: Node) -> None:
+    said = {"messages": [{"role": "user", "content": "free slots?"}]}
+    for headers in ({}, {"X_Call_Class": "query"}):
+        answer = take(node.chat(said | {"model": "ask"}, **headers))
+        assert answer.status == 503 and answer.json()["error"]["code"] == "overloaded"
+        assert float(answer.headers["retry-after"]) >= 0.5
+    client = node.chat(said | {"model": "book"})
+    node.reader[0].next().read()
+    node.writer[0].next().serve("done")
+    assert take(client).status == 200
+
+
+def test_a_stop_while_requests_are_turned_away_ends_in_good_order(node: Node) -> None:
+    booking = node.post("b1", X_Call_Class="booking")
+    read = node.reader[0].next()
+    node.process.send_signal(signal.SIGTERM)
+    node.logged("stopping")
+    assert take(node.post("a1")).status == 503
+    read.read()
+    node.writer[0].next().serve("ok")
+    assert take(booking).status == 200
+    assert node.process.wait(WAIT_S) == 0
+
+
+def test_an_upgrade_while_requests_are_turned_away_loses_none(node: Node) -> None:
+    booking = node.post("b1", X_Call_Class="booking")
+    node.reader[0].next().read()
+    write = node.writer[0].next()
+    node.successor().logged("taken_over")
+    assert take(node.post("a1")).status == 503
+    write.serve("ok")
+    assert take(booking).status == 200
+
+
+def test_a_caller_over_its_share_is_told_429_beside_a_quiet_one() -> None:
+    with stage(("--read-ms", "1", "--stream-ms", "5"), {"overload.toml": QUERIES_OUT}) as on:
+        callers = {"memuro-bean-growers": 0.95, "tokachi-farm-coop": 0.05}
+        plan = load.Plan(on.listening["platform"], 60.0, 2.0, 0.2, 2.0, 0.0, callers, seed=2)
+        tenants = json.loads(load.run(plan))["tenants"]
+    loud, quiet = tenants["memuro-bean-growers"], tenants["tokachi-farm-coop"]
+    assert quiet == {"asked": quiet["asked"], "served": quiet["asked"]}
+    assert loud["429"] > 0 and loud["429"] + loud["served"] == loud["asked"]
+
+
+def test_a_process_that_stood_still_for_a_second_does_not_shed_for_long() -> None:
+    with stage(("--read-ms", "1", "--stream-ms", "5"), {"overload.toml": "enabled = true\n"}) as on:
+        plan = load.Plan(on.listening["platform"], 30.0, 2.0, 0.2, 2.0, 0.0, load.shares(""), seed=4)
+        def stop() -> None:
+            os.kill(on.pid, signal.SIGSTOP)
+            time.sleep(1.0)
+            os.kill(on.pid, signal.SIGCONT)
+
+        stopping = threading.Thread(target=stop)
+        stopping.start()
+        query, booking = json.loads(load.run(plan))["classes"].values()
+        stopping.join()
+        assert booking["ends"] == {"served": booking["asked"]} and query["served_share"] > 0.8
+        again = json.loads(load.run(plan))["classes"].values()
+    assert all(each["ends"] == {"served": each["asked"]} for each in again)
+
+
+def test_streams_that_nobody_reads_close_the_gate_to_queries_until_they_end() -> None:
+    settings = "enabled = true\nheld_part = 0.05\nmemory_from = 0.25\nmemory_to = 1.0\n"
+    servers = ("--stream-ms", "200", "--events", "50", "--event-bytes", "16384", "--read-ms", "1")
+    files = {"overload.toml": settings, "prometheus.toml": METRICS}
+    with stage((*servers, "--memory-mb", "256"), files) as on:
+        address, shares = on.listening["platform"], load.shares("")
+        held = load.Run(load.Plan(address, 1, 1, 0, 2, 0, shares, unread=90)).unread()
+        until(lambda: figure(on.figures(), "held_bytes") > 0.25 * 0.05 * 256 * 2**20)
+        plan = load.Plan(address, 20.0, 1.0, 0.5, 2.0, 0.0, shares, seed=5)
+        query, booking = json.loads(load.run(plan))["classes"].values()
+        assert query["ends"].get("429", 0) + query["ends"].get("503", 0) > 0
+        assert booking["ends"] == {"served": booking["asked"]}
+        for sock in held:
+            sock.close()
+        until(lambda: figure(on.figures(), "held_bytes") == 0)
+        until(lambda: set(json.loads(load.run(plan))["classes"]["yard-query"]["ends"]) == {"served"})
+
+
+def figure(text: str, name: str) -> float:
+    """One of /metrics' figures."""
+    told = re.search(rf"^ringledge_{name} (\S+)$", text, re.MULTILINE)
+    assert told
+    return float(told[1])
+
+
+def test_a_burst_of_large_prompts_gives_each_request_one_answer_and_bookings_first() -> None:
+    settings = "enabled = true\ntarget = 0.05\n"  # so that any machine is over its target
+    with stage(("--read-ms", "1", "--stream-ms", "5"), {"overload.toml": settings}) as on:
+        bursts = (load.Burst(0.5, 1.5, 5.0, 200.0),)
+        plan = load.Plan(on.listening["platform"], 40.0, 3.0, 0.2, 2.0, 0.0, load.shares(""), bursts, seed=6)
+        report = orjson.loads(load.run(plan))
+        audit = on.audit()
+    assert report["unanswered"] == 0 and not audit["twice"] and not audit["together"]
+    for each in report["classes"].values():
+        assert set(each["ends"]) <= {"served", "503", "429"}
+        assert sum(each["ends"].values()) == each["asked"]
+    query, booking = report["classes"].values()
+    assert query["ends"]["503"] > 0 and booking["served_share"] >= query["served_share"]
