--- a/ringledge/decide/overload.py
+++ b/ringledge/decide/overload.py
@@ -29,6 +29,7 @@
 RECENT_MS = 1_000.0  # over which the share that is let in is told
 TRIM_DOWN, CUT_MS = 0.8, 300.0  # a cut for delays, and until the next: what was let in before has to pass
 GAIN, STEP = 0.5, 0.2  # how the budget follows the CPU's distance from its target, and by how much at most
+RELAX = 0.1  # of the way back to 1 that it goes with each sample in which it held nobody back
 LEAST_TRIM, MOST_TRIM = 0.1, 10.0  # the guess of costs may be wrong by as much
 SEEN = 0.4  # weight of a new sample of what noes cost
 MEMORY_BACK = 0.03  # of the memory that has to come free before a band is let in again
@@ -138,6 +139,7 @@
         self.pressed = False
         self.changes = 0  # times that `pressed` has changed: at a load that hovers these stay few
         self.trim = 1.0
+        self._bound = False  # the budget has held somebody back since the last sample
         self._late = False  # the last sample told of a delay
         self._shed_per_ms = 0.0  # share of a core that noes take, smoothed
         self._why = Reason.CPU
@@ -200,8 +202,12 @@
         if late and now_ms - self._cut_at_ms >= CUT_MS:
             self._cut_at_ms = now_ms
             self.trim *= TRIM_DOWN
-        elif not late:
+            self._bucket.level = min(0.0, self._bucket.level)
+        elif used > 1.0 or (self._bound and not late):
             self.trim *= 1.0 + max(-STEP, min(STEP, GAIN * (1.0 - used)))
+        elif not self._bound:  # a budget that holds nobody back must not grow: the next rush would meet none
+            self.trim += RELAX * (1.0 - self.trim)
+        self._bound = False
         self.trim = max(LEAST_TRIM, min(MOST_TRIM, self.trim))
 
     def _close(self, sample: Sample) -> None:
@@ -244,7 +250,8 @@
             self._bucket.take(self.costs.of(kb))
             return None
         self.costs.turned_away()
-        self._shed_at_ms = now_ms if reason in (Reason.CPU, Reason.DELAY) else self._shed_at_ms
+        if reason in (Reason.CPU, Reason.DELAY):
+            self._shed_at_ms, self._bound = now_ms, True
         return No(reason, over, self.wait_ms())
 
     def wait_ms(self) -> float:
--- /dev/null
+++ b/ringledge/wire/parking.py
@@ -0,0 +1,139 @@
+"""Connections at rest: a small record each, with no task, no parser and no buffer.
+
+One epoll of our own holds all of them, and the event loop knows of that one descriptor alone: asyncio keeps a
+handle, a key and their dictionary entries for each socket that it is told of. Keep-alive times stand in a
+timer wheel. What becomes readable is woken, and what falls due is closed, so many at most in a turn.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+
+from ringledge.structures.wheel import Wheel
+
+TICK_S = 0.05  # of the wheel: keep-alive times are seconds
+WAKE_AT_ONCE = 64  # connections woken in a turn: each costs a task, a parser and its request
+CLOSE_AT_ONCE = 500  # closed in a turn: some 5 ms
+
+
+@dataclass(slots=True, eq=False)
+class Parked:
+    """One connection at rest."""
+
+    sock: socket.socket
+    opened: float  # on the loop's clock
+    asked: bool  # it has brought a request
+    crowded: bool  # it was let in past the limit, only to be told so
+    timer: int = -1
+
+
+class Parking:
+    """The connections of one front that rest."""
+
+    def __init__(self, wake: Callable[[Parked], None]) -> None:
+        self._wake = wake
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._epoll: select.epoll | None = None
+        self._wheel = Wheel(_tick())
+        self._by_timer: dict[int, int] = {}
+        self._silent: dict[int, Parked] = {}  # by descriptor, longest first: they never asked
+        self._rested: dict[int, Parked] = {}  # they asked before
+        self.woken = self.expired = 0
+
+    def __len__(self) -> int:
+        """How many rest."""
+        return len(self._silent) + len(self._rested)
+
+    @property
+    def lag_s(self) -> float:
+        """How long the wheel is behind the clock, or holds what has fallen due."""
+        return (_tick() - self._wheel.now) * TICK_S if self._wheel.ready else 0.0
+
+    def park(self, parked: Parked, keep_s: float) -> None:
+        """Let a connection rest for so long at most."""
+        if self._epoll is None:
+            self._loop, self._epoll = asyncio.get_running_loop(), select.epoll()
+            self._loop.add_reader(self._epoll.fileno(), self._ready)
+        number = parked.sock.fileno()
+        self._epoll.register(number, select.EPOLLIN | select.EPOLLRDHUP)
+        if not len(self):
+            self._wheel.advance(_tick())
+        parked.timer = self._wheel.schedule(_tick() + max(1, int(keep_s / TICK_S)))
+        self._by_timer[parked.timer] = number
+        (self._rested if parked.asked else self._silent)[number] = parked
+
+    def _ready(self) -> None:
+        """Some are readable: wake them, and leave the rest to the next turn."""
+        assert self._epoll is not None
+        for number, _ in self._epoll.poll(0, WAKE_AT_ONCE):
+            parked = self._take(number)
+            if parked is not None:
+                self.woken += 1
+                self._wake(parked)
+
+    def _take(self, number: int) -> Parked | None:
+        """Out of the parking, its socket open."""
+        parked = self._silent.pop(number, None) or self._rested.pop(number, None)
+        if parked is not None and self._epoll is not None:
+            self._epoll.unregister(number)
+            with suppress(KeyError):
+                self._wheel.cancel(parked.timer)
+            self._by_timer.pop(parked.timer, None)
+        return parked
+
+    def _end(self, number: int) -> bool:
+        """Close one, unless a request has come meanwhile: that one is owed an answer, so it is woken."""
+        parked = self._take(number)
+        if parked is None:
+            return False
+        if _speaks(parked.sock):
+            self.woken += 1
+            self._wake(parked)
+            return False
+        parked.sock.close()
+        return True
+
+    def sweep(self) -> bool:
+        """Close those whose time is over; whether more of them wait for the next turn."""
+        self._wheel.advance(_tick())
+        for timer in self._wheel.expired(CLOSE_AT_ONCE):
+            number = self._by_timer.pop(timer, None)
+            if number is not None:
+                self.expired += self._end(number)
+        return self._wheel.ready > 0
+
+    def close(self, most: int) -> int:
+        """Close so many at most, first those that never asked, the longest resting first; how many were."""
+        closed = 0
+        for number in [*_first(self._silent, most), *_first(self._rested, max(0, most - len(self._silent)))]:
+            closed += self._end(number)
+        return closed
+
+    def stop(self) -> None:
+        """Close the epoll as well."""
+        if self._epoll is not None and self._loop is not None:
+            self._loop.remove_reader(self._epoll.fileno())
+            self._epoll.close()
+
+
+def _tick() -> int:
+    return int(time.monotonic() / TICK_S)
+
+
+def _first(parked: dict[int, Parked], most: int) -> list[int]:
+    """The descriptors of the first so many."""
+    return [number for number, _ in zip(parked, range(most), strict=False)]
+
+
+def _speaks(sock: socket.socket) -> bool:
+    """Whether bytes wait on the socket; the end of its peer is none."""
+    try:
+        return len(sock.recv(1, socket.MSG_PEEK)) > 0
+    except OSError:
+        return False
--- a/tests/decide/test_overload.py
+++ b/tests/decide/test_overload.py
@@ -183,3 +183,15 @@
 def test_a_tenant_inside_its_quota_is_never_over() -> None:
     shares = Shares((Share(0.01, quota_per_s=20.0), Share(0.99)))
     assert not any(shares.over(number * 55.0, 0) for number in range(500))
+
+
+def test_a_budget_that_held_nobody_back_has_not_grown_when_the_rush_comes() -> None:
+    overload = decider()
+    now_ms = press(overload)
+    for number in range(50):  # pressed, for the loop is late now and then, but with little to do
+        now_ms += STEP_MS
+        overload.ask(now_ms, 0, 3, 2.0)
+        overload.sample(Sample(now_ms, STEP_MS, 0.7 * STEP_MS, loop_ms=40.0 if number % 3 == 0 else 0.0))
+    assert overload.pressed and overload.trim <= 1.0
+    shed = sum(overload.ask(now_ms, 0, 3, 2.0) is not None for _ in range(100))
+    assert shed > 50
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -12,6 +12,8 @@
 import pytest
 
 from ringledge import __version__
+from ringledge.decide.overload_settings import OverloadConfig
+from ringledge.lifecycle import config as configuration
 from tests.loopback import ROOT, SETTINGS
 
 GOOD: dict[str, Any] = {
@@ -69,6 +71,51 @@
     assert told.returncode == 2 and "chat.toml" in told.stderr
 
 
+@pytest.mark.parametrize(
+    ("file", "text", "words"),
+    [
+        ("overload.toml", "targets = 0.9", ("targets: no such key", "allowed are enabled, target, delay_ms")),
+        ("overload.toml", 'target = "much"', ("target: ", "Expected `float`")),
+        ("overload.toml", "target = 1.5", ("target: ", "<= 1.0")),
+        ("overload.toml", "memory_from = 0.9\nmemory_to = 0.8", ("memory_to is not below memory_from",)),
+        ("overload.toml", 'enabled = "yes"', ("enabled: true or false is allowed",)),
+        ("chat.toml", 'enabled = true\nlisten = "127.0.0.1:0"', ("models: it has to be given",)),
+        ("chat.toml", 'listen = "nowhere"\n[models]\na = "b"', ("listen: ", "matching regex")),
+        ("xds.toml", 'listen = "127.0.0.1:0"\npoll_s = 0', ("poll_s: ", "> 0")),
+        ("prometheus.toml", "queue = 0", ("queue: ", ">= 1")),
+        ("prometheus.toml", "[labels]\nsite = 3", ("labels", "Expected `str`")),
+    ],
+)
+def test_a_deploy_file_is_checked_strictly_also_while_it_is_off(
+    tmp_path: Path, file: str, text: str, words: tuple[str, ...]
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD))
+    (tmp_path / file).write_text(text)
+    told = run("check-config", config=path, RINGLEDGE_DEPLOY=str(tmp_path))
+    assert told.returncode == 2 and told.stderr.count("\n") == 1
+    assert all(word in told.stderr for word in (file, *words)), told.stderr
+
+
+def test_the_files_that_are_shipped_can_be_used() -> None:
+    environ = {"RINGLEDGE_DEPLOY": str(ROOT / "deploy")}
+    for kind, file in (
+        (configuration.ChatConfig, "chat.toml"),
+        (configuration.XdsConfig, "xds.toml"),
+        (configuration.PrometheusConfig, "prometheus.toml"),
+        (OverloadConfig, "overload.toml"),
+    ):
+        assert configuration.optional(kind, file, environ) is None
+
+
+def test_what_is_off_is_not_imported() -> None:
+    code = "import sys, ringledge.cli; print(sorted(sys.modules))"
+    told = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=30)
+    off = ("psutil", "ringledge.core.gate", "ringledge.decide.overload'", "ringledge.wire.chat", "numpy")
+    for name in off:
+        assert name not in told.stdout
+
+
 def test_a_log_that_nobody_reads_holds_nothing_up(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(GOOD))
