Park connections at rest: one epoll, a timer wheel and no task, parser or buffer

An idle connection cost 24 KB: a task, an h11 state and a 16 KB buffer each, from its first moment.

A new connection that says nothing, and one that has rested for half a second, is now a small record in wire/parking.py: one epoll of our own, known to the event loop as a single descriptor, and a timer in a hierarchical wheel (structures/wheel.py). What becomes readable is woken, 64 a turn; what falls due is closed, 500 a turn; a request that comes in the very turn of its close is woken instead. Half-open peers are found by keep-alive probes and TCP_USER_TIMEOUT.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,13 +1,17 @@
 """One core under 1 to 3 times what it can do: bookings in time, loop delay, goodput. JSON on standard output.
 
 The conductor runs on a core of its own; capacity is the highest rate at which 97 of 100 requests of each
-class are served in time, found with the shedding off. `--tree` measures another checkout of this repository,
+class are served in time, found with the shedding off. Rates follow the speed of the core, measured right
+before each run. `--tree` measures another checkout of this repository,
 the version before say.
 """
 
 from __future__ import annotations
 
 import re
+import subprocess
+import sys
+from itertools import product
 from pathlib import Path
 from typing import Any
 
@@ -63,6 +67,15 @@
     return {f"p{q}": next(le for le, part in bounds if part >= q / 100) for q in (50, 99)}
 
 
+def speed(core: int) -> float:
+    """What the core does now, in turns of a fixed loop: such machines drift by half within minutes."""
+    code = (
+        "import os,time\nos.sched_setaffinity(0,{%d})\nn,end=0,time.perf_counter()+0.4\n"
+        "while time.perf_counter()<end: n+=sum(range(2000))>0\nprint(n)" % core
+    )
+    return float(subprocess.run([sys.executable, "-c", code], capture_output=True, check=True).stdout)
+
+
 def capacity(
     seconds: float, kb: float, seed: int, tree: Path | None, core: int, low: float, high: float
 ) -> float:
@@ -84,19 +97,24 @@
 @click.option("--runs", default=1, show_default=True, help="Runs of each, with seeds from 1 on.")
 @click.option("--core", default=0, show_default=True, help="The conductor's core.")
 @click.option("--off", is_flag=True, help="Without overload.toml.")
+@click.option("--against", type=click.Path(exists=True, path_type=Path),
+              help="A checkout measured in turn with this one, with no gate; the capacity is its own.")
 @click.option("--low", default=20.0, show_default=True, help="Where the search for the capacity begins.")
 @click.option("--high", default=1500.0, show_default=True, help="Where it ends.")
 def main(tree: Path | None, known: float | None, kb: float, seconds: float, times: str, runs: int, core: int,
-         off: bool, low: float, high: float) -> None:  # fmt: skip
+         off: bool, against: Path | None, low: float, high: float) -> None:  # fmt: skip
     """Measure, and print one JSON object with a run a line."""
-    base = known or capacity(5.0, kb, 1, tree, core, low, high)
-    rows = []
+    base = known or capacity(5.0, kb, 1, against or tree, core, low, high)
+    then, rows = speed(core), []
+    versions = [("this", tree, not off)] + ([("against", against, False)] if against else [])
     for multiple in map(float, times.split(",")):
-        for seed in range(1, runs + 1):
-            report = once(base * multiple, seconds, kb, seed, tree, core, not off)
+        for seed, (version, place, gate) in product(range(1, runs + 1), versions):
+            now = speed(core)
+            report = once(base * multiple * now / then, seconds, kb, seed, place, core, gate)
             query, booking = report["classes"].values()
             row = {
-                "times": multiple, "rate": round(base * multiple), "seed": seed,
+                "version": version, "times": multiple, "rate": round(report["rate"]), "seed": seed,
+                "speed": round(now / then, 2),
                 "bookings_in_time": booking["in_time_share"], "queries_in_time": query["in_time_share"],
                 "goodput_per_s": report["goodput_per_s"], "booking_ms": booking["first_token_ms"],
                 "refused_ms": query["refused_ms"], "loop_delay_ms": report["loop_delay_ms"],
--- a/ringledge/cli/serve.py
+++ b/ringledge/cli/serve.py
@@ -45,6 +45,7 @@
         ("xds", config.xds),
         ("prometheus", config.prometheus),
         ("overload", config.overload),
+        ("doors", config.doors),
     )
     click.echo(f"beside it: {', '.join(name for name, told in extras if told) or 'nothing'}")
 
--- /dev/null
+++ b/ringledge/decide/room.py
@@ -0,0 +1,29 @@
+"""Who gives way at a full door: by what each connection cost and brought, not by its age alone."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Guest:
+    """One connection at the door."""
+
+    since: float  # seconds on any one clock: since when it has been as it is now
+    asked: bool  # it has brought a request before
+    half: bool  # it has begun a request and not ended it
+
+
+def gives_way(guests: Sequence[Guest]) -> int | None:
+    """The place of the guest that gives way among those that are owed no answer; None where there is none.
+
+    Those that never asked go first: a flood costs a descriptor each and brings nothing. Half a request comes
+    next, for it holds a parser and a buffer and may never end. A terminal that has asked and rests goes last.
+    Among equals the longest as it is now goes.
+    """
+    order = [
+        (1 if guest.half else 2 if guest.asked else 0, guest.since, place)
+        for place, guest in enumerate(guests)
+    ]
+    return min(order)[2] if order else None
--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -15,6 +15,7 @@
 
 from crowstand import interface as i
 from crowstand import wirehost
+from ringledge.decide.doors_settings import DoorsConfig
 from ringledge.decide.overload_settings import OverloadConfig
 from ringledge.lifecycle import strict
 
@@ -121,6 +122,7 @@
     xds: XdsConfig | None
     prometheus: PrometheusConfig | None
     overload: OverloadConfig | None
+    doors: DoorsConfig | None
 
 
 def _address(text: str) -> str:
@@ -180,6 +182,7 @@
             optional(XdsConfig, "xds.toml", environ),
             optional(PrometheusConfig, "prometheus.toml", environ),
             optional(OverloadConfig, "overload.toml", environ),
+            optional(DoorsConfig, "doors.toml", environ),
         )
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from error
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import random
 import socket
 import time
 from collections.abc import Callable
@@ -34,6 +35,7 @@
 
 if TYPE_CHECKING:
     from ringledge.core.gate import Gate
+    from ringledge.decide.doors import Doors
     from ringledge.decide.overload_settings import OverloadConfig
     from ringledge.memory.held import Held
     from ringledge.wire.turns import Turns
@@ -45,6 +47,7 @@
 KEEP_TAKING_S = 0.6  # after SIGTERM new connections go on arriving so long, and on kept ones too
 END_S, LONGEST_S = 0.7, 3.0  # SIGKILL comes after the longest deadline (at most so long) and END_S
 LAST_CALL_S = 0.5  # before it, what has not begun is given up: its client is told, and its state let go
+SILENT_S, SILENT_MOST = 60.0, 5  # how often networks that open without asking are named, and how many
 LOOK_S = 0.02  # how often it is looked whether all is done
 
 
@@ -75,6 +78,12 @@
         self.gate: Gate | None = None
         self.held: Held | None = None
         turns = None if config.overload is None else self._open_gate(config.overload)
+        self.doors: Doors | None = None
+        if config.doors is not None:
+            from ringledge.decide.doors import Doors
+
+            self.doors = Doors(config.doors, random.Random(config.seed))
+            tasks.start_soon(self._tell_silent, self.doors)
         self.platform = Platform(config.names, self.conductor, self.gate, turns, self.held)
         self.listeners: dict[str, socket.socket] = {}  # by address, as it is configured
         self.clients: list[tuple[Front, socket.socket]] = []  # fronts that have to be through at the end
@@ -138,7 +147,16 @@
     ) -> None:
         aged = None if self.gate is None else self.gate.vitals.waited
         front = Front(
-            name, limit, self.budget, handler, errors, self.metrics, refused=refused, aged=aged, keeps=keeps
+            name,
+            limit,
+            self.budget,
+            handler,
+            errors,
+            self.metrics,
+            refused=refused,
+            aged=aged,
+            keeps=keeps,
+            doors=self.doors,
         )
         self.clients.append((front, self._listen(address)))
 
@@ -204,6 +222,13 @@
                 self._tasks.start_soon(writer.collect)
                 self._tasks.start_soon(writer.send)
 
+    async def _tell_silent(self, doors: Doors) -> None:
+        """Name the client networks that open connections and ask for nothing."""
+        while True:
+            await anyio.sleep(SILENT_S)
+            if networks := doors.silent(SILENT_MOST):
+                log.info("networks_silent", networks=networks, open=doors.open())
+
     def _set_figures(self) -> None:
         metrics, discovery = self.metrics, self.discovery
         metrics.list_age.set_function(lambda: time.monotonic() - discovery.last_heard)
--- a/ringledge/wire/front.py
+++ b/ringledge/wire/front.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import errno
 import math
 import socket
+import time
 from collections.abc import Awaitable, Callable
-from itertools import chain
+from enum import Enum
+from itertools import islice
+from typing import TYPE_CHECKING
 
 import anyio
 import anyio.abc
 import anyio.lowlevel
 import h11
 
+from ringledge.decide.room import Guest, gives_way
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.http import (
@@ -19,14 +24,24 @@
     Budget,
     Connection,
     HttpError,
+    ParkingError,
     ShedError,
     header,
     read_body,
     respond,
 )
+from ringledge.wire.parking import Parked, Parking, speaks
+
+if TYPE_CHECKING:
+    from ringledge.decide.doors import Doors, Entry
 
 REQUEST_S = 2.5  # from a request's first byte, on a new connection from its opening, to its last byte
 IDLE_S = 2.0  # a client's connection without an open request is closed then
+PROBE_S, PROBE_AGAIN_S = 60, 10  # of rest until the kernel asks a peer, and between its further questions
+UNHEARD_MS = 30_000  # that what was sent to a peer, questions too, may stay unacknowledged
+PARK_S = 0.5  # between requests until a connection is parked: a busy one keeps its task and parser
+GIVE_WAY = 16  # connections at rest that are closed when descriptors run out
+DRAIN_AT_ONCE = 1000  # connections at rest closed at a time in a drain: some 7 ms
 LOOK_S = 0.2  # how often idle connections are looked for
 SEND_BYTES = 64 * 1024  # of an answer that the kernel may hold, where memory is watched
 DRAIN_S = 1.0  # for the rest of a body whose request was turned away
@@ -55,14 +70,22 @@
         refused: Refused | None = None,
         aged: Callable[[float], None] | None = None,
         keeps: Callable[[h11.Request], bool] | None = None,
+        doors: Doors | None = None,
     ) -> None:
         self.name, self.limit, self._budget, self._request_s = name, limit, budget, request_s
         self._handler, self._error_body, self._at_once = handler, error_body, at_once
+        self.parked: Parking = Parking(self._wake, self._rest_ended)
+        self._doors, self._doors_metric = doors, metrics.doors
+        self._closed = {how: metrics.closed.labels(name, how) for how in ("idle", "other")}
+        for state, count in (("active", lambda: len(self.active)), ("parked", lambda: len(self.parked))):
+            metrics.connections.labels(name, state).set_function(count)
+        metrics.woken.labels(name).set_function(lambda: self.parked.woken)
+        metrics.wheel_lag.labels(name).set_function(lambda: self.parked.lag_s)
         self._keeps = keeps  # asked whether a request past the limit is served all the same
         self._aged = aged  # told how long each request lay unread
         self._refused = refused  # told of each request that is answered 503 or 429 here
         self._gauge, self._rejections = metrics.client_sockets.labels(name), metrics.rejections
-        self.open: set[Connection] = set()
+        self.active: set[Connection] = set()
         self.resting: dict[Connection, float] = {}  # between requests and since when, longest first
         self.reading: dict[Connection, None] = {}  # in an exchange, longest first; some lack half a request
         self.serving = False  # it accepts
@@ -70,8 +93,14 @@
         self.draining = False  # what rests is closed, and no further request read behind an answer
         self._accepting, self._reopened = anyio.CancelScope(), anyio.Event()
 
+    @property
+    def open(self) -> int:
+        """How many connections there are, at rest or not."""
+        return len(self.active) + len(self.parked)
+
     async def serve(self, listener: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
         """Accept until cancelled, save while another process does."""
+        self._tasks = tasks
         tasks.start_soon(self._close_idle)
         self.serving = True
         while True:
@@ -84,49 +113,104 @@
             await anyio.wait_readable(listener)
             try:
                 for _ in range(self._at_once):
-                    self._admit(listener.accept()[0], tasks)
+                    self._admit(*listener.accept())
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 continue
             except OSError as error:
+                # Out of descriptors: whoever rests gives way, or nobody new would ever be heard.
+                if error.errno in (errno.EMFILE, errno.ENFILE) and self.parked.close(GIVE_WAY):
+                    log.often("parked_gave_way", front=self.name, parked=len(self.parked))
+                    continue
                 log.error("accept_failed", front=self.name, error=str(error))
                 await anyio.sleep(0.05)
 
-    def _admit(self, sock: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
-        """Serve a new connection; past the limit a few more are let in, only to be told so."""
-        if len(self.open) >= self.limit:
-            # Whoever waits longest without a whole request makes room; one that has asked never does.
-            waiting = chain(self.resting, (c for c in self.reading if c.h11.their_state is not h11.DONE))
-            oldest = next(filter(_quiet, waiting), None)
-            if oldest is not None:
-                self._close(oldest)
-        if len(self.open) >= self.limit + max(1, self.limit // 8):
-            log.often("connection_turned_away", front=self.name, open=len(self.open))
+    def _admit(self, sock: socket.socket, address: tuple[str, int] | str) -> None:
+        """Let a new connection in; past the limit a few more, only to be told so."""
+        entry: Entry | None = None
+        if self._doors is not None and not isinstance(address, str):
+            told = self._doors.come(time.monotonic() * 1000, address[0])
+            if isinstance(told, Enum):
+                self._doors_metric.labels(self.name, told.value).inc()
+                log.often("connection_not_let_in", front=self.name, address=address[0], why=told.value)
+                return sock.close()
+            entry = told
+        if self.open >= self.limit:
+            self._make_room()
+        if self.open >= self.limit + max(1, self.limit // 8):
+            log.often("connection_turned_away", front=self.name, open=self.open)
+            self._left(entry, False)
             return sock.close()  # at once: in the backlog it would wait for nothing
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self._aged is not None:  # what the kernel holds for a client that reads nothing counts, too
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
+        if entry is not None:
+            _find_half_open(sock, entry.keep_s)
+        new = Parked(sock, anyio.current_time(), False, self.open >= self.limit, entry)
+        if speaks(sock):
+            self._wake(new)
+        else:  # a flood that opens and never speaks costs no task and no buffer
+            self.parked.park(new, IDLE_S)
+        self._gauge.set(self.open)
+
+    def _make_room(self) -> None:
+        """Have one connection that is owed no answer give way; of each sort the longest so is asked about."""
+        half = (conn for conn in self.reading if conn.h11.their_state is not h11.DONE)
+        live = [*islice(filter(_quiet, self.resting), 1), *islice(filter(_quiet, half), 1)]
+        parked = self.parked.firsts()
+        guests = [Guest(each.since, each.asked, False) for each in parked]
+        guests += [Guest(self.resting.get(conn, 0.0), conn.asked, conn in self.reading) for conn in live]
+        place = gives_way(guests)
+        if place is None:
+            return
+        if place < len(parked):
+            self.parked.end(parked[place])
+        else:
+            self._close(live[place - len(parked)])
+
+    def _wake(self, parked: Parked) -> None:
+        """Something has come on a connection at rest, or its end: give it a parser, a buffer and a task."""
+        sock = parked.sock
+        if not speaks(sock):
+            sock.close()
+            self._left(parked.entry, parked.asked)
+            return self._gauge.set(self.open)
         conn = Connection(sock, h11.SERVER)
         conn.budget, conn.last, conn.aged = self._budget, self.closing, self._aged
-        self.open.add(conn)
+        conn.asked, conn.entry = parked.asked, parked.entry
+        if parked.entry is not None and self._doors is not None and self._doors.advertises:
+            conn.keep_alive = b"timeout=%d" % parked.entry.keep_s
+        self.active.add(conn)
         self.resting[conn] = anyio.current_time()
-        self._gauge.set(len(self.open))
-        tasks.start_soon(self._converse, conn, len(self.open) > self.limit)
+        read_by = math.inf if parked.asked else parked.since + self._request_s
+        self._tasks.start_soon(self._converse, conn, parked.crowded, read_by)
 
-    async def _converse(self, conn: Connection, crowded: bool) -> None:
+    def _park(self, conn: Connection, crowded: bool) -> None:
+        """Its task ends, its parser and buffer go; the socket stays."""
+        conn.deafen()
+        self._forget(conn)
+        keep_s = IDLE_S if conn.entry is None else conn.entry.keep_s
+        parked = Parked(conn.sock, anyio.current_time(), conn.asked, crowded, conn.entry)
+        self.parked.park(parked, max(0.0, keep_s - PARK_S))
+
+    async def _converse(self, conn: Connection, crowded: bool, read_by: float) -> None:
         try:
-            conn.read_by = anyio.current_time() + self._request_s
+            conn.read_by = read_by
             while await self._exchange(conn, crowded):
                 conn.release()
+                conn.asked = True
                 self.reading.pop(conn, None)
                 self.resting.setdefault(conn, anyio.current_time())
                 conn.read_by = math.inf
+        except ParkingError:
+            self._park(conn, crowded)
         except (OSError, anyio.ClosedResourceError, h11.LocalProtocolError) as error:
             log.debug("client_connection_lost", front=self.name, error=str(error))
         except Exception as error:  # a fault of ours costs this connection, not all the others
             log.fault("connection_crashed", error, front=self.name)
         finally:
-            self._close(conn)
+            if conn in self.active:
+                self._close(conn)
 
     async def _exchange(self, conn: Connection, crowded: bool) -> bool:
         """Read one request and have it answered; False once the connection is through."""
@@ -141,7 +225,7 @@
                 conn.aged(conn.unread_ms)
             if crowded and not (self._keeps is not None and self._keeps(head)):
                 await read_body(conn, head)  # half a request is none, and may have to make room itself
-                log.often("connections_exhausted", front=self.name, open=len(self.open))
+                log.often("connections_exhausted", front=self.name, open=self.open)
                 raise HttpError(503, "too many connections", "overloaded", headers=[(b"Retry-After", b"1")])
             await self._handler(conn, head)
         except ShedError as error:
@@ -232,7 +316,7 @@
     def end_with_answers(self, closing: bool) -> None:
         """Whether each connection ends with its next answer."""
         self.closing = closing
-        for conn in self.open:
+        for conn in self.active:
             conn.last = closing
 
     def leave(self) -> None:
@@ -249,30 +333,61 @@
     def shrink(self, limit: int) -> None:
         """Let fewer connections in; of those that rest, the longest resting go."""
         self.limit = limit
-        for conn in [conn for conn in self.resting if _quiet(conn)][: max(0, len(self.open) - limit)]:
+        self.parked.close(max(0, self.open - limit))
+        for conn in [conn for conn in self.resting if _quiet(conn)][: max(0, self.open - limit)]:
             self._close(conn)
+        self._gauge.set(self.open)
 
-    def close_resting(self, older_s: float = 0.0) -> None:
-        """Close connections between requests that rest for so long."""
-        until = anyio.current_time() - older_s
-        for conn, since in list(self.resting.items()):
-            if since > until:
-                break
+    def close_resting(self) -> None:
+        """Close connections between requests, of those at rest so many at a time."""
+        for conn in list(self.resting):
             if _quiet(conn):
                 self._close(conn)
+        self.parked.close(DRAIN_AT_ONCE)
+        self._gauge.set(self.open)
 
     async def _close_idle(self) -> None:
         while True:
             await anyio.sleep(LOOK_S)
-            self.close_resting(IDLE_S)
+            until = anyio.current_time() - PARK_S
+            for conn, since in list(self.resting.items()):
+                if since > until:
+                    break
+                if not conn.paused:
+                    conn.rest()
+            while self.parked.sweep():
+                self._gauge.set(self.open)
+                await anyio.lowlevel.checkpoint()
+            self._gauge.set(self.open)
 
-    def _close(self, conn: Connection) -> None:
-        conn.close()
+    def _forget(self, conn: Connection) -> None:
         conn.release()
-        self.open.discard(conn)
+        self.active.discard(conn)
         self.resting.pop(conn, None)
         self.reading.pop(conn, None)
-        self._gauge.set(len(self.open))
+
+    def _close(self, conn: Connection) -> None:
+        conn.close()
+        self._forget(conn)
+        self._left(conn.entry, conn.asked)
+        self._closed["other"].inc()
+        self._gauge.set(self.open)
+
+    def _rest_ended(self, parked: Parked) -> None:
+        self._left(parked.entry, parked.asked)
+        self._closed["idle"].inc()
+
+    def _left(self, entry: Entry | None, asked: bool) -> None:
+        if entry is not None and self._doors is not None:
+            self._doors.gone(entry, asked)
+
+
+def _find_half_open(sock: socket.socket, keep_s: float) -> None:
+    """Have the kernel look for peers that vanished: nobody speaks on a connection at rest for long."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, min(PROBE_S, int(keep_s / 2))))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_AGAIN_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNHEARD_MS)
 
 
 def _quiet(conn: Connection) -> bool:
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -8,10 +8,14 @@
 import struct
 from collections.abc import Callable
 from contextlib import suppress
+from typing import TYPE_CHECKING
 
 import anyio
 import h11
 
+if TYPE_CHECKING:
+    from ringledge.decide.doors import Entry
+
 from ringledge.wire.buffer import Buffer
 
 MAX_BODY = 256 * 1024  # bytes: the protocol's limit
@@ -39,6 +43,10 @@
         self.headers: Headers = headers or []
 
 
+class ParkingError(Exception):
+    """Nobody spoke on a connection for a while: it is put to rest."""
+
+
 class ShedError(HttpError):
     """A request that the gate turned away, before its body was read; its connection may go on."""
 
@@ -71,6 +79,10 @@
         self.kept = False  # the pool's: it has carried an exchange before
         self.ended = False  # the peer has said its last
         self.aged: Callable[[float], None] | None = None  # the front's: told how long a request lay unread
+        self.entry: Entry | None = None  # the front's: what the doors said of it
+        self.keep_alive = b""  # the front's: what answers tell of how long it may rest
+        self.asked = False  # the front's: it has brought a request
+        self._resting = False
         self.unread_ms = 0.0  # that the bytes read last had lain in the socket
         self.last = False  # the front's: it ends with its next answer, and the answer says so
         self.paused = False  # the front's: nothing is read from it for a while
@@ -110,7 +122,10 @@
             if self.closed:
                 raise anyio.ClosedResourceError
             if len(self.buffer) > before:
+                self._resting = False  # something came in the very turn in which it was to rest
                 return len(self.buffer) - before
+            if self._resting:
+                raise ParkingError
             if not self._heard:
                 self._hear()
             self._waiter = self._loop.create_future()
@@ -120,6 +135,12 @@
                 self._waiter = None
         return len(self.buffer) - before
 
+    def rest(self) -> None:
+        """Have whoever waits on a connection without anything begun put it to rest."""
+        if self._waiter is not None and not self._waiter.done() and not self.pending():
+            self._resting = True
+            self._waiter.set_result(None)
+
     def _hear(self) -> None:
         self._heard = True
         self._loop.add_reader(self.sock, self._readable)
@@ -169,6 +190,8 @@
         """The bytes of what is to be said."""
         if self.last:
             events = tuple(map(_closing, events))
+        elif self.keep_alive:
+            events = tuple(_keeping(event, self.keep_alive) for event in events)
         return b"".join([self.h11.send(event) or b"" for event in events])
 
     def write_some(self, data: bytes) -> int:
@@ -325,6 +348,14 @@
         raise HttpError(405, f"only {method.decode()} here", "method_not_allowed", headers=allow)
 
 
+def _keeping(event: h11.Event, told: bytes) -> h11.Event:
+    """The head of an answer with what it tells of how long the connection may rest."""
+    if not isinstance(event, h11.Response) or header(event, b"connection"):
+        return event
+    headers = [*event.headers, (b"Keep-Alive", told)]
+    return h11.Response(status_code=event.status_code, headers=headers, reason=event.reason)
+
+
 def _closing(event: h11.Event) -> h11.Event:
     """The head of an answer as the connection's last one."""
     if not isinstance(event, h11.Response) or header(event, b"connection"):
--- a/ringledge/wire/parking.py
+++ b/ringledge/wire/parking.py
@@ -11,12 +11,16 @@
 import select
 import socket
 import time
+from array import array
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from ringledge.structures.wheel import Wheel
 
+if TYPE_CHECKING:
+    from ringledge.decide.doors import Entry
+
 TICK_S = 0.05  # of the wheel: keep-alive times are seconds
 WAKE_AT_ONCE = 64  # connections woken in a turn: each costs a task, a parser and its request
 CLOSE_AT_ONCE = 500  # closed in a turn: some 5 ms
@@ -27,21 +31,22 @@
     """One connection at rest."""
 
     sock: socket.socket
-    opened: float  # on the loop's clock
+    since: float  # on the loop's clock: since when it rests, at first since it was opened
     asked: bool  # it has brought a request
     crowded: bool  # it was let in past the limit, only to be told so
+    entry: Entry | None = None  # what the doors said of it
     timer: int = -1
 
 
 class Parking:
     """The connections of one front that rest."""
 
-    def __init__(self, wake: Callable[[Parked], None]) -> None:
-        self._wake = wake
+    def __init__(self, wake: Callable[[Parked], None], ended: Callable[[Parked], None]) -> None:
+        self._wake, self._ended = wake, ended
         self._loop: asyncio.AbstractEventLoop | None = None
         self._epoll: select.epoll | None = None
         self._wheel = Wheel(_tick())
-        self._by_timer: dict[int, int] = {}
+        self._numbers = array("i")  # the descriptor of each timer
         self._silent: dict[int, Parked] = {}  # by descriptor, longest first: they never asked
         self._rested: dict[int, Parked] = {}  # they asked before
         self.woken = self.expired = 0
@@ -65,7 +70,10 @@
         if not len(self):
             self._wheel.advance(_tick())
         parked.timer = self._wheel.schedule(_tick() + max(1, int(keep_s / TICK_S)))
-        self._by_timer[parked.timer] = number
+        if parked.timer == len(self._numbers):
+            self._numbers.append(number)
+        else:
+            self._numbers[parked.timer] = number
         (self._rested if parked.asked else self._silent)[number] = parked
 
     def _ready(self) -> None:
@@ -82,30 +90,39 @@
         parked = self._silent.pop(number, None) or self._rested.pop(number, None)
         if parked is not None and self._epoll is not None:
             self._epoll.unregister(number)
-            with suppress(KeyError):
+            if parked.timer >= 0:
                 self._wheel.cancel(parked.timer)
-            self._by_timer.pop(parked.timer, None)
         return parked
 
+    def firsts(self) -> list[Parked]:
+        """The longest resting one of those that never asked, and of those that did."""
+        return [next(iter(each.values())) for each in (self._silent, self._rested) if each]
+
+    def end(self, parked: Parked) -> None:
+        """Close that one, unless a request has come on it."""
+        self._end(parked.sock.fileno())
+
     def _end(self, number: int) -> bool:
         """Close one, unless a request has come meanwhile: that one is owed an answer, so it is woken."""
         parked = self._take(number)
         if parked is None:
             return False
-        if _speaks(parked.sock):
+        if speaks(parked.sock):
             self.woken += 1
             self._wake(parked)
             return False
         parked.sock.close()
+        self._ended(parked)
         return True
 
     def sweep(self) -> bool:
         """Close those whose time is over; whether more of them wait for the next turn."""
         self._wheel.advance(_tick())
         for timer in self._wheel.expired(CLOSE_AT_ONCE):
-            number = self._by_timer.pop(timer, None)
-            if number is not None:
-                self.expired += self._end(number)
+            number = self._numbers[timer]
+            parked = self._silent.get(number) or self._rested[number]
+            parked.timer = -1  # given out: its number may soon be another one's
+            self.expired += self._end(number)
         return self._wheel.ready > 0
 
     def close(self, most: int) -> int:
@@ -131,7 +148,7 @@
     return [number for number, _ in zip(parked, range(most), strict=False)]
 
 
-def _speaks(sock: socket.socket) -> bool:
+def speaks(sock: socket.socket) -> bool:
     """Whether bytes wait on the socket; the end of its peer is none."""
     try:
         return len(sock.recv(1, socket.MSG_PEEK)) > 0
--- /dev/null
+++ b/tests/wire/test_parking.py
@@ -0,0 +1,179 @@
+"""Connections at rest: woken, closed in time, never at the cost of a request."""
+
+from __future__ import annotations
+
+import resource
+import socket
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.loopback import WAIT_S, Node, take
+
+READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+@pytest.fixture
+def node(tmp_path: Path) -> Iterator[Node]:
+    with Node(tmp_path, sockets=4096) as each:
+        yield each
+
+
+def connect(node: Node) -> socket.socket:
+    host, port = node.listening["platform"].split(":")
+    return socket.create_connection((host, int(port)), WAIT_S)
+
+
+def answer(sock: socket.socket, whole: bytes = b'"ready":true}') -> bytes:
+    """What comes until the answer is whole, or the connection ends."""
+    told = b""
+    while whole not in told and (data := sock.recv(4096)):
+        told += data
+    return told
+
+
+def ends(sock: socket.socket) -> bool:
+    """Wait until the other side closes it."""
+    try:
+        return not sock.recv(1)
+    except ConnectionResetError:
+        return True
+
+
+def test_one_that_rests_is_woken_by_its_next_request_and_by_half_a_head(node: Node) -> None:
+    with connect(node) as sock:
+        for pause_s in (0.0, 0.8, 1.2):  # kept active, parked, parked again
+            time.sleep(pause_s)
+            sock.sendall(READY[:20])
+            sock.sendall(READY[20:])
+            assert answer(sock).startswith(b"HTTP/1.1 200")
+        time.sleep(0.8)
+        sock.sendall(READY[:9])
+        time.sleep(0.7)  # half a head is no rest
+        sock.sendall(READY[9:] + READY)
+        assert answer(sock).startswith(b"HTTP/1.1 200")
+
+
+def test_pipelined_requests_on_one_that_rested_are_all_answered(node: Node) -> None:
+    with connect(node) as sock:
+        sock.sendall(READY)
+        assert answer(sock)
+        time.sleep(0.9)
+        sock.sendall(READY * 3)
+        told = b""
+        while told.count(b'"ready":true}') < 3:
+            told += sock.recv(4096)
+        assert told.count(b"HTTP/1.1 200") == 3
+
+
+def test_thousands_that_never_speak_are_closed_in_time_and_nobody_else_waits(node: Node) -> None:
+    silent = [connect(node) for _ in range(1500)]
+    with connect(node) as sock:
+        sock.sendall(READY)
+        assert answer(sock).startswith(b"HTTP/1.1 200")
+    client = node.post("a1")
+    node.reader[0].next().read()
+    node.writer[0].next().serve("ok")
+    assert take(client).status == 200
+    assert all(ends(sock) for sock in silent)
+    for sock in silent:
+        sock.close()
+
+
+def test_a_request_that_meets_the_close_of_an_idle_connection_is_answered_or_never_read(node: Node) -> None:
+    """Sent at every moment round the keep-alive's end: none is read and left without an answer."""
+    socks = [connect(node) for _ in range(120)]
+    for sock in socks:
+        sock.sendall(READY)
+        assert answer(sock)
+    began = time.monotonic()
+    answered = closed = 0
+    for number, sock in enumerate(socks):
+        at = began + 1.7 + number * 0.006
+        time.sleep(max(0.0, at - time.monotonic()))
+        try:
+            sock.sendall(READY)
+            told = answer(sock)
+        except (BrokenPipeError, ConnectionResetError):
+            told = b""
+        answered += told.startswith(b"HTTP/1.1 200") and told.endswith(b"}")
+        closed += told == b""
+        sock.close()
+    assert answered + closed == len(socks) and answered > 0
+
+
+def test_a_flood_gives_way_to_new_ones_and_one_that_asked_stays(tmp_path: Path) -> None:
+    with Node(tmp_path, sockets=128) as node:  # 28 connections of clients, and three more
+        asked = connect(node)
+        asked.sendall(READY)
+        assert answer(asked)
+        flood = [connect(node) for _ in range(60)]
+        asked.sendall(READY)
+        assert answer(asked).startswith(b"HTTP/1.1 200")
+        with connect(node) as new:
+            new.sendall(READY)
+            assert answer(new).startswith(b"HTTP/1.1 200")
+        for sock in (asked, *flood):
+            sock.close()
+
+
+def test_descriptors_that_run_out_are_taken_from_those_at_rest(tmp_path: Path) -> None:
+    with Node(tmp_path, sockets=4096) as node:
+        limits = resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE, (120, limits[1]))
+        flood = [connect(node) for _ in range(300)]
+        assert node.logged("parked_gave_way")
+        with connect(node) as new:
+            new.sendall(READY)
+            assert answer(new).startswith(b"HTTP/1.1 200")
+        for sock in flood:
+            sock.close()
+
+
+def test_a_stop_with_thousands_at_rest_ends_in_time(node: Node) -> None:
+    socks = [connect(node) for _ in range(1500)]
+    for sock in socks[:200]:
+        sock.sendall(READY)
+        assert answer(sock)
+    node.process.terminate()
+    assert node.process.wait(WAIT_S) == 0
+    assert all(ends(sock) for sock in socks)
+    for sock in socks:
+        sock.close()
+
+
+DOORS = """enabled = true
+keep_alive_s = 3.0
+jitter = 0.0
+[[rules]]
+networks = ["127.0.9.0/24"]
+deny = true
+[[rules]]
+networks = ["127.0.8.0/24"]
+most_each = 2
+keep_alive_s = 60.0
+"""
+
+
+def test_doors_keep_alive_and_limits_by_network(tmp_path: Path) -> None:
+    with Node(tmp_path, files={"doors.toml": DOORS}) as node:
+        host, port = node.listening["platform"].split(":")
+
+        def come(source: str) -> socket.socket:
+            return socket.create_connection((host, int(port)), WAIT_S, source_address=(source, 0))
+
+        with come("127.0.0.1") as sock, come("127.0.8.1") as long:
+            for each, told in ((sock, b"keep-alive: timeout=3"), (long, b"keep-alive: timeout=60")):
+                each.sendall(READY)
+                assert told in answer(each).lower()
+            began = time.monotonic()
+            assert ends(sock) and 2.5 < time.monotonic() - began < 8
+            long.sendall(READY)
+            assert answer(long).startswith(b"HTTP/1.1 200")
+            assert ends(come("127.0.9.1")) and node.logged("connection_not_let_in")["why"] == "denied"
+            with come("127.0.8.1") as second:
+                second.sendall(READY)
+                assert answer(second).startswith(b"HTTP/1.1 200")
+                assert ends(come("127.0.8.1")) and node.logged("connection_not_let_in")["why"] == "most_each"
