Let the bodies of refused requests go by uncopied

A plain request is now refused as soon as its head has come, and the system drops the rest of its body (MSG_TRUNC) without copying it.

--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -144,7 +144,7 @@
         address: str,
         refused: Refused | None = None,
         keeps: Callable[[h11.Request], bool] | None = None,
-        quick: Callable[[Connection], bool] | None = None,
+        quick: Callable[[Connection], int | None] | None = None,
     ) -> None:
         aged = None if self.gate is None else self.gate.vitals.waited
         front = Front(
--- a/ringledge/wire/front.py
+++ b/ringledge/wire/front.py
@@ -71,7 +71,7 @@
         aged: Callable[[float], None] | None = None,
         keeps: Callable[[h11.Request], bool] | None = None,
         doors: Doors | None = None,
-        quick: Callable[[Connection], bool] | None = None,
+        quick: Callable[[Connection], int | None] | None = None,
     ) -> None:
         self.name, self.limit, self._budget, self._request_s = name, limit, budget, request_s
         self._handler, self._error_body, self._at_once = handler, error_body, at_once
@@ -82,7 +82,7 @@
             metrics.connections.labels(name, state).set_function(count)
         metrics.woken.labels(name).set_function(lambda: self.parked.woken)
         metrics.wheel_lag.labels(name).set_function(lambda: self.parked.lag_s)
-        self._quick = quick  # turns a request away that has come whole, if it has to be; says whether it did
+        self._quick = quick  # turns a request away, if it has to: bytes of its body to come
         self._keeps = keeps  # asked whether a request past the limit is served all the same
         self._aged = aged  # told how long each request lay unread
         self._refused = refused  # told of each request that is answered 503 or 429 here
@@ -222,9 +222,8 @@
                 return False
             if conn.aged is not None:
                 conn.aged(conn.unread_ms)
-            if self._quick is not None and not self.closing and self._quick(conn):
-                await anyio.lowlevel.checkpoint()
-                return True
+            if self._quick is not None and not self.closing and (to_come := self._quick(conn)) is not None:
+                return await self._let_go_by(conn, to_come)
             head = await self._head(conn)
             if head is None:
                 return False
@@ -272,6 +271,17 @@
             raise HttpError(400, "Transfer-Encoding with Content-Length or HTTP/1.0")
         return head
 
+    async def _let_go_by(self, conn: Connection, to_come: int) -> bool:
+        """The rest of a body whose request was turned away; False where it doesn't come."""
+        if not to_come:
+            await anyio.lowlevel.checkpoint()  # what is sent ahead waits its turn
+            return not conn.closed
+        self.resting.pop(conn, None)
+        self.reading[conn] = None
+        with anyio.move_on_after(DRAIN_S):
+            return await conn.skip(to_come) and not conn.closed
+        return False
+
     async def _turn_away(self, conn: Connection, head: h11.Request, error: ShedError) -> None:
         """Answer at once, and only then let the body go by: it is never kept, nor awaited for long."""
         length = header(head, b"content-length")
--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -23,6 +23,7 @@
 BODY_S = 10.0  # a peer's body that takes longer is given up
 STALL_S = 20.0  # a peer that takes nothing for so long has gone
 READ_AHEAD = 16 * 1024  # bytes read while nobody waits for them, of a next request say
+SCRATCH = bytearray(256 * 1024)  # names a size to the system; nothing is written to it
 LAST_DATA_RECEIVED = 52  # offset in Linux's struct tcp_info: ms since a segment with data came
 Headers = list[tuple[bytes, bytes]]
 
@@ -83,6 +84,7 @@
         self.keep_alive = b""  # the front's: what answers tell of how long it may rest
         self.asked = False  # the front's: it has brought a request
         self._resting = False
+        self._skipping = 0  # bytes to come that nobody wants
         self.let_in = False  # the front's: the gate has let in the request that is read now
         self.unread_ms = 0.0  # that the bytes read last had lain in the socket
         self.last = False  # the front's: it ends with its next answer, and the answer says so
@@ -144,6 +146,36 @@
                 self._waiter = None
         return len(self.buffer) - before
 
+    async def skip(self, size: int) -> bool:
+        """Let so many bytes that are still to come go by, uncopied; False where the peer ends before."""
+        self._skipping = size
+        self._skip_some()
+        while self._skipping and not (self.closed or self.ended or self._error):
+            if not self._heard:
+                self._hear()
+            self._waiter = self._loop.create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        whole, self._skipping = not self._skipping, 0
+        return whole
+
+    def _skip_some(self) -> None:
+        try:
+            # Linux drops what TCP has without copying it, up to the size that is named (tcp(7)).
+            size = self.sock.recv_into(SCRATCH, min(len(SCRATCH), self._skipping), socket.MSG_TRUNC)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self._error, size = error, 0
+        self._skipping -= size
+        if not size:
+            self.ended = self._error is None
+            self.deafen()
+        if (not size or not self._skipping) and self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
     def rest(self) -> None:
         """Have whoever waits on a connection without anything begun put it to rest."""
         if self._waiter is not None and not self._waiter.done() and not self.pending():
@@ -164,6 +196,8 @@
         """Read once: a peer that sends without end keeps no others waiting."""
         if self._waiter is None and len(self.buffer) >= READ_AHEAD:
             return self.deafen()
+        if self._skipping:
+            return self._skip_some()
         if self.aged is not None and not len(self.buffer):
             self.unread_ms = unread_ms(self.sock)
         with self.buffer.room() as room:
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -175,31 +175,36 @@
         name = (header(head, b"x-call-class") or b"").decode("latin1")
         return self._gate is not None and self._gate.worthiest(name)
 
-    def turn_away(self, conn: Connection) -> bool:
-        """While the gate sheds: turn a request away that has come whole, without a parser; whether it did.
+    def turn_away(self, conn: Connection) -> int | None:
+        """While the gate sheds: turn a request away without a parser; how much of its body is still to come.
+
+        None where it did not.
 
         Anything but the plainest head goes the usual way. What is only ever refused can smuggle nothing, and
         such a no costs a third of one behind a parser.
         """
         gate = self._gate
         if gate is None or not gate.sheds() or conn.h11.trailing_data[0]:
-            return False
+            return None
         data = conn.buffer.peek()
         plain = PLAIN.match(data)
         if plain is None:
-            return False
+            return None
         told: dict[bytes, bytes] = {}
         for line in plain[1].split(b"\r\n"):
             name, _, value = line.partition(b":")
             if told.setdefault(name.lower(), value.strip()) != value.strip():
-                return False
+                return None
         length = told.get(b"content-length", b"")
-        if not length.isdigit() or UNUSUAL & told.keys() or len(data) != plain.end() + int(length):
-            return False
+        if not length.isdigit() or UNUSUAL & told.keys() or int(length) > MAX_BODY:
+            return None
+        to_come = plain.end() + int(length) - len(data)
+        if to_come < 0:  # a further request is behind it
+            return None
         no = self._decide(gate, told.get(b"x-call-class", b""), told.get(b"x-caller", b""), int(length))
         if no is None:
             conn.let_in = True
-            return False
+            return None
         error = shed(no)
         body, (_, after) = error_body(error), error.headers[0]
         kept = b"Keep-Alive: %s\r\n" % conn.keep_alive if conn.keep_alive else b""
@@ -208,7 +213,7 @@
             conn.close()  # one that doesn't even take a no
         conn.buffer.clear()
         self._count_no(told.get(b"x-call-class", b""))
-        return True
+        return to_come
 
     def _ask(self, gate: Gate, conn: Connection, head: h11.Request) -> None:
         """Have the gate decide by the head alone."""
