--- a/ringledge/wire/http.py
+++ b/ringledge/wire/http.py
@@ -137,27 +137,25 @@
                 return len(self.buffer) - before
             if self._resting:
                 raise ParkingError
-            if not self._heard:
-                self._hear()
-            self._waiter = self._loop.create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
+            await self._more()
         return len(self.buffer) - before
 
+    async def _more(self) -> None:
+        """Wait until the loop has read something, or has found that nothing more comes."""
+        if not self._heard:
+            self._hear()
+        self._waiter = self._loop.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
     async def skip(self, size: int) -> bool:
         """Let so many bytes that are still to come go by, uncopied; False where the peer ends before."""
         self._skipping = size
         self._skip_some()
         while self._skipping and not (self.closed or self.ended or self._error):
-            if not self._heard:
-                self._hear()
-            self._waiter = self._loop.create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
+            await self._more()
         whole, self._skipping = not self._skipping, 0
         return whole
 
