--- a/tests/wire/test_parking.py
+++ b/tests/wire/test_parking.py
@@ -177,3 +177,28 @@
                 second.sendall(READY)
                 assert answer(second).startswith(b"HTTP/1.1 200")
                 assert ends(come("127.0.8.1")) and node.logged("connection_not_let_in")["why"] == "most_each"
+
+
+def test_many_that_wake_at_once_are_all_answered_and_one_that_drips_is_ended(tmp_path: Path) -> None:
+    with Node(tmp_path, sockets=8192, files={"doors.toml": "enabled = true\nkeep_alive_s = 60.0\n"}) as node:
+        socks = [connect(node) for _ in range(2000)]
+        for sock in socks:
+            sock.sendall(READY)
+            assert answer(sock)
+        time.sleep(1.0)  # all are parked
+        for sock in socks:
+            sock.sendall(READY)
+        with connect(node) as other:
+            other.sendall(READY)
+            assert answer(other).startswith(b"HTTP/1.1 200")
+        assert all(answer(sock).startswith(b"HTTP/1.1 200") for sock in socks)
+        for sock in socks:
+            sock.close()
+        with connect(node) as drip:  # a byte now and then keeps nobody's place for long
+            told = b""
+            for byte in READY[:8]:
+                drip.sendall(bytes([byte]))
+                time.sleep(0.4)
+            while data := drip.recv(4096):
+                told += data
+            assert told.startswith(b"HTTP/1.1 408")
