--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -302,7 +302,6 @@
         for front, listener in self.operators:
             tasks.start_soon(front.serve, listener, tasks)
         gc.collect()
-        gc.set_threshold(20_000, 50, 100)
         gc.freeze()  # what is there now stays: later collections needn't look at it
         if predecessor is not None:
             tasks.start_soon(self.handover.follow, predecessor, serving)
--- a/ringledge/memory/vitals.py
+++ b/ringledge/memory/vitals.py
@@ -62,14 +62,9 @@
         self._loop, self._take = asyncio.get_running_loop(), take
         self._cpu_s, self._at = time.process_time(), time.monotonic()  # the start itself is no load
         self._due = time.monotonic() + BEAT_S
-        self._handle = self._loop.call_later(BEAT_S, self._beat)
+        self._loop.call_later(BEAT_S, self._beat)
         take(self._read())
 
-    def stop(self) -> None:
-        """Beat no more."""
-        if self._loop is not None:
-            self._handle.cancel()
-
     def _beat(self) -> None:
         late_s = max(0.0, time.monotonic() - self._due)
         self._metrics.loop_delay.observe(late_s)
@@ -79,7 +74,7 @@
         assert self._loop is not None
         # From the time that was due, so that what a slow turn delays shows once; never for beats missed.
         self._due = max(self._due + BEAT_S, time.monotonic() + BEAT_S / 2)
-        self._handle = self._loop.call_later(self._due - time.monotonic(), self._beat)
+        self._loop.call_later(self._due - time.monotonic(), self._beat)
 
     def _read(self) -> Reading:
         if self._samples % SLOW_SAMPLES == 0:
--- a/ringledge/structures/wheel.py
+++ b/ringledge/structures/wheel.py
@@ -71,10 +71,6 @@
         self._slot[timer] = NONE
         self._free.append(timer)
 
-    def due(self, timer: int) -> int:
-        """The tick at which a timer falls due."""
-        return self._due[timer]
-
     def advance(self, now: int, most: int = 1 << 62) -> bool:
         """Let time pass to that tick, moving so many timers at most; whether it got there."""
         if self._total == self.ready:
--- a/ringledge/wire/front.py
+++ b/ringledge/wire/front.py
@@ -107,10 +107,10 @@
         self.serving = True
         while True:
             with anyio.CancelScope() as self._accepting:
-                await self._accept(listener, tasks)
+                await self._accept(listener)
             await self._reopened.wait()
 
-    async def _accept(self, listener: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
+    async def _accept(self, listener: socket.socket) -> None:
         while True:
             await anyio.wait_readable(listener)
             try:
--- a/ringledge/wire/parking.py
+++ b/ringledge/wire/parking.py
@@ -133,12 +133,6 @@
             closed += self._end(number)
         return closed
 
-    def stop(self) -> None:
-        """Close the epoll as well."""
-        if self._epoll is not None and self._loop is not None:
-            self._loop.remove_reader(self._epoll.fileno())
-            self._epoll.close()
-
 
 def _tick() -> int:
     return int(time.monotonic() / TICK_S)
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -320,17 +320,15 @@
         conn.close()
 
 
-def stream_head() -> h11.Response:
-    """The head of a streamed answer."""
-    headers: Headers = [
+# The head of every streamed answer, made once: h11 checks headers each time one is made.
+STREAM_HEAD = h11.Response(
+    status_code=200,
+    headers=[
         (b"Content-Type", b"text/event-stream"),
         (b"Cache-Control", b"no-cache"),
         (b"Transfer-Encoding", b"chunked"),
-    ]
-    return h11.Response(status_code=200, headers=headers)
-
-
-STREAM_HEAD = stream_head()
+    ],
+)
 
 
 def retry_after(come_back_ms: float | None, names: Names) -> Headers:
