Let go of held state only once no attempt follows, elsewhere where its holder is silent

Releases were tried at the holder alone, for as long as it was cut off, and one went out for each cancelled read while the request's next read was under way. So a release heard during a further read costs that read its state: the lines in book.outcome that released on every cancelled read were at fault, beside Upstream._release with one address. A line release_ended tells how each went.

--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -66,6 +66,7 @@
     def members(self, members: i.Members, addresses: dict[str, str]) -> None:
         """News of the list; it goes before all else that waits, so that a drain is never overtaken."""
         self.desk.servers.apply(members, addresses)
+        self.desk.port.listed()
         self._events.appendleft(members)
         self._work()
 
@@ -173,7 +174,7 @@
                 send.cancel(self.desk, action)
             case i.Release(name):
                 record = self.ledger.records.get(name)
-                if record is not None:
+                if record is not None and record.done:
                     book.release(self.desk, record)
             case i.Probe(server):
                 self.desk.port.probe(server)
--- a/ringledge/core/ledger.py
+++ b/ringledge/core/ledger.py
@@ -40,7 +40,8 @@
     caller: Caller
     arrived_ms: float
     attempts: list[Attempt] = field(default_factory=list)
-    holders: set[str] = field(default_factory=set)  # servers where a read state may wait
+    holders: set[str] = field(default_factory=set)  # servers where a read state waits
+    unseen: dict[str, float] = field(default_factory=dict)  # where a read may have ended unseen, and when
     over: bool = False  # its final answer is given, or its client has gone
     how: str = ""  # what the final answer was
     began: bool = False
--- a/ringledge/core/port.py
+++ b/ringledge/core/port.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -46,8 +47,15 @@
     def abandon(self, attempt: Attempt) -> None:
         """Close the attempt's connection now."""
 
-    def release(self, request: str, server: str) -> None:
-        """Let go of what a server holds for a request, trying again while it can't be reached."""
+    def release(self, request: str, known: set[str], unseen: Mapping[str, float]) -> None:
+        """Let go of what servers hold for a request whose attempts have all ended.
+
+        `known`: where a state waits for certain; `unseen`: where a read was given up that may have ended
+        well, and when (the clock's ms).
+        """
+
+    def listed(self) -> None:
+        """The list of servers has changed."""
 
     def probe(self, server: str) -> None:
         """Ask a server for its load."""
--- a/ringledge/core/stages/book.py
+++ b/ringledge/core/stages/book.py
@@ -29,7 +29,7 @@
     elif status == i.Status.FULL and note == 1:
         record.holders.clear()
     elif attempt.reads and attempt.written and status in CROSSED:
-        desk.port.release(record.name, attempt.server)
+        record.unseen[attempt.server] = desk.clock.now_ms()
     desk.metrics.outcomes.labels(status.value).inc()
     latency_ms = attempt.took_ms = desk.clock.now_ms() - attempt.sent_ms
     desk.tell(
@@ -45,10 +45,14 @@
 
 
 def release(desk: Desk, record: Record) -> None:
-    """Let go of the request's read state wherever it may wait."""
-    for server in sorted(record.holders):
-        desk.port.release(record.name, server)
-    record.holders.clear()
+    """Let go of the request's read state wherever it may wait.
+
+    Only once no attempt will follow: a server that hears of it lets go of all that is held for the request at
+    any server, and so of the state of a further read that is under way.
+    """
+    if record.holders or record.unseen:
+        desk.port.release(record.name, record.holders, record.unseen)
+    record.holders, record.unseen = set(), {}
 
 
 def close(desk: Desk, record: Record) -> None:
--- /dev/null
+++ b/ringledge/decide/reach.py
@@ -0,0 +1,102 @@
+"""Which servers can be reached now, by what all calls to them have met; free of I/O and clocks.
+
+Each conductor of a large fleet hears little of any one server, so what is met counts for its place too: while
+connections to several servers of a zone never come up and none of that zone answers, the zone is cut off.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import inf
+
+FADE_MS = 3_000.0  # a failure older than this says nothing: links come back within seconds
+SEVERAL = 2  # servers of a zone that must be silent before the zone counts as cut off: one may be down itself
+
+
+@dataclass(slots=True)
+class Trace:
+    """What was met last at one server; times in ms of the caller's clock, -inf for never."""
+
+    zone: int = -1
+    heard_ms: float = -inf
+    silent_ms: float = -inf  # a connection never came up, or a call got no answer
+    refused_ms: float = -inf  # its machine is there, but no process listens
+
+
+@dataclass(slots=True)
+class Zone:
+    """What was met last in one zone."""
+
+    heard_ms: float = -inf
+    silent: dict[str, float] = field(default_factory=dict)  # servers that were silent since, and when
+
+
+class Reach:
+    """Keeps the traces; a server is named as in the list."""
+
+    def __init__(self, zone: int = -1) -> None:
+        """`zone`: our own, which no cut between zones keeps from us."""
+        self._own = zone
+        self._traces: dict[str, Trace] = {}
+        self._zones: dict[int, Zone] = {}
+
+    def listed(self, servers: Iterable[tuple[str, int]]) -> None:
+        """Take the list over: each server with its zone; what is known of others is dropped."""
+        old, self._traces = self._traces, {}
+        for server, zone in servers:
+            trace = self._traces[server] = old.get(server, Trace())
+            trace.zone = zone
+        for told in self._zones.values():
+            told.silent = {server: at_ms for server, at_ms in told.silent.items() if server in self._traces}
+
+    def heard(self, server: str, now_ms: float) -> None:
+        """The server has answered something."""
+        if (trace := self._traces.get(server)) is not None:
+            trace.heard_ms = now_ms
+            zone = self._zone(trace)
+            zone.heard_ms = now_ms
+            zone.silent.clear()
+
+    def silent(self, server: str, now_ms: float) -> None:
+        """A connection never came up, or a small call was not answered in time."""
+        if (trace := self._traces.get(server)) is not None:
+            trace.silent_ms = now_ms
+            self._zone(trace).silent[server] = now_ms
+
+    def refused(self, server: str, now_ms: float) -> None:
+        """No process listens there: that tells of the server alone."""
+        if (trace := self._traces.get(server)) is not None:
+            trace.refused_ms = now_ms
+
+    def heard_ms(self, server: str) -> float:
+        """When the server answered last."""
+        trace = self._traces.get(server)
+        return -inf if trace is None else trace.heard_ms
+
+    def surest(self, servers: Iterable[str]) -> str | None:
+        """The server that answered last; where none ever has, one of our own zone."""
+        known = [(self._traces[server], server) for server in servers if server in self._traces]
+        best = max(known, key=lambda each: (each[0].heard_ms, each[0].zone == self._own), default=None)
+        return None if best is None else best[1]
+
+    def doubtful(self, server: str, now_ms: float) -> bool:
+        """Whether a call there would likely get no answer: its own trace says so, or its zone is cut off."""
+        trace = self._traces.get(server)
+        if trace is None:
+            return True
+        failed_ms = max(trace.silent_ms, trace.refused_ms)
+        own = failed_ms > trace.heard_ms and now_ms - failed_ms < FADE_MS
+        return own or self.cut_off(trace.zone, now_ms)
+
+    def cut_off(self, zone: int, now_ms: float) -> bool:
+        """Whether several servers of the zone were silent lately, and none of the zone was heard since."""
+        told = self._zones.get(zone)
+        if told is None:
+            return False
+        return sum(now_ms - at_ms < FADE_MS for at_ms in told.silent.values()) >= SEVERAL
+
+    def _zone(self, trace: Trace) -> Zone:
+        if (zone := self._zones.get(trace.zone)) is None:
+            zone = self._zones[trace.zone] = Zone()
+        return zone
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -67,9 +67,19 @@
         self.budget = Budget(self._memory / BODIES_PART)
         self.metrics = Metrics()
         self.servers = ServerList(config.settings.kinds)
-        self.upstream = Upstream(tasks, self.servers, config.names, self._sockets, self.metrics)
+        clock = Clock()
+        self.upstream = Upstream(
+            tasks,
+            self.servers,
+            config.names,
+            self._sockets,
+            config.settings.let_go_by_ms,
+            config.settings.zone,
+            clock,
+            self.metrics,
+        )
         self.conductor = self.upstream.conductor = Conductor(
-            config.settings, config.seed, Clock(), self.servers, self.metrics, self.upstream
+            config.settings, config.seed, clock, self.servers, self.metrics, self.upstream
         )
         self.by_hand = ByHand(config.folder, config.name, self.conductor.by_hand)
         self.by_hand.look()  # before the first send
--- a/ringledge/memory/servers.py
+++ b/ringledge/memory/servers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import anyio
 
 from crowstand import interface as i
@@ -15,6 +17,7 @@
         self.version = 0
         self.entries: dict[str, i.ServerEntry] = {}
         self._addresses: dict[str, str] = {}
+        self._asked: dict[str, bool] = {}
         self.changed = anyio.Event()  # replaced with each change
 
     def apply(self, members: i.Members, addresses: dict[str, str]) -> None:
@@ -30,6 +33,8 @@
             else:
                 self.entries[entry.server] = entry
                 self._addresses[entry.server] = addresses[entry.server]
+        up = i.Availability.UP
+        self._asked = {name: entry.availability == up for name, entry in self.entries.items()}
         self.changed.set()
         self.changed = anyio.Event()
 
@@ -37,6 +42,10 @@
         """Where the server listens, or None once it is gone."""
         return self._addresses.get(server)
 
+    def may_be_asked(self) -> Mapping[str, bool]:
+        """All that are listed, and whether each is up, so that it may be bothered with what another holds."""
+        return self._asked
+
     def count(self, availability: i.Availability) -> int:
         """How many servers are in that state."""
         return sum(entry.availability == availability for entry in self.entries.values())
--- a/ringledge/observe/metrics.py
+++ b/ringledge/observe/metrics.py
@@ -7,6 +7,7 @@
 
 FIRST_TOKEN_S = (0.1, 0.25, 0.5, 1, 1.5, 2.5, 5, 10)
 LOOP_S = (0.001, 0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.04, 0.05, 0.075, 0.1, 0.2, 0.5, 1, 2)
+RELEASE_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1, 2.5)
 BODY_S = (0.00003, 0.0001, 0.0003, 0.001, 0.003, 0.01)
 BODY_KB = (4, 16, 64, 256)  # sizes by which the cost of bodies is told
 
@@ -23,7 +24,13 @@
         self.sends = self._counter("sends", "Attempts written whole to servers")
         self.outcomes = self._counter("attempt_outcomes", "Attempts ended, by outcome", "status")
         self.releases = self._counter(
-            "releases", "Calls that let go of held state: done, retried, gone, lost", "how"
+            "releases", "Releases of held state: asked (calls), done, gone, lost", "how"
+        )
+        self.release_ms = Histogram(
+            "ringledge_release_seconds",
+            "Time from the end of a request's last attempt until its release was heard",
+            buckets=RELEASE_S,
+            registry=self.registry,
         )
         self.rejections = self._counter(
             "rejections", "Bad or crowded requests turned away, by front and status", "front", "status"
--- /dev/null
+++ b/ringledge/wire/releases.py
@@ -0,0 +1,97 @@
+"""Carries releases out: one task asks whom `decide/releases.py` names, each call bounded in time."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+
+import anyio
+import anyio.abc
+
+from ringledge.core.clock import Clock
+from ringledge.decide.reach import Reach
+from ringledge.decide.releases import Ask, Releases
+from ringledge.memory.servers import ServerList
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
+from ringledge.wire.http import PEER_ERRORS
+
+TRY_S = 0.3  # one call; meanwhile others are asked too
+
+Call = Callable[[str, bytes, bytes], Awaitable[object]]
+
+
+class Releaser:
+    """The releases of one conductor; `call` makes one exchange: address, method, path."""
+
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        servers: ServerList,
+        let_go_ms: float,
+        clock: Clock,
+        reach: Reach,
+        metrics: Metrics,
+        call: Call,
+    ) -> None:
+        self._tasks, self._servers, self._reach, self._metrics = tasks, servers, reach, metrics
+        self._call, self._clock, self._asleep = call, clock, anyio.Event()
+        self.plan = Releases(let_go_ms, reach, servers.may_be_asked)
+        self._running = False
+
+    def release(self, request: str, known: set[str], unseen: Mapping[str, float]) -> None:
+        """Let go of what is held for a request."""
+        self.plan.add(self._clock.now_ms(), request, known, unseen)
+        self._step()
+        if not self._running:  # it runs only while there is something to wait for
+            self._running = True
+            self._tasks.start_soon(self._run)
+
+    async def _run(self) -> None:
+        """Ask again when it is time, until none is left."""
+        while len(self.plan):
+            self._asleep = anyio.Event()
+            wait_s = (self.plan.wake_ms() - self._clock.now_ms()) / 1000
+            with anyio.move_on_after(max(0.0, wait_s)):
+                await self._asleep.wait()
+            self._step()
+        self._running = False
+
+    def _step(self) -> None:
+        for ask in self.plan.step(self._clock.now_ms()):
+            self._metrics.releases.labels("asked").inc()
+            self._tasks.start_soon(self._ask, ask)
+        for ended in self.plan.ended():
+            self._metrics.releases.labels(ended.how).inc()
+            self._metrics.release_ms.observe(ended.took_ms / 1000)
+            tell = log.info if ended.how != "lost" else log.warning
+            tell(
+                "release_ended",
+                request=ended.request,
+                how=ended.how,
+                asked=ended.asked,
+                ms=round(ended.took_ms, 1),
+                where=ended.where,
+                holder=ended.holder,
+            )
+
+    async def _ask(self, ask: Ask) -> None:
+        address, heard = self._servers.address(ask.server), False
+        if address is not None:
+            try:
+                with anyio.fail_after(TRY_S):
+                    await self._call(address, b"DELETE", b"/internal/reservations/" + ask.request.encode())
+                heard = True
+            except ConnectionRefusedError:
+                self._reach.refused(ask.server, self._clock.now_ms())
+            except TimeoutError:
+                self._reach.silent(ask.server, self._clock.now_ms())
+            except PEER_ERRORS:
+                pass
+        now_ms = self._clock.now_ms()
+        if heard:
+            self._reach.heard(ask.server, now_ms)
+            self.plan.answered(now_ms, ask)
+        else:
+            self.plan.unanswered(now_ms, ask)
+        self._step()
+        self._asleep.set()
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -5,7 +5,7 @@
 import math
 import re
 import time
-from contextlib import suppress
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -16,14 +16,17 @@
 
 from crowstand import interface as i
 from crowstand.wirehost import LOAD
+from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
 from ringledge.core.ledger import Attempt
+from ringledge.decide.reach import Reach
 from ringledge.lifecycle.config import Names
 from ringledge.memory.pool import Pool
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.http import PEER_ERRORS, Connection, Headers, connect, header, read_body
+from ringledge.wire.releases import Releaser
 
 STREAM_SILENCE_S = 3.0  # a begun stream without a further whole chunk for so long is broken off: it vanished
 SILENCE_LOOK_S = 0.25  # how often it is looked for silent streams
@@ -32,8 +35,7 @@
 MAX_FIGURE = 1e9  # what a report or a count of tokens stays under, if it is to be believed
 EVENT = re.compile(rb"^data:(.*?)\r?\n\r?\n", re.MULTILINE | re.DOTALL)
 TAIL = 2048  # bytes at a stream's end in which usage and the load report stand
-RELEASE_TRY_S = 0.3  # one try to release; what is held may stay 500 ms
-RELEASE_FOR_S = 20.0  # tries go on so long at most: by then the server has freed it or is gone
+LET_GO_MS = 500.0  # that a state may be held, where the settings don't tell
 
 
 class End(NamedTuple):
@@ -60,13 +62,25 @@
     conductor: Conductor  # set right after both are made
 
     def __init__(
-        self, tasks: anyio.abc.TaskGroup, servers: ServerList, names: Names, sockets: int, metrics: Metrics
+        self,
+        tasks: anyio.abc.TaskGroup,
+        servers: ServerList,
+        names: Names,
+        sockets: int,
+        let_go_ms: float,
+        zone: int,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._tasks, self._servers, self._names, self._metrics = tasks, servers, names, metrics
+        self._clock = clock
         # Idle connections go well before the server would close them (half its time).
         self.pool: Pool[Connection] = Pool(sockets, names.keepalive_s / 2, metrics)
         self._live: dict[Attempt, Live] = {}
-        self.releases = 0
+        self.reach = Reach(zone)
+        self._releaser = Releaser(
+            tasks, servers, let_go_ms or LET_GO_MS, clock, self.reach, metrics, self._call
+        )
         self.members_wanted = anyio.Event()
 
     # The core's port.
@@ -85,12 +99,18 @@
             if live.conn is not None:
                 live.conn.close()
 
-    def release(self, request: str, server: str) -> None:
-        """Let go of what a server holds for a request."""
-        address = self._servers.address(server)
-        if address is not None:  # a server that is gone holds nothing
-            self.releases += 1
-            self._tasks.start_soon(self._release, request, server, address)
+    def release(self, request: str, known: set[str], unseen: Mapping[str, float]) -> None:
+        """Let go of what servers hold for a request."""
+        self._releaser.release(request, known, unseen)
+
+    @property
+    def releases(self) -> int:
+        """How many releases are under way."""
+        return len(self._releaser.plan)
+
+    def listed(self) -> None:
+        """The list has changed."""
+        self.reach.listed((name, entry.zone) for name, entry in self._servers.entries.items())
 
     def probe(self, server: str) -> None:
         """Ask a server for its load."""
@@ -151,6 +171,10 @@
             live.conn = conn = await self._connection(address, attempt.once)
         except OSError as error:
             log.info("connect_failed", server=attempt.server, request=record.name, error=str(error))
+            if isinstance(error, ConnectionRefusedError):
+                self.reach.refused(attempt.server, self._clock.now_ms())
+            elif isinstance(error, TimeoutError):
+                self.reach.silent(attempt.server, self._clock.now_ms())
             return End(i.Status.CONNECT_FAILED)
         left_ms = max(0, int(attempt.ends_ms - self.conductor.clock.now_ms()))
         payload = record.payload
@@ -176,6 +200,7 @@
         try:
             head = await _answer(conn)
             heard = True
+            self.reach.heard(attempt.server, self._clock.now_ms())
             if head.status_code == 200:
                 return await self._stream(attempt, live, conn, head)
             body = await read_body(conn, head)
@@ -255,7 +280,7 @@
         }
         return i.Load(**known) if known else None
 
-    # Releases and probes.
+    # Small calls: releases and probes.
 
     async def _call(self, address: str, method: bytes, path: bytes) -> tuple[h11.Response, bytes]:
         """One small exchange without a body."""
@@ -274,31 +299,6 @@
             else:
                 self.pool.drop(conn)
 
-    async def _release(self, request: str, server: str, address: str) -> None:
-        """DELETE until the server answers, has left, or must have freed it by itself."""
-        path = b"/internal/reservations/" + request.encode()
-        give_up = time.monotonic() + RELEASE_FOR_S
-        pause_s, how = 0.02, "lost"
-        try:
-            while time.monotonic() < give_up:
-                with suppress(*PEER_ERRORS):
-                    with anyio.fail_after(RELEASE_TRY_S):
-                        await self._call(address, b"DELETE", path)
-                    how = "done"
-                    return
-                self._metrics.releases.labels("retried").inc()
-                await anyio.sleep(pause_s)
-                pause_s = min(0.25, 2 * pause_s)
-                address = self._servers.address(server) or ""
-                if not address:
-                    how = "gone"  # and with the server all that it held
-                    return
-        finally:
-            self.releases -= 1
-            self._metrics.releases.labels(how).inc()
-            if how == "lost":
-                log.warning("release_lost", server=server, request=request)
-
     async def _probe(self, server: str) -> None:
         """Ask for the load report; the answer goes to the policy."""
         sent = time.monotonic()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -112,6 +112,7 @@
 
     def __init__(self, auto: Callable[[Call], bool] = lambda _: False) -> None:
         self.calls, self.seen = queue.Queue[Call](), list[Call]()
+        self.deaf = False  # releases are accepted and never answered
         self.refuse_next = False  # the next call's connection breaks without an answer
         outer = self
 
@@ -124,7 +125,7 @@
                     outer.refuse_next, self.close_connection = False, True
                     return
                 outer.seen.append(call)
-                if not auto(call):
+                if (outer.deaf and call.method == "DELETE") or not auto(call):
                     outer.calls.put(call)
                     call.done.wait()
 
@@ -238,6 +239,7 @@
     sockets: int = 256
     memory_mb: float = 192
     files: dict[str, str] = field(default_factory=dict)  # deploy files by name
+    clients: list[http.client.HTTPConnection] = field(default_factory=list)  # whose answers a test waits for
     operator: bool = False  # it listens at a second address too
 
     def __enter__(self) -> Node:
