Keep silent servers and halls from new work, and take the list before the first request

Only a successor of a running process waited for the list (serve.py, run): a plain restart took requests first. Now every start waits for the list, a second at most. Policy.view moved to crowstand/view.py, as it decides nothing.

--- a/crowstand/interface.py
+++ b/crowstand/interface.py
@@ -277,7 +277,14 @@
     avoided: bool  # it gets nothing new, or hardly
 
 
-Event = Members | Request | Outcome | FirstToken | ClientGone | Probed | Timer | ByHand | LastCall
+@dataclass(slots=True, frozen=True)
+class Silent:
+    """The servers that no connection reaches just now; it replaces what was said before."""
+
+    servers: frozenset[str]
+
+
+Event = Members | Request | Outcome | FirstToken | ClientGone | Probed | Timer | ByHand | LastCall | Silent
 
 
 # Actions
--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -105,6 +105,7 @@
         self.servers: dict[str, Server] = {}
         self.readers, self.writers = list[Server](), list[Server]()  # those that are up and not left out
         self.out, self.recalled = set[str](), set[str]()  # by hand: left out; called back and not yet used
+        self.silent = frozenset[str]()  # servers that no connection reaches just now
         self.rankings: dict[str, list[Server]] = {}
         self.peak = Counter[i.Role]()  # most servers listed at once
         self.leave: dict[str, float] = {}  # chance that a state leaves a place for want of writers
@@ -120,7 +121,7 @@
         self.handlers: dict[type, Any] = {
             i.Members: self._members, i.Request: self._arrive, i.Outcome: self._outcome,
             i.FirstToken: self._first_token, i.ClientGone: self._client_gone, i.Timer: self._timer,
-            i.ByHand: self._by_hand, i.LastCall: self._last_call,
+            i.ByHand: self._by_hand, i.LastCall: self._last_call, i.Silent: self._fall_silent,
         }
 
     def handle(self, now_ms: float, event: i.Event) -> list[i.Action]:
@@ -265,6 +266,7 @@
         """Those it may be sent to, without those that chance leaves out by their blame, unless all are."""
         allowed = [s for s in servers if self._repeatable(job, s) and self._cold_room(s)]
         fresh = [s for s in allowed if s not in job.avoid] or allowed
+        fresh = [s for s in fresh if s.entry.server not in self.silent] or fresh
         if job.kind.effect == i.Effect.SAFE:  # who was called back is next, once: else chance may pass it by
             fresh = [s for s in fresh if s.entry.server in self.recalled] or fresh
         return [s for s in fresh if not s.blame or self.rng.random() >= self._doubt(job, s)] or fresh
@@ -291,7 +293,7 @@
 
     def _cold_room(self, server: Server) -> bool:
         """Slow start: a fresh server gets its warmth's part of what a server here usually gets done."""
-        warmth = self._warmth(server)
+        warmth = self.warmth(server)
         if warmth == 1.0:
             return True
         window_ms, done = self.settings.overload_for_ms, self.done[server.role]
@@ -303,7 +305,7 @@
         server.credit, server.credit_ms = min(max(1.0, rate), server.credit + gained), self.now_ms
         return server.credit >= 1.0
 
-    def _warmth(self, server: Server) -> float:
+    def warmth(self, server: Server) -> float:
         """The part of its capacity that a server is trusted with since its start."""
         age_ms, warm_ms = self.now_ms - server.cold_ms, self.settings.warm_after_ms
         if server.cold_ms <= 0 or age_ms >= warm_ms:
@@ -311,18 +313,7 @@
         share = max(0.0, age_ms) / max(1.0, warm_ms)
         return self.settings.cold_share * (1 - share) + share
 
-    def view(self, now_ms: float) -> list[i.View]:
-        """What is thought of each server now, for those who ask from outside; it decides nothing."""
-        self.now_ms = now_ms
-        return [
-            i.View(name, server.role, server.entry.zone, server.entry.cell, self._availability(server),
-                   server.entry.weight, self._warmth(server),
-                   doubt := server.blame.get("all", Fading()).now(now_ms),
-                   doubt >= AVOIDED or self._availability(server) != i.Availability.UP)
-            for name, server in sorted(self.servers.items())
-        ]
-
-    def _availability(self, server: Server) -> i.Availability:
+    def availability(self, server: Server) -> i.Availability:
         """By the list, unless it was left out by hand: then it finishes what it has, as if it drained."""
         out = server.entry.server in self.out
         return i.Availability.DRAINING if out else server.entry.availability
@@ -525,6 +516,9 @@
         self.servers[name] = Server(entry, role, credit=credit, credit_ms=self.now_ms, cold_ms=cold_ms)
         return self.servers[name]
 
+    def _fall_silent(self, event: i.Silent) -> None:
+        self.silent = event.servers
+
     def _by_hand(self, event: i.ByHand) -> None:
         """Whom operators leave out gets nothing, whatever the list says; called back, it is cold and new."""
         if event.out:
@@ -538,7 +532,7 @@
 
     def _level(self) -> None:
         """What follows from the list: rankings, and how far each cell's writers fall short of its reads."""
-        up = [s for s in self.servers.values() if self._availability(s) == i.Availability.UP]
+        up = [s for s in self.servers.values() if self.availability(s) == i.Availability.UP]
         self.rankings.clear()
         self.readers = [s for s in up if s.role != i.Role.WRITER]
         self.writers = [s for s in up if s.role != i.Role.READER]
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -15,6 +15,7 @@
 from crowstand import interface as i
 from crowstand import learned
 from crowstand.policy import Policy
+from crowstand.view import view
 from ringledge.core.clock import Clock
 from ringledge.core.desk import Desk
 from ringledge.core.ledger import Attempt, Ledger, Record
@@ -45,6 +46,7 @@
         self.desk = Desk(settings, clock, self.ledger, servers, metrics, port, self._tell)
         self._events: deque[i.Event] = deque()
         self._busy = False
+        self._silent = frozenset[str]()  # as the policy was told
         self._timers: list[tuple[float, int, str]] = []
         self._numbers = count()
         self._wake = anyio.Event()
@@ -135,7 +137,7 @@
 
     def avoided(self) -> int:
         """How many servers of the list the policy avoids now."""
-        return sum(view.avoided for view in self.policy.view(self.clock.now_ms()))
+        return sum(each.avoided for each in view(self.policy, self.clock.now_ms()))
 
     # Events to the policy, actions to the stages.
 
@@ -151,6 +153,10 @@
         try:
             while self._events:
                 event = self._events.popleft()
+                silent = self.desk.port.silences()
+                if silent != self._silent:  # the policy knows it before it decides anything more
+                    self._silent = silent
+                    self.policy.handle(self.clock.now_ms(), i.Silent(silent))
                 for action in self.policy.handle(self.clock.now_ms(), event):
                     self._carry_out(action)
         finally:
--- a/ringledge/core/ledger.py
+++ b/ringledge/core/ledger.py
@@ -42,6 +42,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     holders: set[str] = field(default_factory=set)  # servers where a read state waits
     unseen: dict[str, float] = field(default_factory=dict)  # where a read may have ended unseen, and when
+    free_ms: float = 0.0  # since when no attempt of it is out that was written whole
     over: bool = False  # its final answer is given, or its client has gone
     how: str = ""  # what the final answer was
     began: bool = False
--- a/ringledge/core/port.py
+++ b/ringledge/core/port.py
@@ -57,6 +57,9 @@
     def listed(self) -> None:
         """The list of servers has changed."""
 
+    def silences(self) -> frozenset[str]:
+        """The servers that no connection reaches just now."""
+
     def probe(self, server: str) -> None:
         """Ask a server for its load."""
 
--- a/ringledge/core/stages/book.py
+++ b/ringledge/core/stages/book.py
@@ -31,7 +31,10 @@
     elif attempt.reads and attempt.written and status in CROSSED:
         record.unseen[attempt.server] = desk.clock.now_ms()
     desk.metrics.outcomes.labels(status.value).inc()
-    latency_ms = attempt.took_ms = desk.clock.now_ms() - attempt.sent_ms
+    now_ms = desk.clock.now_ms()
+    latency_ms = attempt.took_ms = now_ms - attempt.sent_ms
+    if attempt.written:
+        record.free_ms = now_ms
     desk.tell(
         i.Outcome(record.name, attempt.number, attempt.server, status, latency_ms, record.over, note, load)
     )
--- a/ringledge/decide/reach.py
+++ b/ringledge/decide/reach.py
@@ -11,6 +11,7 @@
 from math import inf
 
 FADE_MS = 3_000.0  # a failure older than this says nothing: links come back within seconds
+GRAIN_MS = 20.0  # a silence that has faded may count so much longer: looking costs a walk over all servers
 SEVERAL = 2  # servers of a zone that must be silent before the zone counts as cut off: one may be down itself
 
 
@@ -39,6 +40,8 @@
         """`zone`: our own, which no cut between zones keeps from us."""
         self._own = zone
         self._traces: dict[str, Trace] = {}
+        self.changed_ms = -inf  # when a silence began or ended
+        self._told_ms, self._told = -inf, frozenset[str]()
         self._zones: dict[int, Zone] = {}
 
     def listed(self, servers: Iterable[tuple[str, int]]) -> None:
@@ -53,15 +56,17 @@
     def heard(self, server: str, now_ms: float) -> None:
         """The server has answered something."""
         if (trace := self._traces.get(server)) is not None:
+            if trace.silent_ms > trace.heard_ms:
+                self.changed_ms = now_ms
             trace.heard_ms = now_ms
             zone = self._zone(trace)
             zone.heard_ms = now_ms
-            zone.silent.clear()
+            zone.silent.pop(server, None)
 
     def silent(self, server: str, now_ms: float) -> None:
         """A connection never came up, or a small call was not answered in time."""
         if (trace := self._traces.get(server)) is not None:
-            trace.silent_ms = now_ms
+            trace.silent_ms = self.changed_ms = now_ms
             self._zone(trace).silent[server] = now_ms
 
     def refused(self, server: str, now_ms: float) -> None:
@@ -89,12 +94,32 @@
         own = failed_ms > trace.heard_ms and now_ms - failed_ms < FADE_MS
         return own or self.cut_off(trace.zone, now_ms)
 
+    def silences(self, now_ms: float) -> frozenset[str]:
+        """All servers that connections don't reach: those tried in vain lately, and whose zone is cut off."""
+        if self.changed_ms <= self._told_ms and now_ms - self._told_ms < GRAIN_MS:
+            return self._told
+        self._told_ms, self._told = now_ms, self._silences(now_ms)
+        return self._told
+
+    def _silences(self, now_ms: float) -> frozenset[str]:
+        for told in self._zones.values():
+            told.silent = {s: at_ms for s, at_ms in told.silent.items() if now_ms - at_ms < FADE_MS}
+        if not any(zone.silent for zone in self._zones.values()):
+            return frozenset()
+        cut = {zone for zone in self._zones if self.cut_off(zone, now_ms)}
+        return frozenset(
+            server
+            for server, trace in self._traces.items()
+            if trace.zone in cut or (trace.silent_ms > trace.heard_ms and now_ms - trace.silent_ms < FADE_MS)
+        )
+
     def cut_off(self, zone: int, now_ms: float) -> bool:
         """Whether several servers of the zone were silent lately, and none of the zone was heard since."""
         told = self._zones.get(zone)
         if told is None:
             return False
-        return sum(now_ms - at_ms < FADE_MS for at_ms in told.silent.values()) >= SEVERAL
+        since_ms = max(now_ms - FADE_MS, told.heard_ms)
+        return sum(at_ms > since_ms for at_ms in told.silent.values()) >= SEVERAL
 
     def _zone(self, trace: Trace) -> Zone:
         if (zone := self._zones.get(trace.zone)) is None:
--- a/ringledge/decide/releases.py
+++ b/ringledge/decide/releases.py
@@ -68,7 +68,8 @@
         self._open: dict[str, Release] = {}
         self._due: list[tuple[float, int, Release]] = []  # a heap; one whose time was changed is skipped
         self._numbers = count()
-        self._busy = Counter[str]()
+        self._busy = Counter[str]()  # calls out, by server
+        self._calls = Counter[str]()  # and by request
         self._ended: list[Ended] = []
 
     def __len__(self) -> int:
@@ -108,6 +109,10 @@
         if release is not None and release.told is None:
             self._plan(release, now_ms)
 
+    def quiet(self, request: str) -> bool:
+        """Whether nothing more of a release is under way: no call of it can reach a server any more."""
+        return request not in self._open and not self._calls[request]
+
     def step(self, now_ms: float) -> list[Ask]:
         """Whom to ask now; those that have waited longest come first."""
         asks = []
@@ -123,6 +128,7 @@
             release.asked += 1
             release.tried.add(server)
             self._busy[server] += 1
+            self._calls[release.request] += 1
             self._plan(release, now_ms + max(LEAST_MS, HEDGE * (release.until_ms - now_ms)))
             asks.append(Ask(release.request, server))
         return asks
@@ -149,9 +155,10 @@
         return release.next_ms == at_ms and self._open.get(release.request) is release
 
     def _back(self, ask: Ask) -> None:
-        self._busy[ask.server] -= 1
-        if not self._busy[ask.server]:
-            del self._busy[ask.server]
+        for calls, name in ((self._busy, ask.server), (self._calls, ask.request)):
+            calls[name] -= 1
+            if not calls[name]:
+                del calls[name]
 
     def _settle(self, now_ms: float, release: Release) -> bool:
         """End a release where nothing is left to be done for it."""
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -252,11 +252,11 @@
 
     def listed(self) -> bool:
         """Whether the list is as discovery has it, or as good as it gets while discovery is silent."""
-        return self.discovery.heard or time.monotonic() - self.started >= LIST_S
+        return self.discovery.heard.is_set() or time.monotonic() - self.started >= LIST_S
 
     def can_serve(self) -> bool:
         """Whether all that serving takes is at work."""
-        listed = self.listed() and (self.discovery.heard or bool(self.servers.entries))
+        listed = self.listed() and (self.discovery.heard.is_set() or bool(self.servers.entries))
         accepting = all(front.serving for front, _ in self.clients)
         return listed and accepting and self.conductor.timers_run() and not self.stopping.is_set()
 
@@ -315,8 +315,12 @@
         gc.freeze()  # what is there now stays: later collections needn't look at it
         if predecessor is not None:
             tasks.start_soon(self.handover.follow, predecessor, serving)
-            while not self.listed() and not self.stopping.is_set():  # until then the predecessor accepts
-                await anyio.sleep(LOOK_S)
+        # What discovery has to tell counts as told from the start, and clients that knew this address before
+        # come at once: taken in before the list, they were sent to servers that drained meanwhile.
+        with anyio.move_on_after(max(0.0, self.started + LIST_S - time.monotonic())) as late:
+            await self.discovery.heard.wait()
+        if late.cancelled_caught:
+            log.warning("list_late", seconds=LIST_S, entries=len(self.servers.entries))
         for front, listener in self.clients:
             tasks.start_soon(front.serve, listener, tasks)
         self.platform.ready = not self.stopping.is_set()
--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -28,7 +28,7 @@
     def __init__(self, address: str, names: Names, conductor: Conductor) -> None:
         self.address, self._names, self._conductor = address, names, conductor
         self.last_heard = time.monotonic()
-        self.heard = False  # what it has to tell is known
+        self.heard = anyio.Event()  # what it has to tell is known
         self._watching = anyio.CancelScope()
 
     def apply(self, told: dict[str, Any], form: i.ListForm | None = None) -> None:
@@ -95,7 +95,7 @@
             while True:
                 with anyio.fail_after(SILENCE_S):
                     event = await conn.next_event()
-                self.last_heard, self.heard = time.monotonic(), True
+                self.last_heard = time.monotonic()
                 if not isinstance(event, h11.Data):
                     return
                 *lines, rest = (rest + bytes(event.data)).split(b"\n")
@@ -104,6 +104,8 @@
                 for line in lines:
                     if line.strip():
                         self.apply(orjson.loads(line))
+                if lines:
+                    self.heard.set()
         finally:
             conn.close()
 
--- a/ringledge/wire/releases.py
+++ b/ringledge/wire/releases.py
@@ -16,6 +16,7 @@
 from ringledge.wire.http import PEER_ERRORS
 
 TRY_S = 0.3  # one call; meanwhile others are asked too
+WAIT_S = 0.7  # a release that the next step of its request waits for: the time it has, and a call behind it
 
 Call = Callable[[str, bytes, bytes], Awaitable[object]]
 
@@ -37,6 +38,7 @@
         self._call, self._clock, self._asleep = call, clock, anyio.Event()
         self.plan = Releases(let_go_ms, reach, servers.may_be_asked)
         self._running = False
+        self._waits: dict[str, anyio.Event] = {}  # set once the release is done with
 
     def release(self, request: str, known: set[str], unseen: Mapping[str, float]) -> None:
         """Let go of what is held for a request."""
@@ -46,6 +48,14 @@
             self._running = True
             self._tasks.start_soon(self._run)
 
+    async def let_go(self, request: str, known: set[str]) -> None:
+        """Release, and wait until no call of it is under way: what is read after this stays."""
+        self.release(request, known, {})
+        waits = self._waits[request] = anyio.Event()
+        with anyio.move_on_after(WAIT_S):
+            await waits.wait()
+        del self._waits[request]
+
     async def _run(self) -> None:
         """Ask again when it is time, until none is left."""
         while len(self.plan):
@@ -95,3 +105,5 @@
             self.plan.unanswered(now_ms, ask)
         self._step()
         self._asleep.set()
+        if ask.request in self._waits and self.plan.quiet(ask.request):
+            self._waits[ask.request].set()
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -18,7 +18,8 @@
 from crowstand.wirehost import LOAD
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
-from ringledge.core.ledger import Attempt
+from ringledge.core.ledger import Attempt, Record
+from ringledge.decide import patience
 from ringledge.decide.reach import Reach
 from ringledge.lifecycle.config import Names
 from ringledge.memory.pool import Pool
@@ -76,10 +77,12 @@
         self._clock = clock
         # Idle connections go well before the server would close them (half its time).
         self.pool: Pool[Connection] = Pool(sockets, names.keepalive_s / 2, metrics)
+        self._patience = patience.Patience(names.connect_timeout_s)
+        self._let_go_ms = let_go_ms or LET_GO_MS
         self._live: dict[Attempt, Live] = {}
         self.reach = Reach(zone)
         self._releaser = Releaser(
-            tasks, servers, let_go_ms or LET_GO_MS, clock, self.reach, metrics, self._call
+            tasks, servers, self._let_go_ms, clock, self.reach, metrics, self._call
         )
         self.members_wanted = anyio.Event()
 
@@ -112,6 +115,10 @@
         """The list has changed."""
         self.reach.listed((name, entry.zone) for name, entry in self._servers.entries.items())
 
+    def silences(self) -> frozenset[str]:
+        """The servers that no connection reaches just now."""
+        return self.reach.silences(self._clock.now_ms())
+
     def probe(self, server: str) -> None:
         """Ask a server for its load."""
         self._tasks.start_soon(self._probe, server)
@@ -150,7 +157,14 @@
             end = End(i.Status.TIMEOUT if attempt.written else i.Status.CONNECT_FAILED)
         self.conductor.outcome(attempt, *end)
 
-    async def _connection(self, address: str, once: bool = False) -> Connection:
+    async def _let_go(self, record: Record) -> End:
+        """No writer was reached while the read state may be held: it goes, and the prompt is read anew."""
+        known, record.holders = record.holders, set()
+        log.info("state_let_go", request=record.name, servers=sorted(known))
+        await self._releaser.let_go(record.name, known)
+        return End(i.Status.FULL, 1)
+
+    async def _connection(self, address: str, connect_s: float, once: bool = False) -> Connection:
         """An idle connection or a new one; OSError or TimeoutError where none comes up."""
         conn = self.pool.take(address, once)
         if conn is not None:
@@ -158,17 +172,26 @@
         if not self.pool.reserve():
             log.error("server_sockets_exhausted", limit=self.pool.limit)
             raise OSError("no socket left")
+        began = time.monotonic()
         try:
-            return await connect(address, self._names.connect_timeout_s)
+            conn = await connect(address, connect_s)
         except BaseException:
             self.pool.unreserve()
             raise
+        self._patience.came_up(time.monotonic() - began)
+        return conn
 
     async def _exchange(self, attempt: Attempt, live: Live, address: str) -> End:
         """Send the request and take the answer, by the protocol's table of outcomes."""
         record = attempt.record
         try:
-            live.conn = conn = await self._connection(address, attempt.once)
+            connect_s = self._patience.connect_s()
+            if record.holders and not attempt.reads:
+                held_s = patience.held_s(self._clock.now_ms(), record.free_ms, self._let_go_ms)
+                if held_s <= 0:
+                    return await self._let_go(record)
+                connect_s = min(connect_s, held_s)
+            live.conn = conn = await self._connection(address, connect_s, attempt.once)
         except OSError as error:
             log.info("connect_failed", server=attempt.server, request=record.name, error=str(error))
             if isinstance(error, ConnectionRefusedError):
@@ -284,7 +307,7 @@
 
     async def _call(self, address: str, method: bytes, path: bytes) -> tuple[h11.Response, bytes]:
         """One small exchange without a body."""
-        conn = await self._connection(address)
+        conn = await self._connection(address, self._patience.connect_s())
         reusable = False
         try:
             told: Headers = [(b"Host", address.encode())]
--- a/ringledge/wire/xds.py
+++ b/ringledge/wire/xds.py
@@ -16,6 +16,7 @@
 import orjson
 
 from crowstand import interface as i
+from crowstand.view import view as views
 from ringledge.core.conductor import Conductor
 from ringledge.lifecycle.config import Names, XdsConfig
 from ringledge.observe.logging import log
@@ -105,7 +106,7 @@
         """The servers of a role by hall and rack, with the module's weights."""
         places: dict[tuple[int, int], list[dict[str, Any]]] = {}
         servers = self._conductor.desk.servers
-        for view in self._conductor.policy.view(self._conductor.clock.now_ms()):
+        for view in views(self._conductor.policy, self._conductor.clock.now_ms()):
             address = servers.address(view.server)
             if view.role is not role or address is None:
                 continue
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -6,6 +6,7 @@
 import json
 import os
 import queue
+import socket
 import subprocess
 import sys
 import threading
@@ -148,6 +149,24 @@
         self._http.server_close()
 
 
+class Hung:
+    """A server that no connection reaches, as if its machine were cut off: its queue is full."""
+
+    def __init__(self) -> None:
+        self._door = socket.socket()
+        self._door.bind(("127.0.0.1", 0))
+        self._door.listen(0)
+        self.address = "{}:{}".format(*self._door.getsockname())
+        self._queue = [socket.socket() for _ in range(4)]
+        for sock in self._queue:
+            sock.setblocking(False)
+            sock.connect_ex(self._door.getsockname())
+
+    def close(self) -> None:
+        for sock in [*self._queue, self._door]:
+            sock.close()
+
+
 SETTINGS: dict[str, Any] = {
     "azs": ["east", "west"],
     "shapes": ["prefill", "decode", "mixed"],
@@ -201,14 +220,15 @@
                 self.lines.put({"event": "text", "text": line.decode()})
 
     def logged(self, name: str) -> dict[str, Any]:
-        """The next log line of that event."""
-        seen, until = [], time.monotonic() + WAIT_S
+        """The next log line of that event; `passed` are those before it."""
+        seen, until = list[dict[str, Any]](), time.monotonic() + WAIT_S
         while time.monotonic() < until:
             try:
                 line = self.lines.get(timeout=WAIT_S)
             except queue.Empty:
                 break
             if line["event"] == name:
+                self.passed = seen
                 return line
             seen.append(line)
         raise AssertionError(f"no {name} among {seen}")
@@ -236,10 +256,12 @@
     folder: Path
     readers: int = 1
     writers: int = 1
+    hung: int = 0  # further writers that no connection reaches
     sockets: int = 256
     memory_mb: float = 192
     files: dict[str, str] = field(default_factory=dict)  # deploy files by name
     clients: list[http.client.HTTPConnection] = field(default_factory=list)  # whose answers a test waits for
+    told: Callable[[Node], str] = lambda _: ""  # what discovery says first of all
     operator: bool = False  # it listens at a second address too
 
     def __enter__(self) -> Node:
@@ -254,7 +276,7 @@
             return call.method == "DELETE"
 
         def watch(call: Call) -> bool:
-            call.begin()
+            call.begin().chunk(self.told(self) + "\n")
             self.watches.put(call)
             gone.wait()
             return True
@@ -262,6 +284,7 @@
         self.stop_watches = gone
         self.reader = [StandIn(release) for _ in range(self.readers)]
         self.writer = [StandIn(release) for _ in range(self.writers)]
+        self.away = [Hung() for _ in range(self.hung)]
         self.discovery = StandIn(watch)
         self.config = {
             "name": "n1", "listen": "127.0.0.1:0", "discovery": self.discovery.address,
@@ -284,6 +307,8 @@
         self.stop_watches.set()
         for each in [*self.reader, *self.writer, self.discovery]:
             each.close()
+        for away in self.away:
+            away.close()
 
     def successor(self) -> Process:
         """Start the program again beside this one, with another second address."""
@@ -299,8 +324,10 @@
 
     def listing(self, index: int, **status: str) -> dict[str, Any]:
         """The whole list; `status` gives servers by name another state."""
+        fleet: list[tuple[str, str, StandIn | Hung]]
         fleet = [(f"r{n}", "prefill", each) for n, each in enumerate(self.reader)]
         fleet += [(f"w{n}", "decode", each) for n, each in enumerate(self.writer)]
+        fleet += [(f"h{n}", "decode", each) for n, each in enumerate(self.away)]
         entries = [
             {"name": name, "address": each.address, "zone": "east", "type": kind, "group": 1,
              "status": status.get(name, "active"), "weight": 1.0, "since_ms": 0}
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -365,3 +365,15 @@
         chosen.append(world.at[f"b{number}"])
         world.end(f"b{number}")
     assert ("w0" not in chosen) == left and "w1" in chosen
+
+
+def test_servers_that_no_connection_reaches_get_nothing_unless_there_are_no_others() -> None:
+    world = World()
+    world.give(i.Silent(frozenset({"r0", "r1", "w0", "w1"})))
+    for number in range(20):
+        assert world.read(f"a{number}", session=number) in ("r2", "r3")
+        assert world.at[f"a{number}"] in ("w2", "w3")
+    world.give(i.Silent(frozenset({"r0", "r1", "r2", "r3"})))
+    assert world.read("b", session=99) in ("r0", "r1", "r2", "r3")
+    world.give(i.Silent(frozenset()))
+    assert {world.read(f"c{number}", session=100 + number) for number in range(20)} > {"r2"}
--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -7,6 +7,7 @@
 
 from crowstand import interface as i
 from crowstand import learned
+from crowstand.view import view
 from tests.world import FLEET, World
 
 
@@ -29,7 +30,7 @@
     old.outcome("b1", i.Status.RESET)
     new = taken_over(old)
     assert new.policy.read_pace == old.policy.read_pace > 0
-    assert new.policy.view(new.now_ms) == old.policy.view(old.now_ms)
+    assert view(new.policy, new.now_ms) == view(old.policy, old.now_ms)
     assert {new.read(f"c{session}", session=session) == home for session, home in homes.items()} == {True}
 
 
@@ -61,6 +62,6 @@
 )  # fmt: skip
 def test_what_is_not_known_here_changes_nothing(part: dict[str, list[list[object]]]) -> None:
     world = World()
-    before = world.policy.view(world.now_ms)
+    before = view(world.policy, world.now_ms)
     learned.take(world.policy, part)
-    assert world.policy.view(world.now_ms) == before and not world.policy.homes
+    assert view(world.policy, world.now_ms) == before and not world.policy.homes
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,7 @@
 import pytest
 
 from crowstand import interface as i
+from crowstand.view import view
 from tests.world import FLEET, MIXED, READER, SAFE, WRITER, World, cancelled, entry, finals, released, sends
 
 UNSAFE = replace(SAFE, effect=i.Effect.UNSAFE)
@@ -287,8 +288,8 @@
     for number in range(40):
         world.read(f"a{number}", session=number)
         assert world.at[f"a{number}"] != "w0"
-    view = {each.server: each for each in world.policy.view(world.now_ms)}
-    assert view["w0"].avoided and view["w0"].availability == i.Availability.DRAINING
+    seen = {each.server: each for each in view(world.policy, world.now_ms)}
+    assert seen["w0"].avoided and seen["w0"].availability == i.Availability.DRAINING
 
 
 @pytest.mark.parametrize("server", ["r0", "w0"])
@@ -301,8 +302,8 @@
     world.give(i.ByHand(server, True))
     world.wait(500)
     world.give(i.ByHand(server, False))
-    view = {each.server: each for each in world.policy.view(world.now_ms)}[server]
-    assert (view.doubt, view.avoided) == (0.0, False) and view.warmth == pytest.approx(0.3)
+    seen = {each.server: each for each in view(world.policy, world.now_ms)}[server]
+    assert (seen.doubt, seen.avoided) == (0.0, False) and seen.warmth == pytest.approx(0.3)
     used = []
     for number in range(10):
         reader = world.read(f"b{number}", session=100 + number)
--- a/tests/wire/test_releases.py
+++ b/tests/wire/test_releases.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import json
 import queue
 import signal
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from tests.loopback import Call, Node, take
+from tests.loopback import WAIT_S, Call, Node, take
 
 PATH = "/internal/reservations/a1"
 
@@ -21,15 +23,20 @@
 
 
 def first_read(node: Node) -> tuple[int, Call]:
-    """The reader that got the request, whichever it is, and its call."""
-    client = node.post("a1")
-    node.clients = [client]
-    while True:
+    """Send a request; the reader that got it, whichever it is, and its call."""
+    node.clients = [node.post("a1")]
+    return next_read(node)
+
+
+def next_read(node: Node) -> tuple[int, Call]:
+    until = time.monotonic() + WAIT_S
+    while time.monotonic() < until:
         for place, reader in enumerate(node.reader):
             try:
                 return place, reader.calls.get(timeout=0.01)
             except queue.Empty:
                 continue
+    raise AssertionError("no reader was asked")
 
 
 def test_a_holder_that_accepts_and_never_answers_does_not_keep_the_state(node: Node) -> None:
@@ -81,3 +88,21 @@
     node.writer[0].deaf = False
     assert node.logged("release_ended")["how"] == "done"
     assert node.process.wait(timeout=10) == 0
+
+
+def test_a_state_that_no_writer_is_reached_for_is_let_go_in_time_and_read_anew(tmp_path: Path) -> None:
+    """Writers that are cut off: each connection to them waits, and the state must not wait for several."""
+    with Node(tmp_path, readers=2, writers=0, hung=4) as node:
+        place, call = first_read(node)
+        call.read()
+        assert node.logged("state_let_go")["servers"] == [f"r{place}"]
+        told = node.logged("release_ended")
+        assert told["how"] == "done" and told["where"] == f"r{place}"
+        next_read(node)[1].drop()  # it is read anew
+
+
+def test_what_discovery_has_to_tell_is_known_before_the_first_request_is_taken(tmp_path: Path) -> None:
+    """Clients that knew the address come as soon as a conductor is back, with an old list."""
+    with Node(tmp_path, told=lambda node: json.dumps(node.listing(8, r0="leaving"))) as node:
+        lists = [(line["form"], line["index"]) for line in node.passed if line["event"] == "list"]
+        assert lists == [("kept", 7), ("full", 8)]
