Check servers that owe answers by a connection, and let go of what a cut-off writer may hold

Its conductor's log: read at s-, writer s- cancelled after 616 ms, two connects that failed, two answers 'full' after 3.8 ms (410: no state to fetch), refused; no release. book.outcome took a 410 for 'nothing is held' and cleared the holders, but the writer given up before had fetched the state. Now a 410 leaves a release to be made at the end, and a writer given up with a state on its way counts as a place where one may be held.

--- a/ringledge/core/ledger.py
+++ b/ringledge/core/ledger.py
@@ -21,6 +21,7 @@
     sent_ms: float
     ends_ms: float  # clock reading at which it is timed out, unless it has begun
     written: bool = False  # the request's last byte is on its way: it may run from here on
+    arrived: bool = False  # the server was heard since, or its connection was new: it has the request
     began: bool = False  # the first token has come: the attempt is the client's
     outcome: i.Status | None = None
     took_ms: float = 0.0
@@ -42,7 +43,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     holders: set[str] = field(default_factory=set)  # servers where a read state waits
     unseen: dict[str, float] = field(default_factory=dict)  # where a read may have ended unseen, and when
-    free_ms: float = 0.0  # since when no attempt of it is out that was written whole
+    free_ms: float = 0.0  # since when no attempt of it is out that has arrived
     over: bool = False  # its final answer is given, or its client has gone
     how: str = ""  # what the final answer was
     began: bool = False
--- a/ringledge/core/port.py
+++ b/ringledge/core/port.py
@@ -47,11 +47,12 @@
     def abandon(self, attempt: Attempt) -> None:
         """Close the attempt's connection now."""
 
-    def release(self, request: str, known: set[str], unseen: Mapping[str, float]) -> None:
+    def release(self, request: str, known: set[str], unseen: Mapping[str, float], begun: bool) -> None:
         """Let go of what servers hold for a request whose attempts have all ended.
 
         `known`: where a state waits for certain; `unseen`: where a read was given up that may have ended
-        well, and when (the clock's ms).
+        well, and when (the clock's ms); `begun`: an answer has started since, with which all was let go
+        wherever that could be told.
         """
 
     def listed(self) -> None:
--- a/ringledge/core/stages/book.py
+++ b/ringledge/core/stages/book.py
@@ -7,7 +7,7 @@
 from ringledge.core.ledger import Attempt, Record
 from ringledge.observe.logging import log
 
-# Ends of a read that may have crossed its 202: the state that it left is held like any other.
+# Ends that may have crossed a 202, or a state on its way to a writer: what they left is held like any other.
 CROSSED = (i.Status.CANCELLED, i.Status.TIMEOUT, i.Status.RESET)
 
 
@@ -18,7 +18,7 @@
     if not attempt.out:
         return
     attempt.outcome = status
-    record = attempt.record
+    record, now_ms = attempt.record, desk.clock.now_ms()
     ends = status == i.Status.OK or attempt.began
     if ends and not record.over:
         whole = status == i.Status.OK
@@ -27,13 +27,14 @@
     if status == i.Status.READ:
         record.holders.add(attempt.server)
     elif status == i.Status.FULL and note == 1:
+        # Gone from its reader; a writer that was given up before may have fetched it.
+        record.unseen |= dict.fromkeys(record.holders, now_ms)
         record.holders.clear()
-    elif attempt.reads and attempt.written and status in CROSSED:
-        record.unseen[attempt.server] = desk.clock.now_ms()
+    elif (attempt.reads or record.holders) and attempt.written and status in CROSSED:
+        record.unseen[attempt.server] = now_ms
     desk.metrics.outcomes.labels(status.value).inc()
-    now_ms = desk.clock.now_ms()
     latency_ms = attempt.took_ms = now_ms - attempt.sent_ms
-    if attempt.written:
+    if attempt.arrived:
         record.free_ms = now_ms
     desk.tell(
         i.Outcome(record.name, attempt.number, attempt.server, status, latency_ms, record.over, note, load)
@@ -54,7 +55,7 @@
     any server, and so of the state of a further read that is under way.
     """
     if record.holders or record.unseen:
-        desk.port.release(record.name, record.holders, record.unseen)
+        desk.port.release(record.name, record.holders, record.unseen, record.began)
     record.holders, record.unseen = set(), {}
 
 
--- a/ringledge/decide/releases.py
+++ b/ringledge/decide/releases.py
@@ -76,13 +76,27 @@
         """How many are under way."""
         return len(self._open)
 
-    def add(self, now_ms: float, request: str, known: set[str], unseen: Mapping[str, float]) -> None:
+    def unheard(self) -> int:
+        """How many no server has heard yet: an end of the process would leave a state pinned."""
+        return sum(release.told is None for release in self._open.values())
+
+    def add(
+        self,
+        now_ms: float,
+        request: str,
+        known: set[str],
+        unseen: Mapping[str, float],
+        begun: bool = False,
+    ) -> None:
         """No attempt of the request is out any more.
 
-        `known` hold its state for certain; at the `unseen` a read was given up at the time told.
+        `known` hold its state for certain; at the `unseen` a read was given up at the time told. If an answer
+        has `begun` all was let go with it, save at servers that have said nothing since.
         """
         holders = (*sorted(known), *sorted(unseen.keys() - known))
         silent = {server for server, at_ms in unseen.items() if self._reach.heard_ms(server) <= at_ms}
+        if begun and not silent:
+            return
         until_ms = now_ms + self._let_go_ms
         release = Release(request, holders, frozenset(silent), now_ms, until_ms)
         self._open[request] = release
@@ -165,8 +179,7 @@
         listed = self._servers()
         told = release.told
         if told is not None:
-            waits = any(s in listed and self._reach.heard_ms(s) <= release.since_ms for s in release.unseen)
-            if waits and now_ms - release.since_ms < WATCH_MS:
+            if self._unheard(release, listed) and now_ms - release.since_ms < WATCH_MS:
                 return False
         elif not listed:
             told = Ended(release.request, "gone", release.asked, now_ms - release.since_ms, "", False)
@@ -178,11 +191,21 @@
         del self._open[release.request]
         return True
 
+    def _unheard(self, release: Release, listed: Mapping[str, bool]) -> list[str]:
+        """Holders at which a read may have ended unseen, and that have said nothing since."""
+        heard_ms = self._reach.heard_ms
+        return [
+            s
+            for s in release.holders
+            if s in release.unseen and s in listed and heard_ms(s) <= release.since_ms
+        ]
+
     def _where(self, now_ms: float, release: Release) -> str | None:
         """The holder if it can be heard, else who answered last; a server that may be silent comes last."""
         listed = self._servers()
         free = [s for s in listed if s not in release.tried and not self._busy[s]]
-        holders = [s for s in release.holders if s in listed and s in free]
+        wanted = release.holders if release.told is None else self._unheard(release, listed)
+        holders = [s for s in wanted if s in free]
         sure = next((s for s in holders if not self._reach.doubtful(s, now_ms)), None)
         if sure is not None:
             return sure
--- a/ringledge/wire/releases.py
+++ b/ringledge/wire/releases.py
@@ -18,11 +18,11 @@
 TRY_S = 0.3  # one call; meanwhile others are asked too
 WAIT_S = 0.7  # a release that the next step of its request waits for: the time it has, and a call behind it
 
-Call = Callable[[str, bytes, bytes], Awaitable[object]]
+Call = Callable[[str, str, bytes, bytes], Awaitable[object]]
 
 
 class Releaser:
-    """The releases of one conductor; `call` makes one exchange: address, method, path."""
+    """The releases of one conductor; `call` makes one exchange: server, address, method, path."""
 
     def __init__(
         self,
@@ -40,9 +40,11 @@
         self._running = False
         self._waits: dict[str, anyio.Event] = {}  # set once the release is done with
 
-    def release(self, request: str, known: set[str], unseen: Mapping[str, float]) -> None:
+    def release(
+        self, request: str, known: set[str], unseen: Mapping[str, float], begun: bool = False
+    ) -> None:
         """Let go of what is held for a request."""
-        self.plan.add(self._clock.now_ms(), request, known, unseen)
+        self.plan.add(self._clock.now_ms(), request, known, unseen, begun)
         self._step()
         if not self._running:  # it runs only while there is something to wait for
             self._running = True
@@ -88,11 +90,10 @@
         address, heard = self._servers.address(ask.server), False
         if address is not None:
             try:
+                path = b"/internal/reservations/" + ask.request.encode()
                 with anyio.fail_after(TRY_S):
-                    await self._call(address, b"DELETE", b"/internal/reservations/" + ask.request.encode())
+                    await self._call(ask.server, address, b"DELETE", path)
                 heard = True
-            except ConnectionRefusedError:
-                self._reach.refused(ask.server, self._clock.now_ms())
             except TimeoutError:
                 self._reach.silent(ask.server, self._clock.now_ms())
             except PEER_ERRORS:
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -20,6 +20,7 @@
 from ringledge.core.conductor import Conductor
 from ringledge.core.ledger import Attempt, Record
 from ringledge.decide import patience
+from ringledge.decide.arrivals import Arrivals
 from ringledge.decide.reach import Reach
 from ringledge.lifecycle.config import Names
 from ringledge.memory.pool import Pool
@@ -30,7 +31,7 @@
 from ringledge.wire.releases import Releaser
 
 STREAM_SILENCE_S = 3.0  # a begun stream without a further whole chunk for so long is broken off: it vanished
-SILENCE_LOOK_S = 0.25  # how often it is looked for silent streams
+SILENCE_LOOK_S = 0.1  # how often it is looked for silent streams and servers
 MAX_CHUNK = 64 * 1024  # bytes of a chunk, and of an opening without an event: events are far shorter
 MAX_INTERIM = 8  # answers of 1xx taken before the real one
 MAX_FIGURE = 1e9  # what a report or a count of tokens stays under, if it is to be believed
@@ -53,6 +54,7 @@
 
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     conn: Connection | None = None
+    written_ms: float = math.inf  # when its request was written whole
     silent_at: float = math.inf  # when a begun stream counts as silent, unless a whole chunk comes before
     passing_on: bool = False  # it waits for its client: the server's silence is ours
 
@@ -81,6 +83,7 @@
         self._let_go_ms = let_go_ms or LET_GO_MS
         self._live: dict[Attempt, Live] = {}
         self.reach = Reach(zone)
+        self._arrivals = Arrivals(self.reach)
         self._releaser = Releaser(
             tasks, servers, self._let_go_ms, clock, self.reach, metrics, self._call
         )
@@ -102,14 +105,14 @@
             if live.conn is not None:
                 live.conn.close()
 
-    def release(self, request: str, known: set[str], unseen: Mapping[str, float]) -> None:
+    def release(self, request: str, known: set[str], unseen: Mapping[str, float], begun: bool) -> None:
         """Let go of what servers hold for a request."""
-        self._releaser.release(request, known, unseen)
+        self._releaser.release(request, known, unseen, begun)
 
     @property
     def releases(self) -> int:
-        """How many releases are under way."""
-        return len(self._releaser.plan)
+        """How many releases no server has heard yet."""
+        return self._releaser.plan.unheard()
 
     def listed(self) -> None:
         """The list has changed."""
@@ -164,21 +167,30 @@
         await self._releaser.let_go(record.name, known)
         return End(i.Status.FULL, 1)
 
-    async def _connection(self, address: str, connect_s: float, once: bool = False) -> Connection:
+    async def _connection(
+        self, server: str, address: str, connect_s: float, once: bool = False
+    ) -> Connection:
         """An idle connection or a new one; OSError or TimeoutError where none comes up."""
         conn = self.pool.take(address, once)
-        if conn is not None:
-            return conn
+        return conn or await self._connect(server, address, connect_s)
+
+    async def _connect(self, server: str, address: str, connect_s: float) -> Connection:
+        """A new connection; OSError or TimeoutError where none comes up."""
         if not self.pool.reserve():
             log.error("server_sockets_exhausted", limit=self.pool.limit)
             raise OSError("no socket left")
         began = time.monotonic()
         try:
             conn = await connect(address, connect_s)
-        except BaseException:
+        except BaseException as error:
             self.pool.unreserve()
+            if isinstance(error, ConnectionRefusedError):
+                self.reach.refused(server, self._clock.now_ms())
+            elif isinstance(error, TimeoutError):
+                self.reach.silent(server, self._clock.now_ms())
             raise
         self._patience.came_up(time.monotonic() - began)
+        self.reach.heard(server, self._clock.now_ms())
         return conn
 
     async def _exchange(self, attempt: Attempt, live: Live, address: str) -> End:
@@ -191,13 +203,9 @@
                 if held_s <= 0:
                     return await self._let_go(record)
                 connect_s = min(connect_s, held_s)
-            live.conn = conn = await self._connection(address, connect_s, attempt.once)
+            live.conn = conn = await self._connection(attempt.server, address, connect_s, attempt.once)
         except OSError as error:
             log.info("connect_failed", server=attempt.server, request=record.name, error=str(error))
-            if isinstance(error, ConnectionRefusedError):
-                self.reach.refused(attempt.server, self._clock.now_ms())
-            elif isinstance(error, TimeoutError):
-                self.reach.silent(attempt.server, self._clock.now_ms())
             return End(i.Status.CONNECT_FAILED)
         left_ms = max(0, int(attempt.ends_ms - self.conductor.clock.now_ms()))
         payload = record.payload
@@ -219,10 +227,11 @@
             note = self._kept_broke(conn, address)
             return End(i.Status.CONNECT_FAILED, note)  # the last byte was never written: it can't have run
         attempt.written, heard = True, False
+        attempt.arrived, live.written_ms = not conn.kept, self._clock.now_ms()
         self._metrics.sends.inc()
         try:
             head = await _answer(conn)
-            heard = True
+            heard = attempt.arrived = True
             self.reach.heard(attempt.server, self._clock.now_ms())
             if head.status_code == 200:
                 return await self._stream(attempt, live, conn, head)
@@ -305,9 +314,11 @@
 
     # Small calls: releases and probes.
 
-    async def _call(self, address: str, method: bytes, path: bytes) -> tuple[h11.Response, bytes]:
+    async def _call(
+        self, server: str, address: str, method: bytes, path: bytes
+    ) -> tuple[h11.Response, bytes]:
         """One small exchange without a body."""
-        conn = await self._connection(address, self._patience.connect_s())
+        conn = await self._connection(server, address, self._patience.connect_s())
         reusable = False
         try:
             told: Headers = [(b"Host", address.encode())]
@@ -330,7 +341,7 @@
         if address is not None:
             try:
                 with anyio.fail_after(1.0):
-                    head, body = await self._call(address, b"GET", b"/status/load")
+                    head, body = await self._call(server, address, b"GET", b"/status/load")
                 status = i.Status.OK if head.status_code == 200 else i.Status.ERROR
                 load = self._load(body) or self._load(header(head, b"x-load-report"))
             except TimeoutError:
@@ -343,10 +354,45 @@
         """End streams whose server says nothing more; one look over all costs less than a timer a chunk."""
         while True:
             await anyio.sleep(SILENCE_LOOK_S)
-            now = time.monotonic()
-            for live in list(self._live.values()):
+            if not self._live:
+                continue
+            now, waiting = time.monotonic(), list[tuple[str, float]]()
+            for attempt, live in list(self._live.items()):
                 if live.silent_at < now and not live.passing_on:
                     live.scope.cancel()
+                elif not attempt.began and attempt.out and live.written_ms < math.inf:
+                    waiting.append((attempt.server, live.written_ms))
+            for server in self._arrivals.due(self._clock.now_ms(), waiting):
+                self._tasks.start_soon(self._check, server)
+
+    async def _check(self, server: str) -> None:
+        """Whether a server that owes answers and says nothing can still be reached."""
+        address = self._servers.address(server) or ""
+        try:
+            if address:
+                self.pool.put(address, await self._connect(server, address, self._patience.connect_s()))
+                for attempt in self._live:
+                    attempt.arrived = attempt.arrived or attempt.server == server
+        except TimeoutError:
+            self._give_up(server)
+        except OSError:  # no process listens, or no socket is left: what is out ends by itself
+            pass
+        finally:
+            self._arrivals.checked(self._clock.now_ms(), server)
+
+    def _give_up(self, server: str) -> None:
+        """Stop waiting for a server that is cut off, save where an attempt must not run twice."""
+        for attempt, live in list(self._live.items()):
+            lost = attempt.server == server and not attempt.began and live.written_ms < math.inf
+            if not lost or not self._arrivals.lost(server, live.written_ms):
+                continue
+            record = attempt.record
+            log.info("attempt_cut_off", server=server, request=record.name)
+            if not attempt.once:
+                live.scope.cancel()
+            elif record.holders and not attempt.arrived:  # it may be answered yet, but waits for no state now
+                known, record.holders = record.holders, set()
+                self._releaser.release(record.name, known, {})
 
     async def retire_idle(self) -> None:
         """Close idle connections in time."""
--- a/tests/decide/test_releases.py
+++ b/tests/decide/test_releases.py
@@ -135,6 +135,15 @@
     assert world.ended[0].took_ms <= WAY_MS
 
 
+def test_a_request_whose_answer_began_needs_none_where_all_were_heard_since() -> None:
+    world = World({"s0": Box(), "s1": Box()})
+    world.reach.heard("s0", 5.0)
+    world.releases.add(10.0, "a", set(), {"s0": 4.0}, True)
+    assert not len(world.releases)
+    world.releases.add(10.0, "b", set(), {"s0": 4.0, "s1": 4.0}, True)
+    assert len(world.releases) == world.releases.unheard() == 1
+
+
 def test_it_ends_where_nobody_is_listed_or_nobody_ever_hears() -> None:
     world = World({})
     world.releases.add(0.0, "a", {"s0"}, {})
