--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -26,6 +26,7 @@
 EARLY = 4  # first reads, of which the fastest tells the pace: the very first may have waited in a queue
 SLOWEST = 4.0  # times the pace so far that one sample counts at most: a short read may stand behind long ones
 ARRIVED_MS = 1_000.0  # ms over which arrivals are counted: a tenant's bucket holds about a second's
+COLD_WORK = 0.5  # of the reads that push a cold reader over: the rest is for busy routers, and for chance
 COME_BACK = 0.25  # of the longest wait that a client follows: a jam often clears within a try's time
 DONE_KEPT = 256  # times kept of work got done: a busy router gets that done while a server warms
 DRAGS = 2.0  # times as long as usual that a writer's streams must last to count: answers' lengths vary much
@@ -264,7 +265,7 @@
 
     def _usable(self, job: Job, servers: list[Server]) -> list[Server]:
         """Those it may be sent to, without those that chance leaves out by their blame, unless all are."""
-        allowed = [s for s in servers if self._repeatable(job, s) and self._cold_room(s)]
+        allowed = [s for s in servers if self._repeatable(job, s) and self._cold_room(job, s)]
         fresh = [s for s in allowed if s not in job.avoid] or allowed
         fresh = [s for s in fresh if s.entry.server not in self.silent] or fresh
         if job.kind.effect == i.Effect.SAFE:  # who was called back is next, once: else chance may pass it by
@@ -291,8 +292,11 @@
             for ran, sent_ms in job.may_have_run
         )
 
-    def _cold_room(self, server: Server) -> bool:
-        """Slow start: a fresh server gets its warmth's part of what a server here usually gets done."""
+    def _cold_room(self, job: Job, server: Server) -> bool:
+        """Slow start: a fresh server gets its warmth's part of what a server here usually gets done.
+
+        A reader gets no less than this router's part of what any reads: a fleet in trouble gets little done.
+        """
         warmth = self.warmth(server)
         if warmth == 1.0:
             return True
@@ -300,6 +304,9 @@
         span_ms = max(window_ms, self.settings.warm_after_ms, self.now_ms - done[0] if done else 0.0)
         usual = len(done) * window_ms / span_ms / self.peak[server.role]
         least = self.settings.fall_multiple * self.settings.cold_share / self.settings.routers
+        if server.role == i.Role.READER and self.read_pace:
+            read_ms = self.read_pace * (job.request.prompt_tokens + READ_START_TOKENS)
+            least *= max(1.0, COLD_WORK * window_ms / read_ms)
         rate = max(warmth * usual, least)
         gained = rate * (self.now_ms - server.credit_ms) / max(1.0, window_ms)
         server.credit, server.credit_ms = min(max(1.0, rate), server.credit + gained), self.now_ms
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,6 @@
 """The five rules, each by one router alone."""
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -189,6 +190,26 @@
     assert used >= 4  # 0.3 of 5 a second and rising, for 3 s; a quarter of the work tells a quarter
 
 
+def test_many_quiet_routers_together_give_a_cold_reader_what_it_can_read_and_no_more() -> None:
+    """Of 40 routers each sees little done: by that alone a fresh reader got next to nothing while cold."""
+    routers, start = 40, 1_000_000.0
+    worlds = [World(seed=seed, routers=routers, router=seed) for seed in range(routers)]
+    cold = tuple(replace(each, started_ms=start + 1000) for each in FLEET if each.server == "r0")
+    sent = Counter[int]()
+    for world in worlds:
+        world.serve("first", session=1, prompt_tokens=900)  # 50 ms for 1,200 with the fixed ones: the pace
+        world.now_ms = start + 1000
+        world.give(i.Members(i.ListForm.CHANGES, 2, cold))
+    for step in range(160):  # 4 s of 0.3 of a reader's capacity; in each all ask for it
+        for world in worlds:
+            world.wait(25)
+            reader = sends(world.request(f"a{step}", session=step, prompt_tokens=900))
+            sent[step // 40] += reader == ["r0"]
+            world.end(f"a{step}")
+    can = 0.3 * 1000 / 50
+    assert all(can <= sent[second] <= 4 * can for second in range(1, 4))
+
+
 def test_all_cold_and_spent_means_a_refusal_not_a_push() -> None:
     world = World((entry("r", READER, started_ms=1_000_000.0), entry("w", WRITER)))
     sent = [sends(world.request(f"a{n}", session=n)) for n in range(4)]
