--- a/tests/wire/test_releases.py
+++ b/tests/wire/test_releases.py
@@ -106,3 +106,13 @@
     with Node(tmp_path, told=lambda node: json.dumps(node.listing(8, r0="leaving"))) as node:
         lists = [(line["form"], line["index"]) for line in node.passed if line["event"] == "list"]
         assert lists == [("kept", 7), ("full", 8)]
+
+
+def test_a_state_that_a_writer_says_is_gone_is_let_go_all_the_same(node: Node) -> None:
+    """Another writer that was given up may have fetched it; only the first token lets go of all by itself."""
+    first_read(node)[1].read()
+    node.writer[0].next().answer(410, X_Rejected="1")
+    for _ in range(3):  # of the six attempts a read needs one more, for the writer
+        next_read(node)[1].answer(503, X_Rejected="1")
+    assert take(node.clients[0]).status == 503
+    assert node.deleted.get(timeout=10).path == PATH
