Read a beginning at one reader while that one keeps up, and give cold servers what they bear

At fault in crowstand/policy.py: `_reader` let a session's own hash choose of two readers, whether or not the first was behind; `_cold_room` gave a cold server its part of what is *usually* done, while most of the fleet is cold and the rule bears three times its capacity; `_writer` drew cold writers like warm ones, `_level` counted a cell's cold writers as whole, so states stayed in cells that could not write them.

Now: the second in rank reads only if the first is behind by a short read; cold servers get up to 0.75 of what would push them over; writers are drawn by warmth, and `leave` counts readers and writers by warmth, each second.

--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -6,15 +6,17 @@
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from math import exp, log
+from math import exp
 from typing import Any
 
 from crowstand import interface as i
 
 # Tuned values: unit, and why.
+REAP_MS = 1_000.0  # ms between looks at what is old; a server that warms climbs in the rankings meanwhile
 HOME_TTL_MS = 60_000.0  # ms a session stays bound after its last read: the design's default
-SPREAD = 2  # readers of a beginning's ranking that its sessions share: one falls behind, many keep it twice
+SPREAD = 2  # readers of a beginning's ranking that may read it: one falls behind, many keep it twice
 EVEN = 0.1  # share of the time wanted by which waits may differ before they count: a read takes about that
+BEHIND = 0.03  # share of the time wanted by which the first in rank may be behind: about a short read
 LATE = 0.5  # share of the time wanted: a read that waits it tries others, worthless requests are shed from it
 EASED = 0.5  # least share of a wait that counts for shedding: beyond twice the limit all are turned away
 SHED = 1.5  # how fast that share falls with worth: from a third of the highest worth on it is the least
@@ -26,6 +28,7 @@
 EARLY = 4  # first reads, of which the fastest tells the pace: the very first may have waited in a queue
 SLOWEST = 4.0  # times the pace so far that one sample counts at most: a short read may stand behind long ones
 ARRIVED_MS = 1_000.0  # ms over which arrivals are counted: a tenant's bucket holds about a second's
+COLD_SENDS = 0.75  # of what pushes a cold server over, were the usual all that a warm one can do
 COLD_WORK = 0.5  # of the reads that push a cold reader over: the rest is for busy routers, and for chance
 COME_BACK = 0.25  # of the longest wait that a client follows: a jam often clears within a try's time
 DONE_KEPT = 256  # times kept of work got done: a busy router gets that done while a server warms
@@ -185,8 +188,7 @@
         server = ready[0]
         if server is not home:  # to agree by hash, weighted by what is seen, keeps text together
             few = [each for each in order[:SPREAD] if each in waits] or ready[:1]
-            costs = {s: -log(draw(f"s{request.session}", s)) * (EVEN * aim_ms + waits[s]) for s in few}
-            server = min(few, key=costs.__getitem__)
+            server = min(few, key=lambda s: waits[s] + (s is not few[0]) * BEHIND * aim_ms)
         if waits[server] > LATE * aim_ms:
             server = next((each for each in ready if waits[each] < CLEARLY_LESS * waits[server]), server)
         limit_ms = min(request.expires_in_ms, aim_ms * (LATE + (1 - LATE) * job.value))
@@ -234,7 +236,7 @@
             waits[server] += self._farther(cell)
         for server in ready:
             waits[server] *= max(1.0, self._drag(server) / DRAGS) ** 2
-        drawn = [self.rng.choices(some, [1 / waits[s] for s in some])[0] for some in (near, far) if some]
+        drawn = [self.rng.choices(s, [self.warmth(w) / waits[w] for w in s])[0] for s in (near, far) if s]
         if len(drawn) < 2:
             return drawn[0] if drawn else None
         first, second = drawn
@@ -293,10 +295,7 @@
         )
 
     def _cold_room(self, job: Job, server: Server) -> bool:
-        """Slow start: a fresh server gets its warmth's part of what a server here usually gets done.
-
-        A reader gets no less than this router's part of what any reads: a fleet in trouble gets little done.
-        """
+        """Slow start: room in what would push a fresh server over, by what a warm one here is known to do."""
         warmth = self.warmth(server)
         if warmth == 1.0:
             return True
@@ -307,7 +306,7 @@
         if server.role == i.Role.READER and self.read_pace:
             read_ms = self.read_pace * (job.request.prompt_tokens + READ_START_TOKENS)
             least *= max(1.0, COLD_WORK * window_ms / read_ms)
-        rate = max(warmth * usual, least)
+        rate = max(COLD_SENDS * self.settings.fall_multiple * warmth * usual, least)
         gained = rate * (self.now_ms - server.credit_ms) / max(1.0, window_ms)
         server.credit, server.credit_ms = min(max(1.0, rate), server.credit + gained), self.now_ms
         return server.credit >= 1.0
@@ -487,11 +486,11 @@
             self.actions.append(i.Subscribe())
         elif what == "reap":
             idle_ms = self.now_ms - HOME_TTL_MS
-            self.rankings.clear()
+            self._level()  # what is cold has warmed a little
             self.homes = {key: home for key, home in self.homes.items() if home[2] >= idle_ms}
             for server in self.servers.values():
                 server.prefixes = {key: at_ms for key, at_ms in server.prefixes.items() if at_ms >= idle_ms}
-            self.actions.append(i.SetTimer(self.now_ms + HOME_TTL_MS / 10, "reap"))
+            self.actions.append(i.SetTimer(self.now_ms + REAP_MS, "reap"))
 
     def _members(self, members: i.Members) -> None:
         if members.form == i.ListForm.KEPT:  # comes once, at the start
@@ -547,12 +546,12 @@
         self.peak |= Counter(server.role for server in self.servers.values())  # the larger of both
         cells = {server.entry.cell for server in self.servers.values()}
         self.fetch_delays = defaultdict(Fading, {k: v for k, v in self.fetch_delays.items() if k[0] in cells})
-        need = len(self.writers) / max(1, len(self.readers))
-        reads, writes = Counter[str](), Counter[str]()
+        reads, writes = defaultdict[str, float](float), defaultdict[str, float](float)
         for server in up:
-            for place in (f"cell {server.entry.cell}", f"zone {server.entry.zone}"):
-                reads[place] += server.role != i.Role.WRITER
-                writes[place] += server.role != i.Role.READER
+            for place in ("all", f"cell {server.entry.cell}", f"zone {server.entry.zone}"):
+                reads[place] += self.warmth(server) * (server.role != i.Role.WRITER)
+                writes[place] += self.warmth(server) * (server.role != i.Role.READER)
+        need = writes["all"] / max(1.0, reads["all"])
         self.leave = {place: 1 - writes[place] / (need * n) for place, n in reads.items() if need * n}
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -210,6 +210,28 @@
     assert all(can <= sent[second] <= 4 * can for second in range(1, 4))
 
 
+def test_a_tier_whose_fleet_is_mostly_fresh_gives_cold_writers_more_than_their_usual_part() -> None:
+    """Three in four writers are cold: by their part of the usual alone the last warm one got nearly all."""
+    routers, start = 40, 1_000_000.0
+    worlds = [World(seed=seed, routers=routers, router=seed) for seed in range(routers)]
+    for world in worlds:
+        for number in range(40):  # two a second, for as long as a server warms
+            world.wait(500)
+            world.serve(f"a{number}", session=number)
+    cold = tuple(replace(e, started_ms=start + 20_000) for e in FLEET if e.server in ("w1", "w2", "w3"))
+    sent = Counter[str]()
+    for world in worlds:
+        world.give(i.Members(i.ListForm.CHANGES, 2, cold))
+    for number in range(12):  # 6 s
+        for world in worlds:
+            world.wait(500)
+            world.serve(f"b{number}", session=1000 + number)
+            sent[world.at[f"b{number}"]] += 1
+    usual = routers * 12 / 4  # what each of four writers got in as long
+    assert all(0.4 * usual < sent[server] <= usual for server in ("w1", "w2", "w3"))  # at 0.3 to 0.7
+    assert sent["w0"] < 0.62 * sent.total()  # 0.72 when they got their warmth's part of the usual at most
+
+
 def test_all_cold_and_spent_means_a_refusal_not_a_push() -> None:
     world = World((entry("r", READER, started_ms=1_000_000.0), entry("w", WRITER)))
     sent = [sends(world.request(f"a{n}", session=n)) for n in range(4)]
