Have the event loop itself watch the first connections at rest

Ruled out: the wheel (its lag is under a tick), a race of registering (new connections, registered in the same way, were woken), slow streams (37 ms a token at all writers, the slow ones too), the load. On the machine's own kernel nothing is lost.

At fault: `Parking.park` put every connection that rests into the epoll of our own.

--- a/ringledge/wire/parking.py
+++ b/ringledge/wire/parking.py
@@ -1,8 +1,10 @@
 """Connections at rest: a small record each, with no task, no parser and no buffer.
 
-One epoll of our own holds all of them, and the event loop knows of that one descriptor alone: asyncio keeps a
-handle, a key and their dictionary entries for each socket that it is told of. Keep-alive times stand in a
-timer wheel. What becomes readable is woken, and what falls due is closed, so many at most in a turn.
+The event loop itself watches the first hundred or so. The rest share one epoll of our own, and the loop knows
+of that one descriptor alone: asyncio keeps a handle, a key and their dictionary entries for each socket that
+it is told of. Not every host tells a loop of an epoll inside its own, so that one is also looked at in each
+sweep. Keep-alive times stand in a timer wheel. What becomes readable is woken, and what falls due is closed,
+so many at most in a turn.
 """
 
 from __future__ import annotations
@@ -22,6 +24,7 @@
     from ringledge.decide.doors import Entry
 
 TICK_S = 0.05  # of the wheel: keep-alive times are seconds
+WATCHED = 128  # connections that the loop itself watches, woken without a detour; a turn bears as many
 WAKE_AT_ONCE = 64  # connections woken in a turn: each costs a task, a parser and its request
 MOVE_AT_ONCE = 2000  # timers that go one wheel down in a turn: some 5 ms
 CLOSE_AT_ONCE = 500  # closed in a turn: some 5 ms
@@ -37,6 +40,7 @@
     crowded: bool  # it was let in past the limit, only to be told so
     entry: Entry | None = None  # what the doors said of it
     timer: int = -1
+    watched: bool = False  # by the loop itself
 
 
 class Parking:
@@ -50,7 +54,7 @@
         self._numbers = array("i")  # the descriptor of each timer
         self._silent: dict[int, Parked] = {}  # by descriptor, longest first: they never asked
         self._rested: dict[int, Parked] = {}  # they asked before
-        self.woken = self.expired = 0
+        self.woken = self.expired = self._watched = 0
 
     def __len__(self) -> int:
         """How many rest."""
@@ -63,11 +67,8 @@
 
     def park(self, parked: Parked, keep_s: float) -> None:
         """Let a connection rest for so long at most."""
-        if self._epoll is None:
-            self._loop, self._epoll = asyncio.get_running_loop(), select.epoll()
-            self._loop.add_reader(self._epoll.fileno(), self._ready)
         number = parked.sock.fileno()
-        self._epoll.register(number, select.EPOLLIN | select.EPOLLRDHUP)
+        self._watch(number, parked)
         if not len(self):
             self._wheel.advance(_tick())
         parked.timer = self._wheel.schedule(_tick() + max(1, int(keep_s / TICK_S)))
@@ -77,20 +78,44 @@
             self._numbers[parked.timer] = number
         (self._rested if parked.asked else self._silent)[number] = parked
 
+    def _watch(self, number: int, parked: Parked) -> None:
+        """Have it told when the connection becomes readable."""
+        self._loop = loop = asyncio.get_running_loop()
+        parked.watched = self._watched < WATCHED
+        if parked.watched:
+            self._watched += 1
+            loop.add_reader(number, self._readable, number)
+            return
+        if self._epoll is None:
+            self._epoll = select.epoll()
+            loop.add_reader(self._epoll.fileno(), self._ready)
+        self._epoll.register(number, select.EPOLLIN | select.EPOLLRDHUP)
+
+    def _forget(self, number: int, parked: Parked) -> None:
+        """Watch it no longer."""
+        if parked.watched and self._loop is not None:
+            self._watched -= 1
+            self._loop.remove_reader(number)
+        elif self._epoll is not None:
+            self._epoll.unregister(number)
+
     def _ready(self) -> None:
         """Some are readable: wake them, and leave the rest to the next turn."""
-        assert self._epoll is not None
-        for number, _ in self._epoll.poll(0, WAKE_AT_ONCE):
-            parked = self._take(number)
-            if parked is not None:
-                self.woken += 1
-                self._wake(parked)
+        if self._epoll is not None:
+            for number, _ in self._epoll.poll(0, WAKE_AT_ONCE):
+                self._readable(number)
+
+    def _readable(self, number: int) -> None:
+        parked = self._take(number)
+        if parked is not None:
+            self.woken += 1
+            self._wake(parked)
 
     def _take(self, number: int) -> Parked | None:
         """Out of the parking, its socket open."""
         parked = self._silent.pop(number, None) or self._rested.pop(number, None)
-        if parked is not None and self._epoll is not None:
-            self._epoll.unregister(number)
+        if parked is not None:
+            self._forget(number, parked)
             if parked.timer >= 0:
                 self._wheel.cancel(parked.timer)
         return parked
@@ -118,6 +143,7 @@
 
     def sweep(self) -> bool:
         """Close those whose time is over; whether more of them wait for the next turn."""
+        self._ready()
         there = self._wheel.advance(_tick(), MOVE_AT_ONCE)
         for timer in self._wheel.expired(CLOSE_AT_ONCE):
             number = self._numbers[timer]
