--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -58,7 +58,9 @@
             entries.append(entry)
             addresses[entry.server] = each.get("address", "")
         self._conductor.members(i.Members(form, int(told["index"]), tuple(entries)), addresses)
-        log.info("list", form=form.value, index=told["index"], entries=len(entries))
+        up = [each for each in entries if each.availability == i.Availability.UP]
+        fresh = {each.server: each.started_ms for each in up if each.started_ms > 0}
+        log.info("list", form=form.value, index=told["index"], entries=len(entries), fresh=fresh)
 
     def move(self, address: str) -> None:
         """Discovery is at another address: the watch goes on there at once."""
