--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -24,7 +24,9 @@
 # Bounds of the wait before a watch that failed is asked for again, in s for each conductor of the tier: one
 # discovery of fixed capacity serves them all, takes seconds over a call while it is overbooked, and works
 # off calls that nobody waits for any more. So the tier asks twenty times a second at first, then ever less.
+# A watch may also break for itself: news count as told after 6 s, so the first wait is never long.
 FIRST_RETRY_S = 0.1
+FIRST_AT_MOST_S = 2.0
 MOST_RETRY_S = 1.0
 
 
@@ -34,7 +36,7 @@
     def __init__(self, address: str, names: Names, conductor: Conductor, rng: random.Random) -> None:
         self.address, self._names, self._conductor = address, names, conductor
         tier = max(1, conductor.desk.settings.routers)
-        self._backoff = Backoff(FIRST_RETRY_S * tier, MOST_RETRY_S * tier, rng)
+        self._backoff = Backoff(min(FIRST_AT_MOST_S, FIRST_RETRY_S * tier), MOST_RETRY_S * tier, rng)
         self.last_heard = time.monotonic()
         self.heard = anyio.Event()  # what it has to tell is known
         self._watching = anyio.CancelScope()
