--- /dev/null
+++ b/tests/test_tier.py
@@ -0,0 +1,85 @@
+"""What forty routers do together that see a request or two a second each, with servers played by the test."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+from crowstand import interface as i
+from ringledge.decide.reach import Reach
+from tests.world import FLEET, READER, World, entry, finals
+
+ROUTERS = 40
+
+
+def refusals(world: World, reach: Reach, name: str, gone: set[str]) -> int:
+    """Play a request until it streams or is answered; how many connections were refused to it."""
+    refused = 0
+    while not finals(world.last):
+        if world.at[name] in gone:
+            refused += 1
+            reach.refused(world.at[name], world.now_ms)
+            world.give(i.Silent(reach.silences(world.now_ms)))
+            world.outcome(name, i.Status.CONNECT_FAILED, latency_ms=1)
+        elif world.at[name][0] == "r":
+            world.outcome(name, i.Status.READ)
+        else:
+            world.first(name)
+            world.outcome(name, i.Status.OK, over=True)
+            break
+    return refused
+
+
+def test_a_list_of_the_start_that_names_mostly_servers_that_are_gone_costs_few_connects() -> None:
+    """No news come: a third of the list is there, the rest refuses; requests ended as five refused connects."""
+    gone = [entry(f"g{n}", n % 2, cell=n % 2) for n in range(16)]
+    listed, names = (*FLEET, *gone), {each.server for each in gone}
+    later, ended = 0, 0
+    for seed in range(ROUTERS):
+        world = World(listed, seed=seed, routers=ROUTERS, router=seed, max_attempts=6)
+        reach = Reach()
+        reach.listed((each.server, each.zone) for each in listed)
+        for number in range(40):
+            world.wait(500)
+            world.give(i.Silent(reach.silences(world.now_ms)))
+            world.request(f"a{number}", session=number)
+            refused = refusals(world, reach, f"a{number}", names)
+            later += refused * (number >= 20)
+            ended += bool(finals(world.last))
+    assert later < 0.9 * ROUTERS * 20  # in the second ten seconds; 1.13 a request where they fade in three
+    assert ended < 0.08 * ROUTERS * 40  # nearly all before anything is known
+
+
+def test_every_reader_replaced_within_seconds_and_one_of_the_new_ones_bad() -> None:
+    start = 1_000_000.0
+    worlds = [World(seed=seed, routers=ROUTERS, router=seed) for seed in range(ROUTERS)]
+    for number in range(20):
+        for world in worlds:
+            world.wait(500)
+            world.serve(f"a{number}", session=number)
+    began = start + 10_000
+    new = [entry(f"n{n}", READER, cell=n % 2, started_ms=began + 1_500 * n) for n in range(4)]
+    sent, failed = Counter[tuple[str, int]](), 0
+    for number in range(28):  # 14 s; in the first 7 one reader after the other gives way to a new one
+        for world in worlds:
+            world.wait(500)
+            if number % 3 == 0 and number < 12:
+                old = replace(FLEET[number // 3], availability=i.Availability.DRAINING)
+                world.give(i.Members(i.ListForm.CHANGES, number + 2, (old, new[number // 3])))
+            name = f"b{number}"
+            world.request(name, session=1000 + number)
+            while not finals(world.last) and world.at[name][0] in "rn":
+                sent[world.at[name], number // 2] += 1
+                bad = world.at[name] == "n3"
+                failed += bad and number >= 20
+                world.outcome(name, i.Status.ERROR if bad else i.Status.READ)
+            if not finals(world.last):
+                world.first(name)
+                world.outcome(name, i.Status.OK, over=True)
+    usual = ROUTERS * 2 / 4  # reads a second at each of four; the rule bears four times the present capacity
+    for (server, second), count in sent.items():
+        if server in ("n0", "n1", "n2"):
+            age_s = max(0.0, second + 1 - 1.5 * int(server[1]))
+            warmth = min(1.0, 0.3 + 0.07 * age_s)
+            assert count <= 4 * warmth * 2 * usual, (server, second)  # at twice the usual it would be full
+    assert failed < 0.15 * 8 * ROUTERS  # of the last four seconds' requests
