Let mixed servers read long prompts once no reader is calm

Unread tokens a read are three times those before the release, for fresh readers keep nothing.

At fault in crowstand/policy.py: `_reader` struck mixed servers from the order for a prompt whose new part is long, also from the list of those that are calm when the first choice is not.

--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -6,7 +6,7 @@
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from math import exp
+from math import exp, inf
 from typing import Any
 
 from crowstand import interface as i
@@ -180,18 +180,19 @@
         order, home = self._ranking(request), self.homes.get(request.session, (None,))[0]
         if home is not None and home in order:
             order = [home, *(server for server in order if server is not home)]
-        elif order and self._unread(request, order[0]) > LONG_TOKENS:
-            order = [server for server in order if server.role == i.Role.READER] or order
         ready = self._usable(job, order)
         if not ready:
             return None
-        waits = {server: self._read_ms(server, request) for server in ready}
-        server = ready[0]
+        waits, server = {server: self._read_ms(server, request) for server in ready}, ready[0]
+        if server is not home and self._unread(request, order[0]) > LONG_TOKENS:
+            order = [server for server in order if server.role == i.Role.READER] or order
+            server = next((server for server in ready if server in order), server)
         if server is not home:  # to agree by hash, weighted by what is seen, keeps text together
-            few = [each for each in order[:SPREAD] if each in waits] or ready[:1]
+            few = [each for each in order[:SPREAD] if each in waits] or [server]
             server = min(few, key=lambda s: waits[s] + (s is not few[0]) * BEHIND * aim_ms)
         if waits[server] > LATE * aim_ms:
-            server = next((each for each in ready if waits[each] < CLEARLY_LESS * waits[server]), server)
+            calm = [each for each in ready if waits[each] < CLEARLY_LESS * waits[server]]
+            server = next((each for each in calm if each in order), calm[0] if calm else server)
         limit_ms = min(request.expires_in_ms, aim_ms * (LATE + (1 - LATE) * job.value))
         if job.sent or waits[server] <= limit_ms or len(self.done[server.role]) < EARLY:
             return server  # while little is known, to turn away would keep it so
@@ -384,8 +385,7 @@
         status, over_ms = outcome.status, max(0.0, outcome.latency_ms - job.ahead * self.read_pace)
         if status == i.Status.READ:
             unread = max(0.0, job.request.prompt_tokens - outcome.note)
-            pace = outcome.latency_ms / (unread + READ_START_TOKENS)
-            pace = min(pace, SLOWEST * self.read_pace) if self.read_pace else pace
+            pace = min(outcome.latency_ms / (unread + READ_START_TOKENS), SLOWEST * self.read_pace or inf)
             rate = NEW / (6 if pace < self.read_pace else 60)  # seeks the pace of an idle reader
             early = len(self.done[server.role]) < EARLY and pace < self.read_pace
             self.read_pace += (1.0 if early or not self.read_pace else rate) * (pace - self.read_pace)
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from crowstand import interface as i
 from tests.world import FLEET, MIXED, READER, WRITER, World, entry, sends
 
@@ -113,6 +115,19 @@
     assert world.at["c"] == "r"
 
 
+@pytest.mark.parametrize(("readers", "helps"), [(2, False), (1, True)])
+def test_a_mixed_server_reads_long_prompts_only_once_no_reader_is_calm(readers: int, helps: bool) -> None:
+    """A fleet whose readers are mostly fresh was short of reads while those that can read idled."""
+    fleet = (*(entry(f"r{n}", READER) for n in range(readers)), entry("m", MIXED), entry("w", WRITER))
+    for session in range(20):
+        world = World(fleet, seed=session)
+        for number in range(4):  # the pace of reads is known
+            world.serve(f"p{number}", session=1000 + number)
+        world.policy.servers["r0"].delay.add(world.now_ms, 5_000)  # it is jammed
+        world.request("b", session=5_000 + session, prompt_tokens=3_000)
+        assert world.at["b"] == ("m" if helps else "r1")
+
+
 def test_a_writer_that_reads_serves_where_there_is_no_reader() -> None:
     alone = (entry("w", WRITER),)
     assert sends(World(alone, writers_read=True).request("a", session=1)) == ["w"]
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -31,7 +31,7 @@
 
 
 def test_a_list_of_the_start_that_names_mostly_servers_that_are_gone_costs_few_connects() -> None:
-    """No news come: a third of the list is there, the rest refuses; requests ended as five refused connects."""
+    """A third of the list is there, the rest refuses. Requests ended as five refused connects."""
     gone = [entry(f"g{n}", n % 2, cell=n % 2) for n in range(16)]
     listed, names = (*FLEET, *gone), {each.server for each in gone}
     later, ended = 0, 0
