--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -12,7 +12,7 @@
 from crowstand import interface as i
 
 # Tuned values: unit, and why.
-REAP_MS = 1_000.0  # ms between looks at what is old; a server that warms climbs in the rankings meanwhile
+REAP_MS = 1_000.0  # ms between looks at what is old, and at how warm servers are
 HOME_TTL_MS = 60_000.0  # ms a session stays bound after its last read: the design's default
 SPREAD = 2  # readers of a beginning's ranking that may read it: one falls behind, many keep it twice
 EVEN = 0.1  # share of the time wanted by which waits may differ before they count: a read takes about that
@@ -174,7 +174,7 @@
             self._send(job, server)
 
     def _reader(self, job: Job) -> Server | None:
-        """The session's home, else one of the first in rank by its own hash; the next one that is calm."""
+        """The session's home, else the first in rank that is not behind; failing that the next one that is calm."""
         request = job.request
         aim_ms = job.kind.aim_ms + job.kind.aim_per_1000_tokens_ms * request.prompt_tokens / 1000
         order, home = self._ranking(request), self.homes.get(request.session, (None,))[0]
@@ -187,7 +187,7 @@
         if server is not home and self._unread(request, order[0]) > LONG_TOKENS:
             order = [server for server in order if server.role == i.Role.READER] or order
             server = next((server for server in ready if server in order), server)
-        if server is not home:  # to agree by hash, weighted by what is seen, keeps text together
+        if server is not home:  # to agree by hash keeps text together
             few = [each for each in order[:SPREAD] if each in waits] or [server]
             server = min(few, key=lambda s: waits[s] + (s is not few[0]) * BEHIND * aim_ms)
         if waits[server] > LATE * aim_ms:
