--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -174,7 +174,7 @@
             self._send(job, server)
 
     def _reader(self, job: Job) -> Server | None:
-        """The session's home, else the first in rank that is not behind; failing that the next one that is calm."""
+        """The session's home, else the first in rank that is not behind; failing that the next calm one."""
         request = job.request
         aim_ms = job.kind.aim_ms + job.kind.aim_per_1000_tokens_ms * request.prompt_tokens / 1000
         order, home = self._ranking(request), self.homes.get(request.session, (None,))[0]
