--- a/tests/wire/test_parking.py
+++ b/tests/wire/test_parking.py
@@ -239,7 +239,7 @@
         rest.sweep()
     else:
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(done.wait(), 1.0)
+            await asyncio.wait_for(done.wait(), WAIT_S)
     for pair in pairs:
         for sock in pair:
             sock.close()
