Walk over no server where nothing was silent or refused lately

The change that let refusals count had dropped the early end of Reach._silences, so a healthy conductor walked over all servers up to fifty times a second. A failure sets changed_ms, and none is remembered for longer than MOST_REFUSED_MS, so the answer is the same.

--- a/ringledge/decide/reach.py
+++ b/ringledge/decide/reach.py
@@ -113,6 +113,8 @@
         return self._told
 
     def _silences(self, now_ms: float) -> frozenset[str]:
+        if now_ms - self.changed_ms > MOST_REFUSED_MS:  # nothing is remembered for so long: no walk
+            return frozenset()
         for told in self._zones.values():
             told.silent = {s: at_ms for s, at_ms in told.silent.items() if now_ms - at_ms < FADE_MS}
         cut = {zone for zone in self._zones if self.cut_off(zone, now_ms)}
