--- /dev/null
+++ b/ringledge/members/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams, duties and facts between instances."""
--- /dev/null
+++ b/ringledge/store/__init__.py
@@ -0,0 +1,1 @@
+"""Durable state."""
