--- a/ringledge/decide/fleet.py
+++ b/ringledge/decide/fleet.py
@@ -1,4 +1,4 @@
-"""What the deciders of the fleet share: members, messages to send, duties held, facts, and rows that are told.
+"""What the deciders of the fleet share: members, messages, duties held, facts, and rows that are told.
 
 A decider is free of I/O, clocks and global randomness: it gets events with a time (s, of its own monotonic
 clock) and gives actions. The same objects run in the program, in the simulated world and in the benchmarks.
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Begin:
-    """This member holds a duty from now on; `until_s` on its own monotonic clock, unless extended."""
+    """From now on the member holds a duty; `until_s` on its own monotonic clock, unless extended."""
 
     duty: str
     token: int  # grows with each holding of the duty, by whomever, over restarts of everyone too
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class End:
-    """This member holds the duty no more."""
+    """The member holds the duty no more."""
 
     duty: str
     token: int
