Split the decisions by concern, without a change of action

The life of a request stays in policy.py; the choice of a reader, of a writer, who may be sent to at all, the list and the shares have a file each, all six named under `policy`.

--- a/crowstand/learned.py
+++ b/crowstand/learned.py
@@ -10,7 +10,8 @@
 from typing import Any
 
 from crowstand import interface as i
-from crowstand.policy import Fading, Policy, Server
+from crowstand.evidence import Fading, Server
+from crowstand.policy import Policy
 
 AT_ONCE = 200  # lines of a table in one part
 
--- a/crowstand/view.py
+++ b/crowstand/view.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from crowstand import interface as i
-from crowstand.policy import AVOIDED, Fading, Policy
+from crowstand.evidence import Fading
+from crowstand.policy import AVOIDED, Policy
 
 
 def view(policy: Policy, now_ms: float) -> list[i.View]:
