Choose writers and shed by the writers' memory, and leave no calm cell

Writers took states by this router's tokens alone, whatever their memory: from the moment all of it was held, new states waited 3 to 8 s at the readers, answers were undone and read anew (streams of 3 s lasted 8 to 11 s), and the router went on reading.

Change: a writer whose memory is likely held is passed over; where all writers together are, requests are turned away by worth before a read is sent. What other routers have there is estimated as a Poisson count with some streams known beforehand, so that one stream at one of 200 routers is no full fleet. A writer near the state that is warm, has room and starts its answers in time is taken; of a cell's writers the lighter of two. Where no memory is told, nothing changes but the two draws.

--- a/crowstand/evidence.py
+++ b/crowstand/evidence.py
@@ -19,7 +19,8 @@
 EARLY = 4  # first reads, of which the fastest tells the pace: the very first may have waited in a queue
 SLOWEST = 4.0  # times the pace so far that one sample counts at most: a short read may stand behind long ones
 DONE_KEPT = 256  # times kept of work got done: a busy router gets that done while a server warms
-SURE = 4.0  # usual streams that each writer is credited with: the first few say little
+SURE = 4.0  # usual streams that are credited beforehand: the first few at a writer say little
+USUALLY_FILLED = 0.5  # share of all writers' memory that is held on an ordinary day
 STREAMS_FADE = 0.9  # weight of the streams before with each one that ends: about ten count
 STREAM_MS = 2_000.0  # ms that a stream is taken to last until some have ended: some 40 tokens at 50 ms
 
@@ -141,6 +142,24 @@
         answer = hint_ms / pace if hint_ms is not None and pace else job.request.max_output_tokens / 2
         return job.request.prompt_tokens + answer
 
+    def _filled(self, server: Server, job: Job) -> float:
+        """Share of a writer's memory that is likely held once it has a further stream."""
+        memory = self.settings.kinds[server.entry.kind].memory_tokens
+        return self._share(server.tokens + self._tokens(job), memory, job, self._fleet_filled(job))
+
+    def _fleet_filled(self, job: Job) -> float:
+        """The same for all writers together, with what is being read and will come to them."""
+        memory = sum(self.settings.kinds[s.entry.kind].memory_tokens or 0.0 for s in self.writers)
+        coming = sum(len(s.out) for s in self.readers if s.role == i.Role.READER) * self._tokens(job)
+        return self._share(sum(s.tokens for s in self.writers) + coming, memory, job, USUALLY_FILLED)
+
+    def _share(self, tokens: float, memory: float | None, job: Job, usual: float) -> float:
+        """What is held of a memory, as if every router had as much there: few streams say little alone."""
+        if not memory:
+            return 0.0  # not told
+        few = SURE * self._tokens(job)  # a Poisson count's mean, with as many streams known beforehand
+        return (tokens + few) / (memory / self.settings.routers + few / usual)
+
     def _doubt(self, job: Job, server: Server) -> float:
         """How likely it fails this request: what failed there is the server, or its class and its tenant."""
         marks = [server.blame[scope].now(self.now_ms) for scope in job.scopes]
--- a/crowstand/readers.py
+++ b/crowstand/readers.py
@@ -15,6 +15,7 @@
 EASED = 0.5  # least share of a wait that counts for shedding: beyond twice the limit all are turned away
 SHED = 1.5  # how fast that share falls with worth: from a third of the highest worth on it is the least
 CLEARLY_LESS = 0.6  # share of a wait or burden that the farther server must stay under
+SHORT = 0.9  # share of all writers' memory from which the worthless are turned away; the worthiest: from 1
 LONG_TOKENS = 2_000.0  # unkept tokens that would stall a mixed server's streams: a few of its steps
 
 
@@ -41,6 +42,8 @@
         if waits[server] > LATE * aim_ms:
             calm = [each for each in ready if waits[each] < CLEARLY_LESS * waits[server]]
             server = next((each for each in calm if each in order), calm[0] if calm else server)
+        if not job.sent and self._fleet_filled(job) > SHORT + (1 - SHORT) * job.value:
+            return None  # read now, its state would wait for memory, or push a newer answer out
         limit_ms = min(request.expires_in_ms, aim_ms * (LATE + (1 - LATE) * job.value))
         if job.sent or waits[server] <= limit_ms or len(self.done[server.role]) < EARLY:
             return server  # while little is known, to turn away would keep it so
--- /dev/null
+++ b/tests/crowstand/test_writers_memory.py
@@ -0,0 +1,104 @@
+"""Writers are chosen, and requests turned away, by what is known to be under way against their memory."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from crowstand import interface as i
+from tests.world import FLEET, SAFE, World, entry, finals, sends
+
+MEMORY = 100_000.0
+KINDS = (i.ServerKind(i.Role.READER, MEMORY), i.ServerKind(i.Role.WRITER, MEMORY))
+WORTHY = i.RequestClass(1000, 5000, i.Effect.UNSAFE, worth=3, token_aim_ms=50)
+LOPSIDED = (entry("r0", 0, 0), entry("w0", 1, 0), *(entry(f"w{n}", 1, 1) for n in range(1, 5)))
+BIG = {"prompt_tokens": 9_000, "max_output_tokens": 2_000}  # 10,000 tokens under way at its writer
+
+
+def world(**settings: Any) -> World:
+    return World(FLEET, kinds=KINDS, classes=(SAFE, WORTHY), routers=1, **settings)
+
+
+def streaming(w: World, name: str, **fields: Any) -> str:
+    """Bring a request to its first token; give the writer's name."""
+    w.read(name, **(BIG | {"session": hash_of(name)} | fields))
+    w.first(name)
+    return w.at[name]
+
+
+def hash_of(name: str) -> int:
+    return sum(map(ord, name))
+
+
+def test_a_writer_without_room_is_passed_over() -> None:
+    w = world()
+    full = {"w0", "w1"}
+    for server in full:
+        w.policy.servers[server].tokens = 1.2 * MEMORY
+    assert {streaming(w, f"q{n}") for n in range(6)} <= {"w2", "w3"}
+
+
+def test_where_none_has_room_states_still_go_somewhere() -> None:
+    w = world()
+    w.request("q", **BIG, class_index=1)
+    for n in range(4):
+        w.policy.servers[f"w{n}"].tokens = 2 * MEMORY
+    assert sends(w.outcome("q", i.Status.READ))
+
+
+def test_the_less_worthy_are_turned_away_first_when_writers_are_short_of_memory() -> None:
+    """4 writers of 100,000 tokens: from 90% on the one class, from all of it on the other."""
+    w = world()
+    held: dict[int, int] = {}
+    for share in range(80, 121, 2):
+        for n in range(4):
+            w.policy.servers[f"w{n}"].tokens = share / 100 * MEMORY
+        for index in (0, 1):
+            if finals(w.request(f"{share}.{index}", class_index=index)):
+                held.setdefault(index, share)
+            w.give(i.ClientGone(f"{share}.{index}"))
+            w.policy.jobs.clear()
+            for server in w.policy.servers.values():
+                server.out.clear()
+    assert 90 <= held[0] < held[1] <= 110
+
+
+def test_nobody_is_turned_away_for_a_memory_that_is_not_told() -> None:
+    w = World(classes=(SAFE, WORTHY), routers=1)
+    for n in range(4):
+        w.policy.servers[f"w{n}"].tokens = 100 * MEMORY
+    assert sends(w.request("q", **BIG))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_one_router_of_two_hundred_does_not_take_its_one_stream_for_a_full_fleet(seed: int) -> None:
+    fleet = [entry(f"r{n}", 0, n // 4) for n in range(40)] + [entry(f"w{n}", 1, n // 4) for n in range(40)]
+    w = World(tuple(fleet), seed, kinds=KINDS, classes=(SAFE, WORTHY), routers=200)
+    for n in range(4):  # 200 such routers would hold as much as all writers have, twice
+        streaming(w, f"q{n}")
+    assert sends(w.request("last", **BIG))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_calm_cell_is_not_left(seed: int) -> None:
+    """One writer in the cell and four outside: chance differences move no state."""
+    w = World(LOPSIDED, seed, kinds=KINDS, classes=(SAFE, WORTHY), routers=1)
+    went = Counter(streaming(w, f"q{n}", prompt_tokens=1_000) for n in range(12))
+    assert went == {"w0": 12}
+
+
+def test_a_cell_whose_writer_is_behind_is_left() -> None:
+    w = World(LOPSIDED, kinds=KINDS, classes=(SAFE, WORTHY), routers=1)
+    w.policy.servers["w0"].delay.add(w.now_ms, 3_000)
+    w.policy.servers["w0"].tokens = 20_000
+    assert {streaming(w, f"q{n}") for n in range(6)} & {"w1", "w2", "w3", "w4"}
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_inside_a_cell_the_lighter_of_two_is_taken(seed: int) -> None:
+    fleet = (entry("r0", 0, 0), entry("w0", 1, 0), entry("w1", 1, 0))
+    w = World(fleet, seed, kinds=KINDS, classes=(SAFE, WORTHY), routers=1)
+    went = Counter(streaming(w, f"q{n}", prompt_tokens=1_000) for n in range(24))
+    assert min(went.values()) >= 8
