--- /dev/null
+++ b/tests/crowstand/test_hard_cases.py
@@ -0,0 +1,117 @@
+"""What the second deployment's days do: slow and dead servers, late lists, restarts; and no second copy."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from crowstand import interface as i
+from tests.world import FLEET, SAFE, World, entry, sends
+
+KINDS = (i.ServerKind(i.Role.READER, 200_000.0), i.ServerKind(i.Role.WRITER, 200_000.0))
+ONCE = i.RequestClass(2500, 10_000, i.Effect.UNSAFE, worth=3, token_aim_ms=80)
+
+
+def world(seed: int = 1, fleet: tuple[i.ServerEntry, ...] = FLEET) -> World:
+    return World(fleet, seed, kinds=KINDS, classes=(SAFE, ONCE), second_copies=True, may_probe=True)
+
+
+def outcome(w: World, name: str, rng: random.Random) -> bool:
+    """End the attempt that is out in any of the ways that its server may; say whether it may have run."""
+    reads = w.at[name].startswith("r")
+    ways = [i.Status.READ] * 4 if reads else [i.Status.OK] * 2
+    status = rng.choice([*ways, i.Status.ERROR, i.Status.FULL, i.Status.TIMEOUT, i.Status.RESET])
+    w.outcome(name, status, over=status == i.Status.OK, latency_ms=rng.uniform(10, 900))
+    return not reads and status != i.Status.FULL
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_second_copy_is_never_asked_for_whatever_the_settings_allow(seed: int) -> None:
+    """At no moment two attempts of one request; one that must run once goes nowhere once it may have run."""
+    rng, w = random.Random(seed), world(seed)
+    out, ran = set[str](), set[str]()
+    kinds = dict[str, int]()
+
+    def follow(actions: list[i.Action]) -> None:
+        for action in actions:
+            if isinstance(action, i.Send):
+                assert action.request not in out
+                assert action.request not in ran or kinds[action.request] == 0
+                out.add(action.request)
+
+    for number in range(600):
+        follow(w.wait(rng.expovariate(1 / 60)))
+        if rng.random() < 0.4 or not out:
+            kinds[f"q{number}"] = rng.randrange(2)
+            follow(w.request(f"q{number}", class_index=kinds[f"q{number}"], session=rng.randrange(30)))
+        else:
+            name = rng.choice(sorted(out))
+            out.discard(name)
+            if outcome(w, name, rng):
+                ran.add(name)
+            follow(w.last)
+    assert len(kinds) > 200
+
+
+def test_a_reader_five_times_slower_that_still_answers_is_left() -> None:
+    w = world()
+    slow, went = "r0", Counter[str]()
+    for number in range(240):
+        w.request(f"q{number}", session=1000 + number)
+        server = w.at[f"q{number}"]
+        went[server] += number >= 120
+        w.now_ms += 100
+        w.outcome(f"q{number}", i.Status.READ, latency_ms=500 if server == slow else 100)
+        w.first(f"q{number}")
+        w.outcome(f"q{number}", i.Status.OK, over=True)
+    assert went[slow] < 0.6 * went.total() / 4
+
+
+def test_a_quarter_of_the_servers_gone_at_once_with_a_late_list_fails_nothing_that_may_be_repeated() -> None:
+    w = world()
+    gone, finals = {"r0", "w0"}, Counter[str]()
+    for number in range(40):  # 4 s until the list tells
+        w.now_ms += 100
+        name = f"q{number}"
+        w.request(name, session=number)
+        for _ in range(4):
+            server = w.at[name]
+            if server in gone:
+                w.outcome(name, i.Status.CONNECT_FAILED, latency_ms=4)
+            elif server.startswith("r"):
+                w.outcome(name, i.Status.READ)
+            else:
+                w.first(name)
+                w.outcome(name, i.Status.OK, over=True)
+                finals["served"] += 1
+                break
+            finals["lost"] += not sends(w.last)
+    assert finals == {"served": 40, "lost": 0}
+
+
+def test_a_quarter_gone_is_asked_less_and_less_until_the_list_tells() -> None:
+    w, tried = world(), Counter[int]()
+    for number in range(80):
+        w.now_ms += 50
+        w.request(f"q{number}", session=number)
+        while w.at[f"q{number}"] == "r0":
+            tried[number // 20] += 1
+            w.outcome(f"q{number}", i.Status.CONNECT_FAILED, latency_ms=4)
+    assert sum(tried[k] for k in (1, 2, 3)) <= 6
+
+
+def test_restarted_with_nothing_but_its_last_list_it_serves_and_learns_the_list_anew() -> None:
+    first = world()
+    for number in range(10):
+        first.serve(f"a{number}", session=number)
+    again = world(seed=2)  # the list of before: one server has gone since, one has come back cold
+    again.request("b", session=3)
+    assert sends(again.last)
+    cold = replace(entry("w0", 1, 0), started_ms=again.now_ms - 500)
+    left = tuple(each for each in FLEET if each.server not in ("r0", "w0"))
+    again.give(i.Members(i.ListForm.FULL, 2, (*left, cold)))
+    assert {again.read(f"c{number}", session=number) for number in range(20)} <= {"r1", "r2", "r3"}
+    assert [again.at[f"c{number}"] for number in range(20)].count("w0") < 5
--- a/tests/crowstand/test_writers_memory.py
+++ b/tests/crowstand/test_writers_memory.py
@@ -17,8 +17,8 @@
 BIG = {"prompt_tokens": 9_000, "max_output_tokens": 2_000}  # 10,000 tokens under way at its writer
 
 
-def world(**settings: Any) -> World:
-    return World(FLEET, kinds=KINDS, classes=(SAFE, WORTHY), routers=1, **settings)
+def world(seed: int = 1, **settings: Any) -> World:
+    return World(FLEET, seed, kinds=KINDS, classes=(SAFE, WORTHY), routers=1, **settings)
 
 
 def streaming(w: World, name: str, **fields: Any) -> str:
@@ -32,12 +32,16 @@
     return sum(map(ord, name))
 
 
-def test_a_writer_without_room_is_passed_over() -> None:
-    w = world()
-    full = {"w0", "w1"}
-    for server in full:
-        w.policy.servers[server].tokens = 1.2 * MEMORY
-    assert {streaming(w, f"q{n}") for n in range(6)} <= {"w2", "w3"}
+@pytest.mark.parametrize("seed", range(6))
+def test_a_writer_without_room_is_passed_over_for_one_that_is_little_lighter(seed: int) -> None:
+    w = world(seed)
+    w.request("q", **BIG, class_index=1)
+    for n in range(4):
+        near = w.policy.servers[f"w{n}"].entry.cell == w.policy.servers[w.at["q"]].entry.cell
+        w.policy.servers[f"w{n}"].tokens = (1.1 if near else 0.8) * MEMORY
+    reader = w.policy.servers[w.at["q"]]
+    w.outcome("q", i.Status.READ)
+    assert w.policy.servers[w.at["q"]].entry.cell != reader.entry.cell
 
 
 def test_where_none_has_room_states_still_go_somewhere() -> None:
@@ -96,9 +100,11 @@
     assert {streaming(w, f"q{n}") for n in range(6)} & {"w1", "w2", "w3", "w4"}
 
 
-@pytest.mark.parametrize("seed", range(3))
-def test_inside_a_cell_the_lighter_of_two_is_taken(seed: int) -> None:
-    fleet = (entry("r0", 0, 0), entry("w0", 1, 0), entry("w1", 1, 0))
-    w = World(fleet, seed, kinds=KINDS, classes=(SAFE, WORTHY), routers=1)
-    went = Counter(streaming(w, f"q{n}", prompt_tokens=1_000) for n in range(24))
-    assert min(went.values()) >= 8
+def test_inside_a_cell_the_lighter_of_two_is_taken() -> None:
+    """60 streams each time; by a single draw the two would differ by 7 in the root mean square."""
+    fleet, squares = (entry("r0", 0, 0), entry("w0", 1, 0), entry("w1", 1, 0)), []
+    for seed in range(20):
+        w = World(fleet, seed, kinds=KINDS, classes=(SAFE, WORTHY), routers=1)
+        went = [streaming(w, f"q{n}", prompt_tokens=500, max_output_tokens=100) for n in range(60)]
+        squares.append((went.count("w0") - went.count("w1")) ** 2)
+    assert (sum(squares) / len(squares)) ** 0.5 < 4
