--- a/crowstand/interface.py
+++ b/crowstand/interface.py
@@ -9,44 +9,26 @@
 from dataclasses import dataclass
 from enum import Enum
 
-
-class Role(Enum):
-    """What a kind of server does: read prompts (prefill), write answers (decode), or both."""
-
-    READER = "reader"
-    WRITER = "writer"
-    MIXED = "mixed"
-
-
-class Effect(Enum):
-    """Whether a request may be repeated: freely, where a key drops repeats, or only if it never ran."""
-
-    SAFE = "safe"
-    KEYED = "keyed"
-    UNSAFE = "unsafe"
-
-
-class Group(Enum):
-    """The servers that drop a keyed request's repeats."""
-
-    ALL = "all"
-    ZONE = "zone"
-    CELL = "cell"
-
-
-class Membership(Enum):
-    """How the list of servers comes: by itself, or only when asked or subscribed to."""
-
-    PUSH = "push"
-    ASK = "ask"
-
-
-class Reports(Enum):
-    """How load reports come: with outcomes, with probes only, or never."""
-
-    ANSWERS = "answers"
-    PROBES = "probes"
-    NONE = "none"
+from crowstand.actions import Action as Action
+from crowstand.actions import AskMembers as AskMembers
+from crowstand.actions import Cancel as Cancel
+from crowstand.actions import Fail as Fail
+from crowstand.actions import Log as Log
+from crowstand.actions import Probe as Probe
+from crowstand.actions import Refuse as Refuse
+from crowstand.actions import Release as Release
+from crowstand.actions import Send as Send
+from crowstand.actions import SetTimer as SetTimer
+from crowstand.actions import Subscribe as Subscribe
+from crowstand.settings import Effect as Effect
+from crowstand.settings import Group as Group
+from crowstand.settings import Membership as Membership
+from crowstand.settings import Reports as Reports
+from crowstand.settings import RequestClass as RequestClass
+from crowstand.settings import Role as Role
+from crowstand.settings import ServerKind as ServerKind
+from crowstand.settings import Settings as Settings
+from crowstand.settings import Tenant as Tenant
 
 
 class ListForm(Enum):
@@ -80,70 +62,6 @@
     MOOT = "moot"  # never sent
 
 
-@dataclass(slots=True, frozen=True)
-class RequestClass:
-    """One class of request."""
-
-    aim_ms: float
-    deadline_ms: float
-    effect: Effect
-    worth: float = 1.0
-    late_worth: float = 0.0
-    group: Group = Group.ALL
-    window_ms: float = 0.0
-    streamed: bool = True
-    aim_per_1000_tokens_ms: float = 0.0
-    token_aim_ms: float = 0.0
-
-
-@dataclass(slots=True, frozen=True)
-class Tenant:
-    """One tenant and its share."""
-
-    fraction: float = 1.0
-    quota_per_s: float | None = None
-
-
-@dataclass(slots=True, frozen=True)
-class ServerKind:
-    """One kind of machine."""
-
-    role: Role
-    memory_tokens: float | None = None
-
-
-@dataclass(slots=True, frozen=True)
-class Settings:
-    """What a router is told once, at its start."""
-
-    classes: tuple[RequestClass, ...]
-    kinds: tuple[ServerKind, ...]
-    tenants: tuple[Tenant, ...] = ()
-    zone: int = 0
-    router: int = 0
-    routers: int = 1
-    membership: Membership = Membership.PUSH
-    reports: Reports = Reports.NONE
-    may_probe: bool = False
-    may_cancel: bool = False
-    second_copies: bool = False
-    retry_after: bool = False
-    max_retry_after_ms: float = 0.0
-    max_attempts: int = 1
-    tick_ms: float = 0.0
-    answer_slack_ms: float = 0.0
-    ask_every_ms: float = 0.0
-    drain_grace_ms: float = 0.0
-    cold_share: float = 1.0
-    warm_after_ms: float = 0.0
-    fall_multiple: float = 1.0
-    overload_for_ms: float = 0.0
-    let_go_by_ms: float = 0.0
-    writers_read: bool = False
-    over_share_worth: float = 1.0
-
-
-# Events
 
 
 @dataclass(slots=True, frozen=True)
@@ -285,82 +203,3 @@
 
 
 Event = Members | Request | Outcome | FirstToken | ClientGone | Probed | Timer | ByHand | LastCall | Silent
-
-
-# Actions
-
-
-@dataclass(slots=True, frozen=True)
-class Send:
-    """Send the request to a server; a time-out of None lasts until the client's time is up."""
-
-    request: str
-    server: str
-    timeout_ms: float | None = None
-
-
-@dataclass(slots=True, frozen=True)
-class SetTimer:
-    """Ask for a `Timer` event at a clock reading."""
-
-    at_ms: float
-    token: str
-
-
-@dataclass(slots=True, frozen=True)
-class Refuse:
-    """Final answer: no, and a repeat does no harm. Tells when to come back, where a time is given."""
-
-    request: str
-    come_back_ms: float | None = None
-
-
-@dataclass(slots=True, frozen=True)
-class Fail:
-    """Final answer: failed, with nothing promised about the effect."""
-
-    request: str
-
-
-@dataclass(slots=True, frozen=True)
-class Cancel:
-    """Stop waiting for an attempt."""
-
-    request: str
-    attempt: int
-
-
-@dataclass(slots=True, frozen=True)
-class Release:
-    """Let go of every state and place held for the request."""
-
-    request: str
-
-
-@dataclass(slots=True, frozen=True)
-class Probe:
-    """Ask a server for its load."""
-
-    server: str
-
-
-@dataclass(slots=True, frozen=True)
-class AskMembers:
-    """Ask for the whole list of servers once."""
-
-
-@dataclass(slots=True, frozen=True)
-class Subscribe:
-    """Ask for changes of the list from now on."""
-
-    active: bool = True
-
-
-@dataclass(slots=True, frozen=True)
-class Log:
-    """A line for the operators."""
-
-    text: str
-
-
-Action = Send | SetTimer | Refuse | Fail | Cancel | Release | Probe | AskMembers | Subscribe | Log
--- /dev/null
+++ b/crowstand/settings.py
@@ -0,0 +1,108 @@
+"""What a router is told once, at its start; a field that a deployment does not tell is ``None`` or empty."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Role(Enum):
+    """What a kind of server does: read prompts (prefill), write answers (decode), or both."""
+
+    READER = "reader"
+    WRITER = "writer"
+    MIXED = "mixed"
+
+
+class Effect(Enum):
+    """Whether a request may be repeated: freely, where a key drops repeats, or only if it never ran."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Group(Enum):
+    """The servers that drop a keyed request's repeats."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Membership(Enum):
+    """How the list of servers comes: by itself, or only when asked or subscribed to."""
+
+    PUSH = "push"
+    ASK = "ask"
+
+
+class Reports(Enum):
+    """How load reports come: with outcomes, with probes only, or never."""
+
+    ANSWERS = "answers"
+    PROBES = "probes"
+    NONE = "none"
+
+
+@dataclass(slots=True, frozen=True)
+class RequestClass:
+    """One class of request."""
+
+    aim_ms: float
+    deadline_ms: float
+    effect: Effect
+    worth: float = 1.0
+    late_worth: float = 0.0
+    group: Group = Group.ALL
+    window_ms: float = 0.0
+    streamed: bool = True
+    aim_per_1000_tokens_ms: float = 0.0
+    token_aim_ms: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    """One tenant and its share."""
+
+    fraction: float = 1.0
+    quota_per_s: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class ServerKind:
+    """One kind of machine."""
+
+    role: Role
+    memory_tokens: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """What a router is told once, at its start."""
+
+    classes: tuple[RequestClass, ...]
+    kinds: tuple[ServerKind, ...]
+    tenants: tuple[Tenant, ...] = ()
+    zone: int = 0
+    router: int = 0
+    routers: int = 1
+    membership: Membership = Membership.PUSH
+    reports: Reports = Reports.NONE
+    may_probe: bool = False
+    may_cancel: bool = False
+    second_copies: bool = False
+    retry_after: bool = False
+    max_retry_after_ms: float = 0.0
+    max_attempts: int = 1
+    tick_ms: float = 0.0
+    answer_slack_ms: float = 0.0
+    ask_every_ms: float = 0.0
+    drain_grace_ms: float = 0.0
+    cold_share: float = 1.0
+    warm_after_ms: float = 0.0
+    fall_multiple: float = 1.0
+    overload_for_ms: float = 0.0
+    let_go_by_ms: float = 0.0
+    writers_read: bool = False
+    over_share_worth: float = 1.0
--- /dev/null
+++ b/crowstand/wirewords.py
@@ -0,0 +1,224 @@
+"""The simulator's words: its lines read as ``interface.py``'s types, actions written as its lines."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from crowstand import interface as i
+
+Fields = dict[str, str]
+
+FORMS = {
+    "Partial": i.ListForm.CHANGES,
+    "Complete": i.ListForm.FULL,
+    "Persisted": i.ListForm.KEPT,
+    "Error": i.ListForm.FAILED,
+}
+AVAILABILITY = {"on": i.Availability.UP, "fading": i.Availability.DRAINING, "off": i.Availability.GONE}
+STATUS = {
+    "1": i.Status.OK,
+    "0": i.Status.ERROR,
+    "2": i.Status.FULL,
+    "3": i.Status.TIMEOUT,
+    "4": i.Status.CONNECT_FAILED,
+    "5": i.Status.RESET,
+    "6": i.Status.CANCELLED,
+    "7": i.Status.MOOT,
+    "100": i.Status.READ,
+}
+ROLES = {"read": i.Role.READER, "write": i.Role.WRITER, "both": i.Role.MIXED}
+EFFECTS = {"retryable": i.Effect.SAFE, "dedup": i.Effect.KEYED, "fragile": i.Effect.UNSAFE}
+GROUPS = {"all": i.Group.ALL, "zone": i.Group.ZONE, "cell": i.Group.CELL}
+MEMBERSHIP = {"automatic": i.Membership.PUSH, "subscribe": i.Membership.ASK}
+REPORTS = {"piggyback": i.Reports.ANSWERS, "pull": i.Reports.PROBES, "silent": i.Reports.NONE}
+LOAD = {
+    "busy_reqs": "in_flight",
+    "pending": "queued",
+    "cpu_share": "utilisation",
+    "svc_ms": "latency_ms",
+    "x0": "memory_share",
+    "x1": "pending_kilotokens",
+}
+
+
+def flag(text: str) -> bool:
+    """Read a bool, which settings spell as words and fields as digits."""
+    values = {"1": True, "true": True, "0": False, "false": False}
+    if text not in values:
+        raise ValueError(f"'{text}' is no bool")
+    return values[text]
+
+
+def comma_list(text: str) -> list[str]:
+    """Split a list of plain values; an empty text is an empty list."""
+    return text.split(",") if text else []
+
+
+def pick(fields: Fields, names: dict[str, tuple[str, Callable[[str], Any]]]) -> dict[str, Any]:
+    """Translate the fields that are there; the rest keeps the interface's 'not told'."""
+    return {ours: read(fields[theirs]) for ours, (theirs, read) in names.items() if theirs in fields}
+
+
+def numbered(fields: Fields, name: str) -> Iterator[Fields]:
+    """The objects of a settings list, each with its own paths."""
+    for index in range(int(fields.get(f"{name}.count", 0))):
+        start = f"{name}.{index}."
+        yield {path[len(start) :]: value for path, value in fields.items() if path.startswith(start)}
+
+
+CLASS_FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
+    "aim_ms": ("goal_time_ms", float),
+    "deadline_ms": ("deadline_ms", float),
+    "effect": ("effect", EFFECTS.__getitem__),
+    "worth": ("worth", float),
+    "late_worth": ("late_worth", float),
+    "group": ("group", GROUPS.__getitem__),
+    "window_ms": ("window_ms", float),
+    "streamed": ("stream", flag),
+}
+TENANT_FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
+    "fraction": ("fraction", float),
+    "quota_per_s": ("quota_per_s", float),
+}
+SETTINGS_FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
+    "zone": ("zone", int),
+    "router": ("position", int),
+    "routers": ("replicas_of_me", int),
+    "membership": ("membership_mode", MEMBERSHIP.__getitem__),
+    "reports": ("stats.how", REPORTS.__getitem__),
+    "may_probe": ("caps.may_probe", flag),
+    "may_cancel": ("caps.cancel", flag),
+    "second_copies": ("caps.second_copies", flag),
+    "retry_after": ("caps.retry_after", flag),
+    "max_retry_after_ms": ("caps.max_retry_after_ms", float),
+    "max_attempts": ("caps.max_attempts", int),
+    "tick_ms": ("tick_ms", float),
+    "answer_slack_ms": ("safety.answer_slack_ms", float),
+    "ask_every_ms": ("safety.ask_every_ms", float),
+    "drain_grace_ms": ("safety.drain_grace_ms", float),
+    "cold_share": ("safety.cold_share", float),
+    "warm_after_ms": ("safety.warm_after_ms", float),
+    "fall_multiple": ("safety.fall_multiple", float),
+    "overload_for_ms": ("safety.overload_for_ms", float),
+    "let_go_by_ms": ("specifics.let_go_by_ms", float),
+    "writers_read": ("specifics.read_in_place", flag),
+    "over_share_worth": ("over_share_worth", float),
+}
+REQUEST_FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
+    "request": ("op_id", str),
+    "expires_in_ms": ("expires_in_ms", float),
+    "class_index": ("profile", int),
+    "tenant": ("owner", int),
+    "session": ("conversation", int),
+    "prefix": ("template", int),
+    "prefix_tokens": ("prefix_tokens", float),
+    "prompt_tokens": ("prompt_len", float),
+    "max_output_tokens": ("n_max", float),
+    "hint_ms": ("predicted_ms", float),
+    "retry": ("retry", flag),
+    "reconnect": ("reconnect", flag),
+}
+ENTRY_FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
+    "server": ("host", str),
+    "zone": ("hall", int),
+    "kind": ("hw", int),
+    "cell": ("pod", int),
+    "availability": ("availability", AVAILABILITY.__getitem__),
+    "weight": ("scale", float),
+    "started_ms": ("launched_ms", float),
+}
+
+
+def settings(fields: Fields) -> i.Settings:
+    """Translate the settings that an instance starts with."""
+    aims = [float(us) / 1000 for us in comma_list(fields.get("specifics.aim_us_per_1000_prompt_tokens", ""))]
+    paces = [float(ms) for ms in comma_list(fields.get("specifics.token_aim_ms", ""))]
+    classes = []
+    for index, entry in enumerate(numbered(fields, "classes")):
+        told = pick(entry, CLASS_FIELDS)
+        if index < len(aims):
+            told["aim_per_1000_tokens_ms"] = aims[index]
+        if index < len(paces):
+            told["token_aim_ms"] = paces[index]
+        classes.append(i.RequestClass(**told))
+    memory = [float(tokens) for tokens in comma_list(fields.get("specifics.kind_memory_tokens", ""))]
+    kinds = []
+    for index, role in enumerate(comma_list(fields.get("specifics.role_by_kind", ""))):
+        kinds.append(i.ServerKind(ROLES[role], memory[index] if index < len(memory) else None))
+    tenants = [i.Tenant(**pick(entry, TENANT_FIELDS)) for entry in numbered(fields, "tenants")]
+    return i.Settings(tuple(classes), tuple(kinds), tuple(tenants), **pick(fields, SETTINGS_FIELDS))
+
+
+def load(fields: Fields) -> i.Load | None:
+    """Translate a load report, where one came along."""
+    if "server_stats" not in fields:
+        return None
+    pairs = [pair.split(":") for pair in comma_list(fields["server_stats"])]
+    return i.Load(**{LOAD[name]: float(value) for name, value in pairs if name in LOAD})
+
+
+def outcome(fields: Fields) -> i.Outcome:
+    """Translate the end of an attempt."""
+    return i.Outcome(
+        fields["op_id"],
+        int(fields["shot"]),
+        fields["host"],
+        STATUS[fields["outcome"]],
+        float(fields.get("cost_time_ms", 0)),
+        flag(fields.get("over", "0")),
+        int(float(fields.get("note", 0))),
+        load(fields),
+    )
+
+
+def first_token(fields: Fields) -> i.FirstToken:
+    """Translate the start of an answer."""
+    latency_ms = float(fields.get("cost_time_ms", 0))
+    return i.FirstToken(fields["op_id"], int(fields["shot"]), fields["host"], latency_ms)
+
+
+def probed(fields: Fields) -> i.Probed:
+    """Translate the result of a probe."""
+    latency_ms = float(fields.get("cost_time_ms", 0))
+    return i.Probed(fields["host"], STATUS[fields["outcome"]], latency_ms, load(fields))
+
+
+EVENTS: dict[str, Callable[[Fields], i.Event]] = {
+    "NEW_REQUEST": lambda fields: i.Request(**pick(fields, REQUEST_FIELDS)),
+    "RESOLVED": outcome,
+    "STARTED": first_token,
+    "CLIENT_GONE": lambda fields: i.ClientGone(fields["op_id"]),
+    "PING_RESULT": probed,
+    "RING": lambda fields: i.Timer(fields["cookie"]),
+}
+UNUSED_EVENTS = ("MEMO", "SEAT_NEWS")  # answers to actions that no policy here takes
+
+
+def action_line(action: i.Action) -> str:
+    """Write one action in the wire's words."""
+    match action:
+        case i.Send(request, server, None):
+            return f"DISPATCH op_id={request} host={server}"
+        case i.Send(request, server, timeout_ms):
+            return f"DISPATCH op_id={request} host={server} try_for_ms={timeout_ms:.3f}"
+        case i.SetTimer(at_ms, token):
+            return f"SET_TIMER fire_at_ms={at_ms:.3f} cookie={token}"
+        case i.Refuse(request, None):
+            return f"OVERLOAD_REPLY op_id={request}"
+        case i.Refuse(request, come_back_ms):
+            return f"OVERLOAD_REPLY op_id={request} come_back_ms={come_back_ms:.3f}"
+        case i.Fail(request):
+            return f"FAIL op_id={request}"
+        case i.Cancel(request, attempt):
+            return f"ABORT_ATTEMPT op_id={request} shot={attempt}"
+        case i.Release(request):
+            return f"UNHOLD op_id={request}"
+        case i.Probe(server):
+            return f"ASK_LOAD host={server}"
+        case i.AskMembers():
+            return "QUERY_ALL"
+        case i.Subscribe(active):
+            return f"WATCH active={int(active)}"
+        case i.Log(text):
+            return f"EMIT msg={text}"
