Let a second copy out only for a class that may be repeated

Cause: route() let an attempt out beside another wherever the settings allow second copies, whatever the class; found by reading against the rule that a class that must not run twice never does. Change: the class has to be repeatable as well; else the attempt is moot, as before where copies are off.

--- a/ringledge/core/stages/route.py
+++ b/ringledge/core/stages/route.py
@@ -17,12 +17,15 @@
     if action.timeout_ms:
         timeout_ms = min(timeout_ms, action.timeout_ms)
     reads = desk.servers.role(action.server) == i.Role.READER
-    once = not reads and desk.settings.classes[record.request.class_index].effect is not i.Effect.SAFE
+    repeatable = desk.settings.classes[record.request.class_index].effect is i.Effect.SAFE
+    once = not reads and not repeatable
     attempt = Attempt(record, len(record.attempts), action.server, reads, once, now_ms, now_ms + timeout_ms)
     another_out = any(each.out for each in record.attempts)
     record.attempts.append(attempt)
-    # Two attempts of a request are never out together, whatever was decided.
-    may_go = not (record.over or record.began or (another_out and not desk.settings.second_copies))
+    # Two attempts of a request are never out together, whatever was decided, but where the settings allow a
+    # second copy of what may be repeated.
+    copies = desk.settings.second_copies and repeatable
+    may_go = not (record.over or record.began or (another_out and not copies))
     may_go = may_go and timeout_ms > 0 and attempt.number < desk.settings.max_attempts
     if may_go and desk.servers.address(action.server) is not None:
         return attempt
