Split the wire to servers by concern: lines, exchanges, silence, answers

Change: no behaviour. Connections and small calls are in lines.py, one exchange in exchange.py, who is silent in silence.py, what servers say in answers.py; upstream.py keeps the core's port and the attempts.

--- /dev/null
+++ b/ringledge/wire/answers.py
@@ -0,0 +1,90 @@
+"""What servers say: heads, a stream's opening and tail, load reports. Nothing here decides anything."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+import h11
+import orjson
+
+from crowstand import interface as i
+from crowstand.wirehost import LOAD
+from ringledge.wire.http import Connection
+
+MAX_CHUNK = 64 * 1024  # bytes of a chunk, and of an opening without an event: events are far shorter
+MAX_INTERIM = 8  # answers of 1xx taken before the real one
+MAX_FIGURE = 1e9  # what a report or a count of tokens stays under, if it is to be believed
+EVENT = re.compile(rb"^data:(.*?)\r?\n\r?\n", re.MULTILINE | re.DOTALL)
+
+
+async def answer_head(conn: Connection) -> h11.Response:
+    """The head of the answer, behind what the server says in the meantime."""
+    for _ in range(MAX_INTERIM):
+        head = await conn.next_event()
+        if isinstance(head, h11.Response):
+            return head
+        if not isinstance(head, h11.InformationalResponse):
+            raise h11.RemoteProtocolError("the connection ended before an answer")
+    raise h11.RemoteProtocolError("interim answers without end")
+
+
+async def opening_event(conn: Connection, chunked: bool) -> bytes:
+    """A stream's first event, in whole chunks: what is spoilt before costs its attempt, not its client."""
+    opening = b""
+    while len(opening) <= MAX_CHUNK:
+        event = await conn.next_event()
+        if not isinstance(event, h11.Data):
+            raise h11.RemoteProtocolError("the stream ended before its first event")
+        opening += bytes(event.data)
+        whole = opening.endswith((b"\n\n", b"\r\n\r\n")) and (event.chunk_end or not chunked)
+        if whole and (first := EVENT.search(opening)):
+            if not as_object(first[1]):
+                raise h11.RemoteProtocolError("the first event can't be read")
+            return opening
+    raise h11.RemoteProtocolError("the opening holds no event")
+
+
+def read_tail(tail: bytes) -> tuple[int, i.Load | None]:
+    """Cached tokens and the load report, which stand in a stream's last lines."""
+    note, load = 0, None
+    for line in tail.splitlines():
+        if line.startswith(b"data: {") and b'"usage"' in line:
+            note = cached_tokens(as_object(line[6:]).get("usage"))
+        elif line.lower().startswith(b": x-load-report:"):
+            load = load_report(line.split(b":", 2)[2])
+    return note, load
+
+
+def load_report(text: bytes | None) -> i.Load | None:
+    """A load report in the names that the settings give."""
+    report = as_object(text) if text else {}
+    known = {
+        LOAD[name]: float(value)
+        for name, value in report.items()
+        if name in LOAD and isinstance(value, int | float) and 0 <= value < MAX_FIGURE
+    }
+    return i.Load(**known) if known else None
+
+
+def as_object(text: bytes) -> dict[str, Any]:
+    """An object in JSON; anything else counts as empty, for a report is only advice."""
+    try:
+        value = orjson.loads(text)
+    except orjson.JSONDecodeError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def cached_tokens(told: Any) -> int:
+    """Prompt tokens found kept, from a 202's body or a stream's usage."""
+    if not isinstance(told, dict):
+        return 0
+    details = told.get("prompt_tokens_details")
+    value = told.get("cached_tokens", details.get("cached_tokens", 0) if isinstance(details, dict) else 0)
+    return int(value) if isinstance(value, int | float) and 0 <= value < MAX_FIGURE else 0
+
+
+def reusable(conn: Connection) -> bool:
+    """Whether the exchange is over on both sides, and no byte of a further answer would spoil the next."""
+    return not conn.pending() and conn.next_cycle()
--- /dev/null
+++ b/ringledge/wire/exchange.py
@@ -0,0 +1,173 @@
+"""One exchange with a server: a request goes out, what comes back is an outcome by the protocol's table."""
+
+from __future__ import annotations
+
+import math
+import time
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import anyio
+import h11
+
+from crowstand import interface as i
+from ringledge.core.clock import Clock
+from ringledge.core.conductor import Conductor
+from ringledge.core.ledger import Attempt, Record
+from ringledge.decide import patience
+from ringledge.decide.reach import Reach
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
+from ringledge.wire.answers import (
+    MAX_CHUNK,
+    answer_head,
+    as_object,
+    cached_tokens,
+    load_report,
+    opening_event,
+    read_tail,
+)
+from ringledge.wire.http import PEER_ERRORS, Connection, header, read_body
+from ringledge.wire.lines import Lines
+from ringledge.wire.releases import Releaser
+
+STREAM_SILENCE_S = 3.0  # a begun stream without a further whole chunk for so long is broken off: it vanished
+TAIL = 2048  # bytes at a stream's end in which usage and the load report stand
+
+
+class End(NamedTuple):
+    """How an exchange ended."""
+
+    status: i.Status
+    note: int = 0
+    load: i.Load | None = None
+
+
+@dataclass(slots=True)
+class Live:
+    """An attempt under way."""
+
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    conn: Connection | None = None
+    written_ms: float = math.inf  # when its request was written whole
+    silent_at: float = math.inf  # when a begun stream counts as silent, unless a whole chunk comes before
+    passing_on: bool = False  # it waits for its client: the server's silence is ours
+
+
+@dataclass(slots=True)
+class Exchanges:
+    """Carries one attempt's exchange out."""
+
+    lines: Lines
+    releaser: Releaser
+    reach: Reach
+    clock: Clock
+    metrics: Metrics
+    let_go_ms: float  # that a state may be held
+    conductor: Conductor
+
+    async def run(self, attempt: Attempt, live: Live, address: str) -> End:
+        """Send the request and take the answer, by the protocol's table of outcomes."""
+        record = attempt.record
+        try:
+            connect_s = self.lines.connect_s()
+            if record.holders and not attempt.reads:
+                held_s = patience.held_s(self.clock.now_ms(), record.free_ms, self.let_go_ms)
+                if held_s <= 0:
+                    return await self._let_go(record)
+                connect_s = min(connect_s, held_s)
+            live.conn = conn = await self.lines.take(attempt.server, address, connect_s, attempt.once)
+        except OSError as error:
+            log.info("connect_failed", server=attempt.server, request=record.name, error=str(error))
+            return End(i.Status.CONNECT_FAILED)
+        left_ms = max(0, int(attempt.ends_ms - self.clock.now_ms()))
+        payload = record.payload
+        request = h11.Request(
+            method=b"POST",
+            target=payload.target,
+            headers=[
+                (b"Host", address.encode()),
+                (b"X-Call-Id", record.name.encode()),
+                (b"X-Budget-Ms", b"%d" % left_ms),
+                (b"Content-Type", payload.content_type),
+                (b"Content-Length", b"%d" % len(payload.body)),
+            ],
+        )
+        try:
+            await conn.send(request, h11.Data(data=payload.body), h11.EndOfMessage())
+        except OSError as error:
+            log.info("send_failed", server=attempt.server, request=record.name, error=str(error))
+            note = self._kept_broke(conn, address)
+            return End(i.Status.CONNECT_FAILED, note)  # the last byte was never written: it can't have run
+        attempt.written, heard = True, False
+        attempt.arrived, live.written_ms = not conn.kept, self.clock.now_ms()
+        self.metrics.sends.inc()
+        try:
+            head = await answer_head(conn)
+            heard = attempt.arrived = True
+            self.reach.heard(attempt.server, self.clock.now_ms())
+            if head.status_code == 200:
+                return await self._stream(attempt, live, conn, head)
+            body = await read_body(conn, head)
+        except PEER_ERRORS as error:
+            log.info(
+                "attempt_reset",
+                server=attempt.server,
+                request=record.name,
+                began=attempt.began,
+                error=str(error),
+            )
+            lost = isinstance(error, OSError) or conn.ended
+            return End(i.Status.RESET, self._kept_broke(conn, address) if lost and not heard else 0)
+        load = load_report(header(head, b"x-load-report"))
+        rejected = header(head, b"x-rejected") == b"1"
+        if head.status_code == 202:
+            return End(i.Status.READ, cached_tokens(as_object(body)), load)
+        if rejected and head.status_code == 410:
+            return End(i.Status.FULL, 1, load)
+        if rejected and head.status_code in (503, 504):
+            return End(i.Status.FULL, 0, load)
+        log.info("attempt_error", server=attempt.server, request=record.name, status=head.status_code)
+        return End(i.Status.ERROR, 0, load)
+
+    def _kept_broke(self, conn: Connection, address: str) -> int:
+        """The outcome's note: whether a kept connection broke unheard, which says little of its server."""
+        if conn.kept:
+            self.lines.pool.broke(address)
+        return int(conn.kept)
+
+    async def _stream(self, attempt: Attempt, live: Live, conn: Connection, head: h11.Response) -> End:
+        """Pass a stream on as it comes, to its last chunk."""
+        chunked = header(head, b"transfer-encoding") is not None
+        tail = piece = await opening_event(conn, chunked)
+        live.scope.deadline = math.inf
+        if not self.conductor.first(attempt):
+            return End(i.Status.CANCELLED)
+        await self.conductor.piece(attempt, piece)
+        in_chunk = 0
+        live.silent_at = time.monotonic() + STREAM_SILENCE_S
+        while True:
+            event = await conn.next_event()
+            if isinstance(event, h11.Data):
+                piece = bytes(event.data)
+                in_chunk = len(piece) + (0 if event.chunk_start else in_chunk)
+                if in_chunk > MAX_CHUNK:
+                    raise h11.RemoteProtocolError("a chunk is too long for events")
+                tail = (tail + piece)[-TAIL:]
+                live.passing_on = True
+                await self.conductor.piece(attempt, piece)
+                live.passing_on = False
+                if event.chunk_end or not chunked:
+                    live.silent_at = time.monotonic() + STREAM_SILENCE_S
+            elif isinstance(event, h11.EndOfMessage):
+                note, load = read_tail(tail)
+                return End(i.Status.OK, note, load or load_report(header(head, b"x-load-report")))
+            else:
+                raise h11.RemoteProtocolError("the stream ended early")
+
+    async def _let_go(self, record: Record) -> End:
+        """No writer was reached while the read state may be held: it goes, and the prompt is read anew."""
+        known, record.holders = record.holders, set()
+        log.info("state_let_go", request=record.name, servers=sorted(known))
+        await self.releaser.let_go(record.name, known)
+        return End(i.Status.FULL, 1)
--- /dev/null
+++ b/ringledge/wire/lines.py
@@ -0,0 +1,98 @@
+"""Lines to servers: kept connections and new ones, and small exchanges without a body over them."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import h11
+
+from crowstand import interface as i
+from ringledge.core.clock import Clock
+from ringledge.decide.patience import Patience
+from ringledge.decide.reach import Reach
+from ringledge.lifecycle.config import Names
+from ringledge.memory.pool import Pool
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
+from ringledge.wire.answers import answer_head, load_report, reusable
+from ringledge.wire.http import PEER_ERRORS, Connection, Headers, connect, header, read_body
+
+PROBE_S = 1.0  # a probe that takes longer tells no more than that
+
+
+class Lines:
+    """Connections to servers, one exchange at a time on each; what comes up tells who can be reached."""
+
+    def __init__(self, names: Names, sockets: int, clock: Clock, reach: Reach, metrics: Metrics) -> None:
+        # Idle connections go well before the server would close them (half its time).
+        self.pool: Pool[Connection] = Pool(sockets, names.keepalive_s / 2, metrics)
+        self._patience = Patience(names.connect_timeout_s)
+        self._clock, self.reach = clock, reach
+
+    def connect_s(self) -> float:
+        """How long a connection may take to come up."""
+        return self._patience.connect_s()
+
+    async def take(self, server: str, address: str, connect_s: float, once: bool = False) -> Connection:
+        """An idle connection or a new one; OSError or TimeoutError where none comes up."""
+        conn = self.pool.take(address, once)
+        return conn or await self.open(server, address, connect_s)
+
+    async def open(self, server: str, address: str, connect_s: float) -> Connection:
+        """A new connection; OSError or TimeoutError where none comes up."""
+        if not self.pool.reserve():
+            log.error("server_sockets_exhausted", limit=self.pool.limit)
+            raise OSError("no socket left")
+        began = time.monotonic()
+        try:
+            conn = await connect(address, connect_s)
+        except BaseException as error:
+            self.pool.unreserve()
+            if isinstance(error, ConnectionRefusedError):
+                self.reach.refused(server, self._clock.now_ms())
+            elif isinstance(error, TimeoutError):
+                self.reach.silent(server, self._clock.now_ms())
+            raise
+        self._patience.came_up(time.monotonic() - began)
+        self.reach.heard(server, self._clock.now_ms())
+        return conn
+
+    async def call(self, server: str, address: str, method: bytes, path: bytes) -> tuple[h11.Response, bytes]:
+        """One small exchange without a body."""
+        conn = await self.take(server, address, self.connect_s())
+        again = False
+        try:
+            told: Headers = [(b"Host", address.encode())]
+            await conn.send(h11.Request(method=method, target=path, headers=told), h11.EndOfMessage())
+            head = await answer_head(conn)
+            body = await read_body(conn, head)
+            again = reusable(conn)
+            return head, body
+        finally:
+            if again:
+                self.pool.put(address, conn)
+            else:
+                self.pool.drop(conn)
+
+    async def probe(self, server: str, address: str | None) -> i.Probed:
+        """Ask for the load report."""
+        sent = time.monotonic()
+        status, load = i.Status.CONNECT_FAILED, None
+        if address is not None:
+            try:
+                with anyio.fail_after(PROBE_S):
+                    head, body = await self.call(server, address, b"GET", b"/status/load")
+                status = i.Status.OK if head.status_code == 200 else i.Status.ERROR
+                load = load_report(body) or load_report(header(head, b"x-load-report"))
+            except TimeoutError:
+                status = i.Status.TIMEOUT
+            except PEER_ERRORS as error:
+                log.info("probe_failed", server=server, error=str(error))
+        return i.Probed(server, status, (time.monotonic() - sent) * 1000, load)
+
+    async def retire_idle(self) -> None:
+        """Close idle connections in time."""
+        while True:
+            await anyio.sleep(1.0)
+            self.pool.retire()
--- /dev/null
+++ b/ringledge/wire/silence.py
@@ -0,0 +1,82 @@
+"""Who says nothing while it owes something: silent streams, and servers that are cut off."""
+
+from __future__ import annotations
+
+import math
+import time
+
+import anyio
+import anyio.abc
+
+from ringledge.core.clock import Clock
+from ringledge.core.ledger import Attempt
+from ringledge.decide.arrivals import Arrivals
+from ringledge.memory.servers import ServerList
+from ringledge.observe.logging import log
+from ringledge.wire.exchange import Live
+from ringledge.wire.lines import Lines
+from ringledge.wire.releases import Releaser
+
+SILENCE_LOOK_S = 0.1  # how often it is looked for silent streams and servers
+
+
+class Silence:
+    """Looks over all attempts that are under way: that costs less than a timer for each chunk."""
+
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        live: dict[Attempt, Live],
+        servers: ServerList,
+        lines: Lines,
+        releaser: Releaser,
+        clock: Clock,
+    ) -> None:
+        self._tasks, self._live, self._servers, self._lines = tasks, live, servers, lines
+        self._releaser, self._clock = releaser, clock
+        self._arrivals = Arrivals(lines.reach)
+
+    async def watch(self) -> None:
+        """End streams whose server says nothing more, and try servers that owe an answer."""
+        while True:
+            await anyio.sleep(SILENCE_LOOK_S)
+            if not self._live:
+                continue
+            now, waiting = time.monotonic(), list[tuple[str, float]]()
+            for attempt, live in list(self._live.items()):
+                if live.silent_at < now and not live.passing_on:
+                    live.scope.cancel()
+                elif not attempt.began and attempt.out and live.written_ms < math.inf:
+                    waiting.append((attempt.server, live.written_ms))
+            for server in self._arrivals.due(self._clock.now_ms(), waiting):
+                self._tasks.start_soon(self._check, server)
+
+    async def _check(self, server: str) -> None:
+        """Whether a server that owes answers and says nothing can still be reached."""
+        address = self._servers.address(server) or ""
+        try:
+            if address:
+                conn = await self._lines.open(server, address, self._lines.connect_s())
+                self._lines.pool.put(address, conn)
+                for attempt in self._live:
+                    attempt.arrived = attempt.arrived or attempt.server == server
+        except TimeoutError:
+            self._give_up(server)
+        except OSError:  # no process listens, or no socket is left: what is out ends by itself
+            pass
+        finally:
+            self._arrivals.checked(self._clock.now_ms(), server)
+
+    def _give_up(self, server: str) -> None:
+        """Stop waiting for a server that is cut off, save where an attempt must not run twice."""
+        for attempt, live in list(self._live.items()):
+            lost = attempt.server == server and not attempt.began and live.written_ms < math.inf
+            if not lost or not self._arrivals.lost(server, live.written_ms):
+                continue
+            record = attempt.record
+            log.info("attempt_cut_off", server=server, request=record.name)
+            if not attempt.once:
+                live.scope.cancel()
+            elif record.holders and not attempt.arrived:  # it may be answered yet, but waits for no state now
+                known, record.holders = record.holders, set()
+                self._releaser.release(record.name, known, {})
