Run the program by a table of parts, each imported only when it is wanted

`lifecycle/serve.py` (380 lines) wired every front and task by hand in one constructor, and each new subsystem had to be threaded through it. Now `lifecycle/parts/` holds a file a subsystem and one table; a part says what is called at its start, when the list is known, at the end, and when the limits are divided with another process.

Settings live beside their subsystems (`wire/chat_settings.py`, ...), names in `memory/names.py`; `lifecycle/config.py` reads one table of optional files. The circle of `core/ledger.py` and `core/port.py` is untied (`core/server_port.py`), and a test refuses any circle. The lab's commands are imported when called.

No change of behaviour.

--- a/ringledge/cli/serve.py
+++ b/ringledge/cli/serve.py
@@ -8,13 +8,14 @@
 import click
 
 from ringledge import __version__
+from ringledge.cli.lazy import Lazy
 from ringledge.lifecycle import config as configuration
 from ringledge.lifecycle import serve as serving
 from ringledge.lifecycle import signals
 from ringledge.observe.logging import LEVELS, log
 
 
-@click.group(invoke_without_command=True)
+@click.group(cls=Lazy, invoke_without_command=True)
 @click.pass_context
 def main(context: click.Context) -> None:
     """A conductor between clients and the readers and writers of a language model."""
@@ -40,14 +41,7 @@
     click.echo(f"{config.name}: listens at {config.listen}, discovery at {config.discovery}")
     click.echo(f"operators call at {config.operator or 'no address'}")
     click.echo(f"classes {', '.join(config.names.classes)}; {known} servers known")
-    extras = (
-        ("chat", config.chat),
-        ("xds", config.xds),
-        ("prometheus", config.prometheus),
-        ("overload", config.overload),
-        ("doors", config.doors),
-    )
-    click.echo(f"beside it: {', '.join(name for name, told in extras if told) or 'nothing'}")
+    click.echo(f"beside it: {', '.join(config.extras) or 'nothing'}")
 
 
 @main.command()
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -19,7 +19,8 @@
 from ringledge.core.clock import Clock
 from ringledge.core.desk import Desk
 from ringledge.core.ledger import Attempt, Ledger, Record
-from ringledge.core.port import Caller, Payload, Servers
+from ringledge.core.port import Caller, Payload
+from ringledge.core.server_port import Servers
 from ringledge.core.stages import admit, book, relay, route, send, take_in
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
--- a/ringledge/core/desk.py
+++ b/ringledge/core/desk.py
@@ -8,7 +8,7 @@
 from crowstand import interface as i
 from ringledge.core.clock import Clock
 from ringledge.core.ledger import Ledger
-from ringledge.core.port import Servers
+from ringledge.core.server_port import Servers
 from ringledge.memory.servers import ServerList
 from ringledge.observe.metrics import Metrics
 
--- /dev/null
+++ b/ringledge/core/server_port.py
@@ -0,0 +1,38 @@
+"""The small port through which the core reaches servers and discovery."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Protocol
+
+from ringledge.core.ledger import Attempt
+
+
+class Servers(Protocol):
+    """What the core carries out its actions with."""
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt; its end is reported to the conductor."""
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Close the attempt's connection now."""
+
+    def release(self, request: str, known: set[str], unseen: Mapping[str, float], begun: bool) -> None:
+        """Let go of what servers hold for a request whose attempts have all ended.
+
+        `known`: where a state waits for certain; `unseen`: where a read was given up that may have ended
+        well, and when (the clock's ms); `begun`: an answer has started since, with which all was let go
+        wherever that could be told.
+        """
+
+    def listed(self) -> None:
+        """The list of servers has changed."""
+
+    def silences(self) -> frozenset[str]:
+        """The servers that no connection reaches just now."""
+
+    def probe(self, server: str) -> None:
+        """Ask a server for its load."""
+
+    def ask_members(self) -> None:
+        """Ask discovery for the whole list once."""
--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -7,17 +7,20 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 import orjson
-from msgspec import Meta
 
 from crowstand import interface as i
 from crowstand import wirehost
 from ringledge.decide.doors_settings import DoorsConfig
 from ringledge.decide.overload_settings import OverloadConfig
 from ringledge.lifecycle import strict
+from ringledge.memory.names import Names as Names
+from ringledge.wire.chat_settings import ChatConfig as ChatConfig
+from ringledge.wire.prometheus_settings import PrometheusConfig
+from ringledge.wire.xds_settings import XdsConfig
 
 DEPLOY = "deploy"  # the folder of our own files; RINGLEDGE_DEPLOY names another
 
@@ -47,58 +50,17 @@
     return str(value).replace(" ", "_").replace(",", "_")
 
 
-@dataclass(slots=True, frozen=True)
-class Names:
-    """The names on the wires behind the indices of the decisions, and the wire's own settings."""
-
-    zones: tuple[str, ...]
-    kinds: tuple[str, ...]
-    classes: tuple[str, ...]
-    tenants: tuple[str, ...]
-    keepalive_s: float
-    connect_timeout_s: float
-    max_retry_after_ms: float
-
-    @staticmethod
-    def index(names: tuple[str, ...], name: str) -> int:
-        """The index of a name; one past the last for a name that is not known."""
-        return names.index(name) if name in names else len(names)
-
-
-Address = Annotated[str, Meta(pattern=r"^\S+:[0-9]{1,5}$")]
-MaybeAddress = Annotated[str, Meta(pattern=r"^(\S+:[0-9]{1,5})?$")]
-Count = Annotated[int, Meta(ge=1)]
-Seconds = Annotated[float, Meta(gt=0)]
-
-
-class ChatConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Where and how the chat front listens (chat.toml)."""
-
-    listen: Address
-    models: dict[str, str]  # the class that each model's requests belong to
-    tenant: str = ""  # of a client that names none
-    max_tokens: Count = 800  # where a request names no limit
-    resume_for_s: Seconds = 60.0  # how long an answer that has ended can be come back to
-    sessions: Count = 512  # answers kept at most
-
-
-class XdsConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Where xDS is served (xds.toml)."""
-
-    listen: Address
-    cluster: str = "ringledge-xds"  # the name under which the proxies know this listener
-    poll_s: Seconds = 10.0  # a poll that finds nothing new is answered after so long
+# Our own files under deploy/, each off unless it says `enabled = true`: a subsystem adds its line here, and
+# its part's in lifecycle/parts.
+FILES: dict[str, type[msgspec.Struct]] = {
+    "chat": ChatConfig,
+    "xds": XdsConfig,
+    "prometheus": PrometheusConfig,
+    "overload": OverloadConfig,
+    "doors": DoorsConfig,
+}
 
-
-class PrometheusConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Where /metrics is scraped and where figures are written to (prometheus.toml)."""
-
-    listen: MaybeAddress = ""
-    remote_write: str = ""  # the receiver's http address; empty: none
-    interval_s: Seconds = 15.0
-    queue: Count = 40  # collections that may wait
-    timeout_s: Seconds = 5.0
-    labels: dict[str, str] = {}  # added to each series that is written
+S = TypeVar("S", bound=msgspec.Struct)
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,11 +80,19 @@
     known: dict[str, Any]
     settings: i.Settings
     names: Names
-    chat: ChatConfig | None
-    xds: XdsConfig | None
-    prometheus: PrometheusConfig | None
-    overload: OverloadConfig | None
-    doors: DoorsConfig | None
+    extras: dict[str, msgspec.Struct]  # by file, without its ending: what is enabled
+
+    @property
+    def memory(self) -> float:
+        """Bytes that the process may use."""
+        return self.memory_mb * 1024 * 1024
+
+    def extra(self, kind: type[S]) -> S:
+        """The settings of a file that is enabled; LookupError where it is not."""
+        for each in self.extras.values():
+            if isinstance(each, kind):
+                return each
+        raise LookupError(kind.__name__)
 
 
 def _address(text: str) -> str:
@@ -133,9 +103,6 @@
     return text
 
 
-S = TypeVar("S", bound=msgspec.Struct)
-
-
 def optional(kind: type[S], file: str, environ: Mapping[str, str]) -> S | None:
     """Read one of our own files under deploy/; None where it is absent or not enabled."""
     try:
@@ -144,6 +111,12 @@
         raise ConfigError(str(error)) from error
 
 
+def extras(environ: Mapping[str, str]) -> dict[str, msgspec.Struct]:
+    """Read all of them; those that are off are checked, too, and left out."""
+    found = {name: optional(kind, f"{name}.toml", environ) for name, kind in FILES.items()}
+    return {name: told for name, told in found.items() if told is not None}
+
+
 def load(environ: Mapping[str, str] = os.environ) -> Config:
     """Read the configuration."""
     path = environ.get("RELAY_CONFIG")
@@ -178,11 +151,7 @@
             told.get("known") or {"index": 0, "snapshot": True, "endpoints": []},
             wirehost.settings(fields),
             names,
-            optional(ChatConfig, "chat.toml", environ),
-            optional(XdsConfig, "xds.toml", environ),
-            optional(PrometheusConfig, "prometheus.toml", environ),
-            optional(OverloadConfig, "overload.toml", environ),
-            optional(DoorsConfig, "doors.toml", environ),
+            extras(environ),
         )
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from error
--- /dev/null
+++ b/ringledge/lifecycle/drain.py
@@ -0,0 +1,25 @@
+"""The end of a conductor's service: all that was taken is answered before the process goes."""
+
+from __future__ import annotations
+
+import anyio
+
+from ringledge.lifecycle.shared import Shared
+
+KEEP_TAKING_S = 0.6  # after SIGTERM new connections go on arriving so long, and on kept ones too
+END_S, LONGEST_S = 0.7, 3.0  # SIGKILL comes after the longest deadline (at most so long) and END_S
+LAST_CALL_S = 0.5  # before it, what has not begun is given up: its client is told, and its state let go
+LOOK_S = 0.02  # how often it is looked whether all is done
+
+
+async def drain(shared: Shared) -> None:
+    """Return once all that was taken is answered."""
+    classes = shared.config.settings.classes
+    longest_s = max((each.deadline_ms / 1000 for each in classes), default=LONGEST_S)
+    last_call = anyio.current_time() + min(LONGEST_S, longest_s) + END_S - LAST_CALL_S
+    await anyio.sleep(KEEP_TAKING_S)
+    while shared.fronts.open_count() or shared.conductor.ledger.records or shared.upstream.releases:
+        shared.fronts.drain()
+        if anyio.current_time() >= last_call:
+            shared.conductor.last_call()
+        await anyio.sleep(LOOK_S)
--- /dev/null
+++ b/ringledge/lifecycle/parts/doors.py
@@ -0,0 +1,29 @@
+"""The doors, which say how long connections may rest and who may open how many."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+
+from ringledge.decide.doors import Doors
+from ringledge.decide.doors_settings import DoorsConfig
+from ringledge.lifecycle.shared import Part, Shared
+from ringledge.observe.logging import log
+
+SILENT_S, SILENT_MOST = 60.0, 5  # how often networks that open without asking are named, and how many
+
+
+def part(shared: Shared) -> Part:
+    """Make them, for the fronts to ask."""
+    config = shared.config
+    shared.fronts.doors = doors = Doors(config.extra(DoorsConfig), random.Random(config.seed))
+    return Part(start=lambda: shared.tasks.start_soon(_tell_silent, doors))
+
+
+async def _tell_silent(doors: Doors) -> None:
+    """Name the client networks that open connections and ask for nothing."""
+    while True:
+        await anyio.sleep(SILENT_S)
+        if networks := doors.silent(SILENT_MOST):
+            log.info("networks_silent", networks=networks, open=doors.open())
--- /dev/null
+++ b/ringledge/lifecycle/parts/overload.py
@@ -0,0 +1,30 @@
+"""The gate, which turns requests away before the process falls behind."""
+
+from __future__ import annotations
+
+from ringledge.core.gate import Caps, Gate
+from ringledge.decide.overload_settings import OverloadConfig
+from ringledge.lifecycle.shared import Part, Shared
+from ringledge.memory.held import Held
+from ringledge.memory.vitals import Vitals
+
+
+def part(shared: Shared) -> Part:
+    """Make it, for the fronts to ask."""
+    config, conductor = shared.config, shared.conductor
+    caps = Caps(config.cores, config.memory, config.sockets)
+    vitals = Vitals(shared.metrics, conductor.timer_lag_ms)
+    shared.held = Held()
+    shared.gate = gate = Gate(
+        config.extra(OverloadConfig),
+        caps,
+        config.settings,
+        config.names.classes,
+        conductor.clock,
+        vitals,
+        shared.held,
+        shared.metrics,
+        config.seed,
+    )
+    shared.fronts.aged = vitals.waited
+    return Part(ready=gate.start, share=gate.share)
--- /dev/null
+++ b/ringledge/lifecycle/shared.py
@@ -0,0 +1,68 @@
+"""What the parts of the program share, and what a part is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import anyio.abc
+
+from ringledge.core.conductor import Conductor
+from ringledge.lifecycle.config import Config
+from ringledge.lifecycle.fronts import Fronts
+from ringledge.memory.byhand import ByHand
+from ringledge.memory.servers import ServerList
+from ringledge.observe.metrics import Metrics
+from ringledge.wire.discovery import Discovery
+from ringledge.wire.platform import Platform
+from ringledge.wire.upstream import Upstream
+
+if TYPE_CHECKING:
+    from ringledge.core.gate import Gate
+    from ringledge.memory.held import Held
+
+
+def _nothing() -> None:
+    pass
+
+
+def _not_told(processes: int) -> None:
+    pass
+
+
+async def _at_once() -> None:
+    pass
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Part:
+    """One subsystem of a running program, by what is called at which moment."""
+
+    start: Callable[[], object] = _nothing  # before the list of servers is known
+    ready: Callable[[], object] = _nothing  # the list is known as well as it gets: serve
+    stop: Callable[[], Coroutine[Any, Any, None]] = (
+        _at_once  # end in good order; all parts' run beside each other
+    )
+    share: Callable[[int], None] = _not_told  # among how many processes the limits are divided now
+
+
+@dataclass(slots=True, eq=False)
+class Shared:
+    """What a part may use; what one part makes for others stands below, in the table's order."""
+
+    config: Config
+    tasks: anyio.abc.TaskGroup
+    metrics: Metrics
+    servers: ServerList
+    upstream: Upstream
+    conductor: Conductor
+    by_hand: ByHand
+    discovery: Discovery
+    fronts: Fronts
+    can_serve: Callable[[], bool]  # whether all that serving takes is at work
+    stopping: anyio.Event = field(default_factory=anyio.Event)
+    gate: Gate | None = None
+    held: Held | None = None
+    platform: Platform | None = None
--- /dev/null
+++ b/ringledge/structures/settings.py
@@ -0,0 +1,12 @@
+"""Kinds of values that settings of several subsystems have."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta
+
+Address = Annotated[str, Meta(pattern=r"^\S+:[0-9]{1,5}$")]
+MaybeAddress = Annotated[str, Meta(pattern=r"^(\S+:[0-9]{1,5})?$")]
+Count = Annotated[int, Meta(ge=1)]
+Seconds = Annotated[float, Meta(gt=0)]
--- a/ringledge/wire/remote_write.py
+++ b/ringledge/wire/remote_write.py
@@ -16,10 +16,10 @@
 
 from ringledge import __version__
 from ringledge.decide.backoff import Backoff
-from ringledge.lifecycle.config import PrometheusConfig
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.http import PEER_ERRORS, Connection, HttpError, connect, header, only, read_body, respond
+from ringledge.wire.prometheus_settings import PrometheusConfig
 
 FIRST_BACKOFF_S, MOST_BACKOFF_S = 0.5, 30.0
 OPTIONAL, REPEATED = 1, 3  # the numbers of labels and types in descriptor.proto
--- a/ringledge/wire/xds.py
+++ b/ringledge/wire/xds.py
@@ -18,11 +18,12 @@
 from crowstand import interface as i
 from crowstand.view import view as views
 from ringledge.core.conductor import Conductor
-from ringledge.lifecycle.config import Names, XdsConfig
+from ringledge.memory.names import Names
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.http import Connection, HttpError, only, read_body, respond
 from ringledge.wire.platform import converse
+from ringledge.wire.xds_settings import XdsConfig
 
 CLUSTERS = {i.Role.READER: "readers", i.Role.WRITER: "writers", i.Role.MIXED: "mixed"}
 TYPE = "type.googleapis.com/envoy.config."
--- /dev/null
+++ b/tests/lifecycle/test_parts.py
@@ -0,0 +1,64 @@
+"""The table of parts: what its file doesn't enable is neither imported nor started."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from ringledge.lifecycle import config as configuration
+from ringledge.lifecycle import parts
+from ringledge.lifecycle.serve import waiting
+from tests.loopback import SETTINGS, Node
+
+LISTEN = 'listen = "127.0.0.1:0"\n'
+FILES = {  # by file: what enables it, and a module that it alone needs
+    "chat": (LISTEN + '[models]\nask = "query"\n', "ringledge.wire.chat"),
+    "xds": (LISTEN, "ringledge.wire.xds"),
+    "prometheus": (LISTEN, "ringledge.wire.remote_write"),
+    "overload": ("", "ringledge.core.gate"),
+    "doors": ("", "ringledge.decide.doors"),
+}
+
+
+def imported(folder: Path, files: dict[str, str]) -> set[str]:
+    """What a process has imported when it is ready."""
+    with Node(folder, files=files, flags=("-X", "importtime")) as node:
+        texts = [line["text"] for line in node.passed if line["event"] == "text"]
+    return {text.rsplit("|", 1)[1].strip() for text in texts if "|" in text}
+
+
+def test_what_is_off_is_not_imported(tmp_path: Path) -> None:
+    files = {f"{name}.toml": "enabled = false\n" + text for name, (text, _) in FILES.items()}
+    found = imported(tmp_path, files)
+    assert "ringledge.wire.platform" in found and "psutil" not in found
+    for name, (_, module) in FILES.items():
+        assert module not in found, name
+
+
+def test_what_is_on_is_imported(tmp_path: Path) -> None:
+    files = {f"{name}.toml": "enabled = true\n" + text for name, (text, _) in FILES.items()}
+    found = imported(tmp_path, files)
+    assert {module for _, module in FILES.values()} <= found
+
+
+def test_each_file_has_its_part_and_its_case_here() -> None:
+    assert configuration.FILES.keys() == FILES.keys() <= {name for name, _ in parts.TABLE}
+
+
+@pytest.fixture
+def config(tmp_path: Path) -> configuration.Config:
+    told = {"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+    (tmp_path / "config.json").write_text(json.dumps(told))
+    (tmp_path / "xds.toml").write_text("enabled = true\n" + LISTEN)
+    return configuration.load(
+        {"RELAY_CONFIG": str(tmp_path / "config.json"), "RINGLEDGE_DEPLOY": str(tmp_path)}
+    )
+
+
+def test_what_waits_for_a_restart_is_named_by_its_file(config: configuration.Config) -> None:
+    assert waiting(config, config) == []
+    assert waiting(config, replace(config, extras={}, cores=2.0)) == ["cores", "xds"]
+    assert waiting(config, replace(config, discovery="127.0.0.1:2")) == []
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -2,6 +2,7 @@
 
 import ast
 import re
+from graphlib import TopologicalSorter
 from pathlib import Path
 
 from tests.loopback import ROOT
@@ -26,6 +27,12 @@
         assert not [name for name in imports(path) if name.startswith(wires)], path
 
 
+def test_no_module_needs_itself() -> None:
+    modules = {".".join(path.relative_to(ROOT).with_suffix("").parts): path for path in SOURCES}
+    graph = {name: imports(path) & modules.keys() for name, path in modules.items()}
+    TopologicalSorter(graph).prepare()  # a circle is a CycleError that names it; imports for types count, too
+
+
 def test_every_log_line_is_explained() -> None:
     told = set(re.findall(r"`(\w+)`", (ROOT / "docs/oncall.md").read_text()))
     for path in SOURCES:
