--- /dev/null
+++ b/ringledge/decide/datagram.py
@@ -0,0 +1,28 @@
+"""What fits into one datagram between members: the bounds that deciders keep and the codec checks."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta
+
+from ringledge.decide.fleet import MOST_BYTES
+
+NAME_MOST = 24  # bytes of a member's name in UTF-8
+TAG_BYTES = 12  # of the keyed hash: 96 bits, guessed once in 10^28 datagrams
+# Version, kind, cluster (4), number (5), both starts (6 each), the tag, the length of the sender's name.
+FIXED_BYTES = 1 + 1 + 4 + 5 + 6 + 6 + TAG_BYTES + 1
+BODY_MOST = MOST_BYTES - FIXED_BYTES - NAME_MOST  # bytes of a message, whoever sends it
+START_MOST = (1 << 48) - 1  # a start number fits 6 bytes: ms of the wall clock until the year 10,889
+
+Name = Annotated[str, Meta(min_length=1, max_length=NAME_MOST)]
+Start = Annotated[int, Meta(ge=0, le=START_MOST)]
+Count = Annotated[int, Meta(ge=0, lt=1 << 53)]
+Word = Annotated[int, Meta(ge=0, lt=1 << 32)]
+
+
+def checked_name(name: str) -> str:
+    """The name itself; ValueError where a datagram has no room for it."""
+    if not 0 < len(name.encode()) <= NAME_MOST:
+        raise ValueError(f"a member's name has 1 to {NAME_MOST} bytes: {name!r}")
+    return name
--- /dev/null
+++ b/ringledge/decide/membership_messages.py
@@ -0,0 +1,84 @@
+"""What members say to one another about who is there.
+
+Each message names the sender's start and the receiver's as the sender knows it (0: not known), so that one
+which is addressed as its predecessor can say who it is now.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from ringledge.decide.datagram import BODY_MOST, Count, Name, Start, Word
+
+FRAME_BYTES = 32  # of a Ping without its news: array heads, two starts, a nonce and a view at their longest
+NEWS_BYTES = BODY_MOST - FRAME_BYTES  # what is left for piggy-backed news
+
+
+class Status(enum.IntEnum):
+    """What is said of a member; with the same incarnation the higher one counts."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3  # said by itself, the last word of this start
+
+
+class News(msgspec.Struct, array_like=True, frozen=True):
+    """One member as the sender knows it. Address and site are given where it is alive."""
+
+    name: Name
+    start: Start
+    incarnation: Count  # raised by the member itself alone, to refute what is said of it
+    status: Status
+    address: str = ""
+    site: str = ""
+
+
+class Ping(msgspec.Struct, array_like=True, frozen=True):
+    """Are you there? Answered by an Ack with the same nonce."""
+
+    start: Start
+    to_start: Start
+    nonce: Word
+    view: Word  # 32-bit sum over who is there, to see whether two members agree
+    news: tuple[News, ...] = ()
+
+
+class Ack(msgspec.Struct, array_like=True, frozen=True):
+    """Yes; or, from one that was asked by Ask, the other one is."""
+
+    start: Start
+    to_start: Start
+    nonce: Word
+    view: Word
+    news: tuple[News, ...] = ()
+
+
+class Ask(msgspec.Struct, array_like=True, frozen=True):
+    """Ping another member for me, for I hear nothing of it."""
+
+    start: Start
+    to_start: Start
+    nonce: Word
+    target: Name
+
+
+class Join(msgspec.Struct, array_like=True, frozen=True):
+    """Here I am. Answered by Rosters."""
+
+    to_start: Start
+    me: News
+
+
+class Roster(msgspec.Struct, array_like=True, frozen=True):
+    """Part of what the sender knows of all."""
+
+    start: Start
+    to_start: Start
+    news: tuple[News, ...]
+
+
+MESSAGES: tuple[type[msgspec.Struct], ...] = (Ping, Ack, Ask, Join, Roster)
+Message = Ping | Ack | Ask | Join | Roster
