Tell who is there by SWIM and spread facts by push and comparison, without I/O

Need: duties, the planner and replay have to know who is there and what each member tells. Change: decide/membership.py probes, asks others, suspects, refutes and passes news on; a newer start supersedes, an older one never comes back, a member that stood still blames nobody, a predecessor falls silent. decide/facts.py keeps one writer's records by version, pushes changes and compares by sums and rows. benchmarks/members_world.py plays both in virtual time from a seed.

--- /dev/null
+++ b/benchmarks/members_world.py
@@ -0,0 +1,159 @@
+"""Members in virtual time: each datagram may be late, doubled, lost or cut off; a seed replays it."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ringledge.decide.datagram import FIXED_BYTES
+from ringledge.decide.facts import FactsTable
+from ringledge.decide.facts_messages import MESSAGES as FACTS
+from ringledge.decide.facts_settings import FactsConfig
+from ringledge.decide.fleet import MOST_BYTES, Action, Member, Tell
+from ringledge.decide.membership import Change, Membership
+from ringledge.decide.membership_settings import ProbeConfig
+
+DELAY_S = (0.001, 0.027)  # of a datagram, from what the platform states
+
+
+@dataclass(slots=True)
+class Node:
+    """One process."""
+
+    membership: Membership
+    facts: FactsTable
+    changes: list[tuple[float, Change]] = field(default_factory=list)
+    stopped: bool = False  # stands still; what comes meanwhile waits
+    inbox: list[tuple[str, msgspec.Struct]] = field(default_factory=list)
+    tick_s: float = float("inf")
+    datagrams: int = 0
+    bytes: int = 0
+
+
+class World:
+    """All of them. `loss`, `doubles`: parts of the datagrams; `cut` says whether one from a to b is lost."""
+
+    def __init__(self, seed: int, probe: ProbeConfig | None = None, facts: FactsConfig | None = None) -> None:
+        self.rng, self.now_s = random.Random(seed), 0.0
+        self.probe, self.facts = probe or ProbeConfig(), facts or FactsConfig()
+        self.nodes: dict[str, Node] = {}
+        self.loss = self.doubles = 0.0
+        self.cut: Callable[[str, str], bool] = lambda a, b: False
+        self.lost = 0  # datagrams that fell to loss or a cut
+        self.checks: list[Callable[[World], None]] = []  # called after each event
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = itertools.count()
+        self._encoder = msgspec.msgpack.Encoder()
+
+    def start(self, name: str, seeds: list[str], start: int | None = None) -> Node:
+        """A process begins, now; one of that name is gone without a word."""
+        number = round(self.now_s * 1000) + 1 if start is None else start
+        me, rng = Member(name, number, f"{name}:1", "s"), random.Random(self.rng.random())
+        node = Node(Membership(me, seeds, self.probe, rng), FactsTable(me, self.facts, rng))
+        self.nodes[name] = node
+        self._arm(name, node)
+        return node
+
+    def kill(self, name: str) -> Node:
+        """It is gone without a word."""
+        return self.nodes.pop(name)
+
+    def leave(self, name: str) -> None:
+        """It says goodbye and is gone."""
+        node = self.nodes[name]
+        self._act(name, node, node.membership.leave(self.now_s))
+        del self.nodes[name]
+
+    def stop(self, name: str) -> None:
+        """It stands still."""
+        self.nodes[name].stopped = True
+
+    def go_on(self, name: str) -> None:
+        """It runs again, and hears first what waited."""
+        node = self.nodes[name]
+        node.stopped = False
+        waited, node.inbox = node.inbox, []
+        for sender, message in waited:
+            self._hear(name, node, sender, message)
+        self._arm(name, node)
+
+    def run(self, seconds: float, until: Callable[[], bool] | None = None) -> float:
+        """Let time pass, until something holds or for so long; how long it took."""
+        began, end_s = self.now_s, self.now_s + seconds
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, event = heapq.heappop(self._events)
+            event()
+            for check in self.checks:
+                check(self)
+            if until is not None and until():
+                return self.now_s - began
+        self.now_s = end_s
+        return seconds
+
+    def poke(self, name: str) -> None:
+        """Something was put into its facts."""
+        self._arm(name, self.nodes[name])
+
+    def agreed(self) -> bool:
+        """Whether each one takes just those for there who run."""
+        running = {name: node.membership.me for name, node in self.nodes.items()}
+        wanted = tuple(sorted(running.values()))
+        return all(node.membership.alive() == wanted for node in self.nodes.values())
+
+    def _at(self, at_s: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (max(at_s, self.now_s), next(self._count), event))
+
+    def _arm(self, name: str, node: Node) -> None:
+        at_s = max(self.now_s, min(node.membership.next_s(), node.facts.next_s()))
+        if at_s < node.tick_s:
+            node.tick_s = at_s
+            self._at(at_s, lambda: self._tick(name, node, at_s))
+
+    def _tick(self, name: str, node: Node, at_s: float) -> None:
+        if self.nodes.get(name) is not node or node.tick_s != at_s:
+            return
+        node.tick_s = float("inf")
+        if node.stopped:
+            return
+        self._act(name, node, node.membership.tick(self.now_s))
+        self._act(name, node, node.facts.tick(self.now_s))
+        self._arm(name, node)
+
+    def _hear(self, name: str, node: Node, sender: str, message: msgspec.Struct) -> None:
+        decider = node.facts if isinstance(message, FACTS) else node.membership
+        self._act(name, node, decider.hear(self.now_s, sender, message))  # type: ignore[arg-type]
+        self._arm(name, node)
+
+    def _act(self, name: str, node: Node, actions: list[Action]) -> None:
+        if changes := node.membership.changes():
+            node.changes += [(self.now_s, each) for each in changes]
+            node.facts.members(self.now_s, node.membership.me, node.membership.alive())
+        for action in actions:
+            assert isinstance(action, Tell)
+            size = FIXED_BYTES + len(name) + len(self._encoder.encode(action.message))
+            assert size <= MOST_BYTES, (size, action)
+            node.datagrams += 1
+            node.bytes += size
+            for _ in range(1 + (self.rng.random() < self.doubles)):
+                self._send(name, action)
+
+    def _send(self, name: str, action: Tell) -> None:
+        if self.rng.random() < self.loss or self.cut(name, action.to):
+            self.lost += 1
+            return
+        delay_s = self.rng.uniform(*DELAY_S)
+        self._at(self.now_s + delay_s, lambda: self._land(name, action))
+
+    def _land(self, sender: str, action: Tell) -> None:
+        node = self.nodes.get(action.to)
+        if node is None:
+            return
+        if node.stopped:
+            node.inbox.append((sender, action.message))
+        else:
+            self._hear(action.to, node, sender, action.message)
--- a/ringledge/decide/facts_messages.py
+++ b/ringledge/decide/facts_messages.py
@@ -11,7 +11,7 @@
 
 BUCKETS = 16  # into which writers fall by their names; each has its sum
 KEY_MOST, VALUE_MOST = 48, 120  # bytes
-ROOM_BYTES = BODY_MOST - 4  # for the rows or records of one message, without the heads of its arrays
+ROOM_BYTES = BODY_MOST - 10  # for the rows or records of one message, without the heads of its arrays
 
 Key = Annotated[str, Meta(min_length=1, max_length=KEY_MOST)]
 Value = Annotated[bytes, Meta(max_length=VALUE_MOST)]
@@ -50,6 +50,7 @@
     """Some of the sender's rows. Answered by records that it lacks, and by Wants."""
 
     rows: tuple[Row, ...]
+    whole: Word = 0  # bit by bit, the buckets of which these are all rows: it lacks all other writers of them
 
 
 class Wants(msgspec.Struct, array_like=True, frozen=True):
@@ -62,6 +63,7 @@
     """Records, of any writers."""
 
     records: tuple[Record, ...]
+    pushed: bool = False  # a change; who hears it first passes it on
 
 
 MESSAGES: tuple[type[msgspec.Struct], ...] = (Sums, Rows, Wants, Records)
--- /dev/null
+++ b/ringledge/decide/membership.py
@@ -0,0 +1,245 @@
+"""Who is there: SWIM (Das, Gupta, Motivala 2002) with suspicion that can be refuted, as events and actions.
+
+Each interval a member probes the next of the others, in an order that it shuffles for each round. One that
+does not answer is asked by way of some others, then suspected, then dead. News rides on probes and answers. A
+member that hears itself suspected or called dead refutes it by a higher incarnation. Members whose sums over
+who is there differ tell each other what they know, and one that is taken for dead is tried now and then: so a
+fleet that was cut in two grows together again.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable
+from dataclasses import replace
+
+from ringledge.decide.datagram import START_MOST, checked_name
+from ringledge.decide.fleet import Action, Member
+from ringledge.decide.membership_messages import MESSAGES, Ack, Ask, Join, Message, News, Ping, Roster, Status
+from ringledge.decide.membership_probes import Probes
+from ringledge.decide.membership_settings import ProbeConfig
+from ringledge.decide.membership_table import (
+    Change,
+    Died,
+    Joined,
+    Left,
+    Restarted,
+    Superseded,
+    Suspected,
+    Table,
+)
+from ringledge.decide.membership_words import Words
+
+__all__ = [
+    "EVERYONE",
+    "MESSAGES",
+    "Change",
+    "Died",
+    "Joined",
+    "Left",
+    "Membership",
+    "Restarted",
+    "Status",
+    "Superseded",
+    "Suspected",
+]
+
+EVERYONE = "*"  # as a seed: the address at which all are heard at once
+AGAIN = 5  # intervals between tries to reach one who is not there; one interval where nobody is
+STALL = 0.5  # intervals that a tick may be late before the member blames itself rather than others
+SYNC_PAGES, JOIN_PAGES = 3, 100  # Rosters sent at once: to one who knows otherwise, to one who joins
+FAREWELLS = 8  # members that are told when this one leaves
+TRIES = 3  # seeds asked at once while nobody is there
+GRACE = 2.0  # times the suspicion after its begin that a member takes a higher start for its predecessor's
+
+
+class Membership:
+    """One member's side. Changes are taken from `changes()` after each call; times in s of its own clock.
+
+    `seeds`: names that are asked to let it in. `rng`: draws the order of probes and who is asked.
+    """
+
+    def __init__(self, me: Member, seeds: Iterable[str], settings: ProbeConfig, rng: random.Random) -> None:
+        checked_name(me.name)
+        self._settings, self._rng = settings, rng
+        self.silent = False  # it left, or has a successor
+        self._seeds = [each for each in dict.fromkeys(seeds) if each != me.name]
+        self._table = Table(settings)
+        self._words = Words(me, settings, self._table)
+        self._probes = Probes(settings, rng, self._table)
+        self._known = False  # somebody addressed it by the start that it has
+        self._begin_s = self._due_s = math.inf
+        self._again_s = self._sync_s = -math.inf
+
+    @property
+    def me(self) -> Member:
+        """The member itself; its start number may rise while it joins."""
+        return self._words.me
+
+    def alive(self) -> tuple[Member, ...]:
+        """All who count as there, itself too, by name."""
+        there = [each.member for each in self._table.peers.values() if each.there()]
+        return tuple(sorted([self.me, *there]))
+
+    def members(self) -> dict[str, Status]:
+        """What is believed of each name that is known, itself too."""
+        mine = Status.LEFT if self.silent else Status.ALIVE
+        return {self.me.name: mine, **{name: each.status for name, each in self._table.peers.items()}}
+
+    def last(self, name: str) -> Member | None:
+        """The latest member of a name that is known, there or gone."""
+        peer = self._table.peers.get(name)
+        return self.me if name == self.me.name else peer.member if peer is not None else None
+
+    def changes(self) -> list[Change]:
+        """What changed since the last call."""
+        changes, self._table.changes = self._table.changes, []
+        return changes
+
+    def next_s(self) -> float:
+        """When the next tick is wanted."""
+        if self.silent:
+            return math.inf
+        self._due_s = min(self._probes.next_s(), self._again_s, self._table.next_s())
+        return self._due_s
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Probe, ask, give up, and try those who are not there, as it is due."""
+        if self.silent:
+            return []
+        self._begin_s = min(self._begin_s, now_s)
+        self._stood_still(now_s)
+        words, probes, peers = self._words, self._probes, self._table.peers
+        for peer in self._table.expire(now_s):
+            words.spread(peer.news())
+        if (failed := probes.failed(now_s)) is not None:
+            words.spread(peers[failed].news())
+        actions: list[Action] = []
+        if (begun := probes.begin(now_s)) is not None:
+            actions.append(words.ping(*begun))
+        if (late := probes.asks(now_s)) is not None:
+            target, nonce, helpers = late
+            actions += [words.ping(target, nonce), *(words.ask(each, nonce, target) for each in helpers)]
+        actions += [words.ping(name, probes.nonce()) for name in probes.chase(now_s)]
+        if now_s >= self._again_s:
+            actions += self._try_again(now_s)
+        return actions
+
+    def hear(self, now_s: float, sender: str, message: Message) -> list[Action]:
+        """Take a message; one under this member's own name is its successor's, or late."""
+        if self.silent:
+            return []
+        words, mine = self._words, self.me.start
+        start, news = message.me.start if isinstance(message, Join) else message.start, _news(message)
+        if sender == self.me.name:
+            return self._named(now_s, start, gone=False)
+        actions = self._take(now_s, news, isinstance(message, Roster))
+        if message.to_start > self.me.start:
+            actions += self._named(now_s, message.to_start, gone=False)
+        if self.silent:
+            return actions
+        self._known = self._known or message.to_start == self.me.start
+        if start < words.start(sender):  # it has a successor, or has to take a higher start
+            return [*actions, words.roster(sender, self._table.peers[sender].news())]
+        self._table.heard(now_s, sender, start)
+        match message:
+            case Ping():
+                actions.append(words.ack(sender, message.nonce))
+            case Ack():
+                if (asked := self._probes.answered(message.nonce)) is not None:
+                    actions.append(words.ack(*asked))
+            case Ask() if message.target in self._table.peers:
+                nonce = self._probes.relay(sender, message.nonce)
+                actions.append(words.ping(message.target, nonce))
+            case Join():
+                actions += words.rosters(sender, JOIN_PAGES)
+        if message.to_start != mine and not isinstance(message, Join):
+            actions.append(words.join(sender))
+        if isinstance(message, Ping | Ack) and message.view != words.view():
+            actions += self._sync(now_s, sender)
+        return actions
+
+    def leave(self, now_s: float) -> list[Action]:
+        """Say goodbye; nothing is said after it."""
+        if self.silent:
+            return []
+        self.silent = True
+        told = self._probes.some(FAREWELLS, set())
+        return [self._words.roster(name, self._words.own(Status.LEFT)) for name in told]
+
+    def _stood_still(self, now_s: float) -> None:
+        """Blame nobody where the tick is late: what others said meanwhile is unread."""
+        late_s, self._due_s = now_s - self._due_s, math.inf
+        if STALL * self._settings.interval_s < late_s < math.inf:
+            self._probes.void()
+            self._table.put_off(late_s)
+
+    def _take(self, now_s: float, news: Iterable[News], listed: bool) -> list[Action]:
+        actions: list[Action] = []
+        for each in news:
+            if each.name == self.me.name:
+                actions += self._said(now_s, each)
+            elif self._table.merge(now_s, each, listed):
+                self._words.spread(self._table.peers[each.name].news(), once=listed)
+        return actions
+
+    def _said(self, now_s: float, news: News) -> list[Action]:
+        """What is said of the member itself."""
+        words, gone = self._words, news.status >= Status.DEAD
+        if news.start > self.me.start or (news.start == self.me.start and news.status is Status.LEFT):
+            return self._named(now_s, news.start, gone)
+        if news.start == self.me.start and news.status:
+            words.incarnation = max(words.incarnation, news.incarnation + 1)
+            words.spread(words.own())  # also what was refuted before: whoever says it has not heard so
+        return []
+
+    def _named(self, now_s: float, start: int, gone: bool) -> list[Action]:
+        """Its name was used with another start: a predecessor's (a clock stepped back), or a successor's."""
+        if start < self.me.start or (start == self.me.start and not gone):
+            return []
+        grace_s = GRACE * self._settings.suspicion_s(self._table.there + 1)
+        young = now_s - min(self._begin_s, now_s) < grace_s
+        if self._known and not young and not gone:
+            self.silent = True
+            self._table.changes.append(Superseded(start))
+            return []
+        words = self._words
+        words.me = replace(self.me, start=min(start + 1, START_MOST))
+        words.incarnation, self._known = 0, False
+        self._table.changes.append(Restarted(self.me))
+        words.spread(words.own())
+        return [words.join(name) for name in self._probes.some(FAREWELLS, set())]
+
+    def _try_again(self, now_s: float) -> list[Action]:
+        """Ask seeds, and those taken for dead, whether they are there."""
+        alone, peers = not self._table.there, self._table.peers
+        self._again_s = now_s + (1 if alone else AGAIN) * self._settings.interval_s
+        away = [name for name in self._seeds if name not in peers and (alone or name != EVERYONE)]
+        away += [name for name in self._seeds if name in peers and not peers[name].there()]
+        away += [
+            name
+            for name, each in peers.items()
+            if each.status is Status.DEAD and each.member.address and name not in self._seeds
+        ]
+        chosen = self._rng.sample(away, min(TRIES if alone else 1, len(away)))
+        words, probes = self._words, self._probes
+        return [words.ping(name, probes.nonce()) if name in peers else words.join(name) for name in chosen]
+
+    def _sync(self, now_s: float, name: str) -> list[Action]:
+        """Tell one who believes otherwise a part of what is known here, if no news explains it."""
+        if now_s < self._sync_s:
+            return []
+        self._sync_s = now_s + self._settings.interval_s
+        return self._words.rosters(name, SYNC_PAGES, self._rng)
+
+
+def _news(message: Message) -> tuple[News, ...]:
+    """The news that rides on a message."""
+    match message:
+        case Join():
+            return (message.me,)
+        case Ask():
+            return ()
+        case _:
+            return message.news
--- a/ringledge/decide/membership_messages.py
+++ b/ringledge/decide/membership_messages.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
-from ringledge.decide.datagram import BODY_MOST, Count, Name, Start, Word
+from ringledge.decide.datagram import BODY_MOST, NAME_MOST, Count, Name, Start, Word
 
 FRAME_BYTES = 32  # of a Ping without its news: array heads, two starts, a nonce and a view at their longest
+ADDRESS_MOST = 64  # bytes of host:port; an IPv6 address with its port takes 47
 NEWS_BYTES = BODY_MOST - FRAME_BYTES  # what is left for piggy-backed news
 
 
@@ -32,8 +35,8 @@
     start: Start
     incarnation: Count  # raised by the member itself alone, to refute what is said of it
     status: Status
-    address: str = ""
-    site: str = ""
+    address: Annotated[str, Meta(max_length=ADDRESS_MOST)] = ""
+    site: Annotated[str, Meta(max_length=NAME_MOST)] = ""
 
 
 class Ping(msgspec.Struct, array_like=True, frozen=True):
--- /dev/null
+++ b/ringledge/decide/membership_words.py
@@ -0,0 +1,83 @@
+"""What one member says of itself and others: its messages, with the news that rides on them."""
+
+from __future__ import annotations
+
+import random
+
+from ringledge.decide.fleet import Action, Member, Tell
+from ringledge.decide.membership_gossip import Gossip
+from ringledge.decide.membership_messages import NEWS_BYTES, Ack, Ask, Join, News, Ping, Roster, Status
+from ringledge.decide.membership_settings import ProbeConfig
+from ringledge.decide.membership_table import Table, mark
+from ringledge.decide.paging import pages
+
+GONE_TOLD = 32  # of those who are gone, the latest, in Rosters
+
+
+class Words:
+    """The messages of the member `me`, by its table."""
+
+    def __init__(self, me: Member, settings: ProbeConfig, table: Table) -> None:
+        self.me, self._settings, self._table = me, settings, table
+        self.incarnation = 0
+        self._gossip = Gossip()
+
+    def start(self, name: str) -> int:
+        """The latest start that is known of a name; 0: none."""
+        peer = self._table.peers.get(name)
+        return 0 if peer is None else peer.member.start
+
+    def view(self) -> int:
+        """The sum over all who are there, itself too."""
+        return self._table.view ^ mark(self.me)
+
+    def own(self, status: Status = Status.ALIVE) -> News:
+        """What it says of itself."""
+        me = self.me
+        return News(me.name, me.start, self.incarnation, status, me.address, me.site)
+
+    def spread(self, news: News, once: bool = False) -> None:
+        """Pass it on from now on."""
+        self._gossip.add(news, 1 if once else self._settings.times(self._table.there + 1))
+
+    def quiet(self) -> bool:
+        """Whether there is nothing to pass on."""
+        return self._gossip.quiet()
+
+    def ping(self, name: str, nonce: int) -> Tell:
+        """Ask a member whether it is there."""
+        return Tell(name, Ping(self.me.start, self.start(name), nonce, self.view(), self._news(name)))
+
+    def ack(self, name: str, nonce: int) -> Tell:
+        """Answer a member's ping, or tell it that another one answered."""
+        return Tell(name, Ack(self.me.start, self.start(name), nonce, self.view(), self._news(name)))
+
+    def ask(self, name: str, nonce: int, target: str) -> Tell:
+        """Have a member ping another."""
+        return Tell(name, Ask(self.me.start, self.start(name), nonce, target))
+
+    def join(self, name: str) -> Tell:
+        """Say who this member is."""
+        return Tell(name, Join(self.start(name), self.own()))
+
+    def roster(self, name: str, *news: News) -> Tell:
+        """Tell a member a few things at once."""
+        return Tell(name, Roster(self.me.start, self.start(name), news))
+
+    def rosters(self, name: str, most: int, rng: random.Random | None = None) -> list[Action]:
+        """Tell a member what is known here: its own row first; from a drawn place where not all has room."""
+        peers = self._table.peers
+        there = [each.news() for each in peers.values() if each.there()]
+        gone = [each.news() for each in peers.values() if not each.there()][-GONE_TOLD:]
+        rows = [row for row in there + gone if row.name != name]
+        if rng is not None and rows:
+            at = rng.randrange(len(rows))
+            rows = rows[at:] + rows[:at]
+        first = [self.own()] + ([peers[name].news()] if name in peers else [])
+        return [self.roster(name, *page) for page in pages(first + rows, NEWS_BYTES)[:most]]
+
+    def _news(self, to: str) -> tuple[News, ...]:
+        """What goes along to a member: first what it has to refute, if it is suspected or dead."""
+        peer = self._table.peers.get(to)
+        doubted = peer is not None and peer.status is not Status.ALIVE
+        return self._gossip.take(NEWS_BYTES, to, peer.news() if peer is not None and doubted else None)
--- /dev/null
+++ b/ringledge/decide/paging.py
@@ -0,0 +1,31 @@
+"""Rows in groups that fit a datagram each."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+import msgspec
+
+R = TypeVar("R", bound=msgspec.Struct)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def size(row: msgspec.Struct) -> int:
+    """How many bytes a row takes, packed."""
+    return len(_encoder.encode(row))
+
+
+def pages(rows: Iterable[R], room: int) -> list[tuple[R, ...]]:
+    """Rows in their order, in groups of so many bytes; a row alone may take more."""
+    groups: list[tuple[R, ...]] = []
+    group: list[R] = []
+    used = 0
+    for row in rows:
+        needed = size(row)
+        if group and used + needed > room:
+            groups.append(tuple(group))
+            group, used = [], 0
+        group.append(row)
+        used += needed
+    return [*groups, tuple(group)] if group else groups
