Run members on one UDP socket, with settings, counters and a command to look

Need: the deciders of the fleet need a socket, a clock and settings, off unless deploy/members.toml enables it. `ringledge members` asks a running member by one datagram. A newcomer fetches records as fast as they come back, one source a writer.

--- a/ringledge/decide/facts.py
+++ b/ringledge/decide/facts.py
@@ -37,6 +37,7 @@
 KEYS_MOST = 1024  # of one writer, those taken back too: they are kept, so that their end is heard of by all
 PUSH_S = 0.02  # that a change waits for others that go with it
 HURRY = 4  # times as soon the next comparison follows one that brought something
+ANSWER_S = 0.2  # in which one who was asked answers: several times the way there and back
 ROWS_PAGES = 2  # datagrams of rows that answer sums; the rest comes with later sums, for they are shuffled
 LARGEST = (1 << 53) - 1  # a version at its longest, to tell what always fits
 
@@ -53,6 +54,9 @@
         self._there: dict[str, int] = {me.name: me.start}
         self._gone: dict[str, float] = {}  # writers who aren't there: when what they said is forgotten
         self._pushes: dict[tuple[str, str], Record] = {}
+        self._asked: dict[
+            str, tuple[str, float]
+        ] = {}  # by writer: who was asked, and until when it may answer
         self._push_s = math.inf
         self._compare_s = -math.inf
 
@@ -152,6 +156,7 @@
             self._write(now_s, key, value)
 
     def _forget(self, name: str) -> None:
+        self._asked.pop(name, None)
         if (book := self._books.pop(name, None)) is not None:
             self._count(book)
 
@@ -189,7 +194,8 @@
             start, version = (0, 0) if book is None else (book.start, book.version)
             if (row.start, row.version) < (start, version):
                 behind.append(row)
-            elif (row.start, row.version) > (start, version) and self._welcome(row.writer, row.start):
+            elif (row.start, row.version) > (start, version) and self._may_ask(now_s, sender, row):
+                self._asked[row.writer] = (sender, now_s + ANSWER_S)
                 wants.append(Row(row.writer, row.start, version if row.start == start else 0))
         if wants:  # there may be more, here or elsewhere
             self._compare_s = min(self._compare_s, now_s + self._settings.interval_s / HURRY)
@@ -197,13 +203,21 @@
         return self._answer(sender, tuple(behind)) + asked
 
     def _answer(self, sender: str, rows: tuple[Row, ...]) -> list[Action]:
-        """Records that the other lacks, so many at once; it asks again for the rest."""
+        """Records that the other lacks, so many at once, then rows, by which it asks again for the rest."""
         lacking: list[Record] = []
         for row in rows:
             if (book := self._books.get(row.writer)) is not None and book.start >= row.start:
                 lacking += book.after(row.version if book.start == row.start else 0)
         groups = pages(lacking, ROOM_BYTES)[: self._settings.answer]
-        return [Tell(sender, Records(page)) for page in groups]
+        if not groups:
+            return []
+        told = pages([self._books[row.writer].row() for row in rows if row.writer in self._books], ROOM_BYTES)
+        return [Tell(sender, each) for each in (*map(Records, groups), *map(Rows, told[:1]))]
+
+    def _may_ask(self, now_s: float, sender: str, row: Row) -> bool:
+        """One at a time is asked for a writer's records, so that they don't come twice."""
+        asked, until_s = self._asked.get(row.writer, (sender, 0.0))
+        return (asked == sender or until_s <= now_s) and self._welcome(row.writer, row.start)
 
     def _welcome(self, writer: str, start: int) -> bool:
         """Whether something of this writer may be held: it is there, or was and isn't forgotten yet."""
--- a/ringledge/decide/membership.py
+++ b/ringledge/decide/membership.py
@@ -16,8 +16,20 @@
 
 from ringledge.decide.datagram import START_MOST, checked_name
 from ringledge.decide.fleet import Action, Member
-from ringledge.decide.membership_messages import MESSAGES, Ack, Ask, Join, Message, News, Ping, Roster, Status
-from ringledge.decide.membership_probes import Probes
+from ringledge.decide.membership_messages import (
+    MESSAGES,
+    Ack,
+    Ask,
+    Join,
+    Look,
+    Message,
+    News,
+    Ping,
+    Roster,
+    Status,
+    news_of,
+)
+from ringledge.decide.membership_probes import EVERYONE, Probes
 from ringledge.decide.membership_settings import ProbeConfig
 from ringledge.decide.membership_table import (
     Change,
@@ -45,7 +57,6 @@
     "Suspected",
 ]
 
-EVERYONE = "*"  # as a seed: the address at which all are heard at once
 AGAIN = 5  # intervals between tries to reach one who is not there; one interval where nobody is
 STALL = 0.5  # intervals that a tick may be late before the member blames itself rather than others
 SYNC_PAGES, JOIN_PAGES = 3, 100  # Rosters sent at once: to one who knows otherwise, to one who joins
@@ -77,6 +88,10 @@
         """The member itself; its start number may rise while it joins."""
         return self._words.me
 
+    def moved(self, address: str) -> None:
+        """Its own address, where it is known only once it listens; before anything is said."""
+        self._words.me = replace(self.me, address=address)
+
     def alive(self) -> tuple[Member, ...]:
         """All who count as there, itself too, by name."""
         there = [each.member for each in self._table.peers.values() if each.there()]
@@ -92,6 +107,11 @@
         peer = self._table.peers.get(name)
         return self.me if name == self.me.name else peer.member if peer is not None else None
 
+    def there(self, name: str) -> bool:
+        """Whether the latest member of a name counts as there."""
+        peer = self._table.peers.get(name)
+        return name == self.me.name or (peer is not None and peer.there())
+
     def changes(self) -> list[Change]:
         """What changed since the last call."""
         changes, self._table.changes = self._table.changes, []
@@ -130,8 +150,10 @@
         """Take a message; one under this member's own name is its successor's, or late."""
         if self.silent:
             return []
+        if isinstance(message, Look):
+            return self._words.rosters(sender, JOIN_PAGES)
         words, mine = self._words, self.me.start
-        start, news = message.me.start if isinstance(message, Join) else message.start, _news(message)
+        start, news = message.me.start if isinstance(message, Join) else message.start, news_of(message)
         if sender == self.me.name:
             return self._named(now_s, start, gone=False)
         actions = self._take(now_s, news, isinstance(message, Roster))
@@ -215,13 +237,7 @@
         """Ask seeds, and those taken for dead, whether they are there."""
         alone, peers = not self._table.there, self._table.peers
         self._again_s = now_s + (1 if alone else AGAIN) * self._settings.interval_s
-        away = [name for name in self._seeds if name not in peers and (alone or name != EVERYONE)]
-        away += [name for name in self._seeds if name in peers and not peers[name].there()]
-        away += [
-            name
-            for name, each in peers.items()
-            if each.status is Status.DEAD and each.member.address and name not in self._seeds
-        ]
+        away = self._probes.away(self._seeds)
         chosen = self._rng.sample(away, min(TRIES if alone else 1, len(away)))
         words, probes = self._words, self._probes
         return [words.ping(name, probes.nonce()) if name in peers else words.join(name) for name in chosen]
@@ -232,14 +248,3 @@
             return []
         self._sync_s = now_s + self._settings.interval_s
         return self._words.rosters(name, SYNC_PAGES, self._rng)
-
-
-def _news(message: Message) -> tuple[News, ...]:
-    """The news that rides on a message."""
-    match message:
-        case Join():
-            return (message.me,)
-        case Ask():
-            return ()
-        case _:
-            return message.news
--- a/ringledge/decide/membership_messages.py
+++ b/ringledge/decide/membership_messages.py
@@ -83,5 +83,20 @@
     news: tuple[News, ...]
 
 
-MESSAGES: tuple[type[msgspec.Struct], ...] = (Ping, Ack, Ask, Join, Roster)
-Message = Ping | Ack | Ask | Join | Roster
+class Look(msgspec.Struct, array_like=True, frozen=True):
+    """Who is there? From one who is no member; answered by Rosters."""
+
+
+MESSAGES: tuple[type[msgspec.Struct], ...] = (Ping, Ack, Ask, Join, Roster, Look)
+Message = Ping | Ack | Ask | Join | Roster | Look
+
+
+def news_of(message: Ping | Ack | Ask | Join | Roster) -> tuple[News, ...]:
+    """The news that rides on a message."""
+    match message:
+        case Join():
+            return (message.me,)
+        case Ask():
+            return ()
+        case _:
+            return message.news
--- a/ringledge/decide/membership_probes.py
+++ b/ringledge/decide/membership_probes.py
@@ -6,9 +6,11 @@
 import random
 from dataclasses import dataclass
 
+from ringledge.decide.membership_messages import Status
 from ringledge.decide.membership_settings import ProbeConfig
 from ringledge.decide.membership_table import Table
 
+EVERYONE = "*"  # as a seed: the address at which all are heard at once
 CHASES = 4  # times an interval that a suspect is asked and told what is said of it
 LAST = 1.5  # intervals before a suspect's end from which all who suspect it ask
 RELAYS_MOST = 64  # probes for others that wait for their answers
@@ -118,6 +120,18 @@
         there = [name for name, each in self._table.peers.items() if each.there() and name not in without]
         return self._rng.sample(there, min(most, len(there)))
 
+    def away(self, seeds: list[str]) -> list[str]:
+        """Those to try again: seeds that are not there, and those who were taken for dead."""
+        peers, alone = self._table.peers, not self._table.there
+        unknown = [name for name in seeds if name not in peers and (alone or name != EVERYONE)]
+        gone = [name for name in seeds if name in peers and not peers[name].there()]
+        dead = [
+            name
+            for name, each in peers.items()
+            if each.status is Status.DEAD and each.member.address and name not in seeds
+        ]
+        return unknown + gone + dead
+
     def _next(self) -> str | None:
         """The next in this round's order who is there; a new round where it is at its end."""
         for fresh in (False, True):
--- /dev/null
+++ b/tests/members/test_settings.py
@@ -0,0 +1,75 @@
+"""What deploy/members.toml may say."""
+
+from pathlib import Path
+
+import pytest
+
+from ringledge.lifecycle import strict
+from ringledge.members.settings import MembersConfig, with_told
+
+GOOD = 'enabled = true\ncluster = "yards"\nkey_file = "members.key"\nlisten = "127.0.0.1:0"\n'
+
+
+def read(folder: Path, text: str) -> MembersConfig:
+    path = folder / "members.toml"
+    path.write_text(text)
+    settings = strict.read(MembersConfig, path)
+    assert settings is not None
+    return settings
+
+
+def test_the_file_of_the_repository_is_off_and_right() -> None:
+    path = Path(__file__).parents[2] / "deploy" / "members.toml"
+    assert strict.read(MembersConfig, path) is None
+    plain = MembersConfig("ringledge", "members.key")
+    enabled = path.read_text().replace("enabled = false", "enabled = true")
+    assert read_text(enabled) == plain  # what it says is what holds without it
+
+
+def read_text(text: str) -> MembersConfig:
+    import tomllib
+
+    import msgspec
+
+    told = tomllib.loads(text)
+    del told["enabled"]
+    return msgspec.convert(told, MembersConfig)
+
+
+@pytest.mark.parametrize(
+    ("extra", "names"),
+    [
+        ('sight = "a"\n', "sight: no such key"),
+        ('site = "' + "s" * 25 + '"\n', "site"),
+        ('everyone = "host:1"\n', "everyone: IP:PORT is allowed"),
+        ('[peers]\nn1 = "127.0.0.1"\n', "peers.n1: IP:PORT is allowed"),
+        ('[peers]\n"' + "n" * 25 + '" = "127.0.0.1:1"\n', "1 to 24 bytes"),
+        ("[probe]\nanswer_s = 0.4\n", "answer_s: half of interval_s at most"),
+        ("[facts]\nfan_out = 0\n", "facts.fan_out"),
+    ],
+)
+def test_what_is_wrong_is_named(tmp_path: Path, extra: str, names: str) -> None:
+    with pytest.raises(strict.SettingsError, match=names):
+        read(tmp_path, GOOD + extra)
+
+
+def test_a_key_is_hex_of_enough_bytes(tmp_path: Path) -> None:
+    settings = read(tmp_path, GOOD.replace("members.key", str(tmp_path / "key")))
+    for text in (None, "00" * 15, "xy" * 16, "00" * 65):
+        if text is not None:
+            (tmp_path / "key").write_text(text)
+        with pytest.raises(ValueError, match="key_file"):
+            settings.key()
+    (tmp_path / "key").write_text("0f" * 16 + "\n")
+    assert settings.key() == b"\x0f" * 16
+
+
+def test_what_the_platform_tells_counts_first(tmp_path: Path) -> None:
+    settings = read(tmp_path, GOOD + '[peers]\nn1 = "127.0.0.1:1"\nn2 = "127.0.0.1:2"\n')
+    told = {"peer_listen": "127.0.0.9:9", "peers": {"n1": "127.0.0.5:5"}, "peers_all": "127.0.0.6:6"}
+    merged = with_told(settings, told)
+    assert (merged.listen, merged.everyone) == ("127.0.0.9:9", "127.0.0.6:6")
+    assert merged.peers == {"n1": "127.0.0.5:5", "n2": "127.0.0.1:2"}
+    assert with_told(settings, {}) == settings
+    with pytest.raises(ValueError, match="listen"):
+        with_told(MembersConfig("a", "b"), {})
