--- a/ringledge/decide/lease_messages.py
+++ b/ringledge/decide/lease_messages.py
@@ -38,13 +38,14 @@
 
 
 class Take(msgspec.Struct, array_like=True, frozen=True):
-    """Seeker to voters: lock it for me under this token; from the holder again: go on."""
+    """Seeker to voters: lock it for me under this token, or go on."""
 
     duty: str
     start: int
     token: int
     round: int  # the seeker's count; its term runs from when this round was first sent
     lease_ms: int
+    held: bool  # the sender holds it under this token, as it sends this
     terms: int
 
 
@@ -142,7 +143,7 @@
 
     @property
     def held_s(self) -> float:
-        """For how long a holder relies on it from when it sent, by its clock: the lease in true time at most."""
+        """For how long a holder relies on it since it sent, by its clock: a lease of true time at most."""
         return self.lease_s * (1 - self.rate)
 
     def locked_s(self, lease_ms: int) -> float:
--- a/ringledge/decide/lease_seeker.py
+++ b/ringledge/decide/lease_seeker.py
@@ -1,12 +1,13 @@
 """One duty as a member wants and holds it: rest, ask, take, hold, end.
 
-The term runs by this member's own clock from when a round of Takes was first sent, shortened by the bound on
-rates; each voter locks for longer, from when it heard. An answer counts for the round that it names alone.
+A voter that answered a Take locks the duty for a lease at least, from when it heard that Take, so from when
+this member sent it. The duty is held until that has run out at so many voters that no majority is left, by
+this member's own clock, shortened by the bound on rates. An answer counts for the Take that it names.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 from enum import Enum, auto
 from random import Random
 from typing import Any
@@ -30,10 +31,14 @@
 EXTEND = 0.25  # of the lease after which the holder goes on: several rounds may be lost whole
 RETRY_S = (0.05, 0.3)  # after a try that failed: apart from others who failed at the same time
 RETRY_TIMES = (1, 2, 4)  # longer after more that failed in a row: no majority is there
-JITTER_S = 0.02  # after a duty became free: apart from others who heard the same
+FREED_S = (
+    0.05,
+    0.08,
+)  # after a duty became free: behind the one who was named to follow, apart from the rest
+AGAIN_S = 0.2  # most beyond the end of what a voter refused for: apart from others who wait for the same
 SAY_AGAIN = 3  # times that a Release is sent
 SAY_AGAIN_S = 0.05
-ROUNDS = 4  # kept: an answer to an older one would lengthen nothing
+ROUNDS = 40  # of Takes remembered: more than fit into a lease
 
 
 class Phase(Enum):
@@ -45,14 +50,6 @@
     HOLD = auto()
 
 
-@dataclass(slots=True)
-class Round:
-    """Takes sent at one time, and who granted them."""
-
-    sent_s: float
-    taken: set[str] = field(default_factory=set)
-
-
 class LeaseSeeker:
     """What it asks for, and until when it holds; `hear` and `tick` give the actions."""
 
@@ -60,12 +57,16 @@
         self.duty, self._name, self._start, self._terms, self._random = duty, name, start, terms, random
         self.phase = Phase.REST
         self.due_s = 0.0  # when it asks next, while it rests; what spreads duties comes on top
-        self.hinted = False  # the last holder named this member to follow
-        self.token = 0
+        self.freed = False  # the duty ended in good order, others heard it too
+        self.hinted = False  # and this member was named to follow
+        self.token = 0  # under which it holds, or held last
+        self._top = 0  # the highest known
         self.until_s = float("-inf")
         self.holder = ""  # who held it last, as voters told; "": nobody
         self._ask = self._round = 0
-        self._rounds: dict[int, Round] = {}
+        self._sent_s: dict[int, float] = {}  # by round
+        self._taken_s: dict[str, float] = {}  # by voter: when the latest Take that it granted was sent
+        self._full_s = 0.0  # when Takes were last sent to all
         self._promised: dict[str, int] = {}  # highest token, by voter
         self._refused: dict[str, float] = {}  # until when, by voter
         self._resend_s = self._give_up_s = self._extend_s = 0.0
@@ -97,15 +98,14 @@
         if self.phase in (Phase.ASK, Phase.TAKE) and now_s >= self._give_up_s:
             return out + self._retry(now_s)
         if self.phase is Phase.HOLD and now_s >= self._extend_s:
-            return out + self._send_round(now_s)
+            return out + self._send_full(now_s)
         if self.phase is not Phase.REST and now_s >= self._resend_s:
             self._resend_s = now_s + self._random.uniform(*RESEND_S)
             if self.phase is Phase.ASK:
                 return out + [Tell(each, self._question()) for each in self._unanswered(now_s)]
-            taken = self._rounds[self._round].taken
-            if len(taken) < self._terms.majority:
-                missing = [each for each in self._terms.voters if each not in taken]
-                return out + [Tell(each, self._offer()) for each in missing]
+            missing = [each for each in self._terms.voters if self._taken_s.get(each, -1e9) < self._full_s]
+            if len(missing) > len(self._terms.voters) - self._terms.majority:
+                return out + self._send_round(now_s, missing)
             self._resend_s = self._extend_s
         return out
 
@@ -119,12 +119,14 @@
         if isinstance(message, Promise):
             if self.phase is Phase.ASK and message.ask == self._ask:
                 self._promised[sender] = message.top
+                self._top = max(self._top, message.top)
                 self._refused.pop(sender, None)
                 if len(self._promised) >= self._terms.majority:
-                    self.phase, self.token = Phase.TAKE, max(self.token, *self._promised.values()) + 1
+                    self.phase, self._top = Phase.TAKE, self._top + 1
+                    self.token = self._top
                     self._refused.clear()
                     self._give_up_s = now_s + GIVE_UP_S
-                    out += self._send_round(now_s)
+                    out += self._send_full(now_s)
         elif isinstance(message, Taken):
             out += self._taken(now_s, sender, message)
         elif isinstance(message, Refused):
@@ -133,7 +135,9 @@
 
     def end(self, now_s: float, why: str, rest_s: float) -> list[Action]:
         """Hold or try no longer, say so, and don't seek for a time."""
-        ended: list[Action] = [End(self.duty, self.token, why)] if self.phase is Phase.HOLD else []
+        ended: list[Action] = []
+        if self.phase is Phase.HOLD:
+            ended.append(End(self.duty, self.token, why))
         if self.phase in (Phase.TAKE, Phase.HOLD):
             self._release = Release(self.duty, self._start, self.token)
             self._says, self._say_s = SAY_AGAIN - 1, now_s + SAY_AGAIN_S
@@ -142,8 +146,10 @@
         return ended
 
     def _rest(self, due_s: float) -> None:
-        self.phase, self.due_s, self.until_s, self.hinted = Phase.REST, due_s, float("-inf"), False
-        self._rounds.clear()
+        self.phase, self.due_s, self.until_s = Phase.REST, due_s, float("-inf")
+        self.freed = self.hinted = False
+        self._sent_s.clear()
+        self._taken_s.clear()
 
     def _expire(self, now_s: float) -> list[Action]:
         """End what ran out, before anything else is done: the process may have stood still."""
@@ -169,7 +175,8 @@
 
     def _offer(self) -> Take:
         lease_ms = round(self._terms.lease_s * 1000)
-        return Take(self.duty, self._start, self.token, self._round, lease_ms, self._terms.digest)
+        held = self.phase is Phase.HOLD
+        return Take(self.duty, self._start, self.token, self._round, lease_ms, held, self._terms.digest)
 
     def _begin_ask(self, now_s: float) -> list[Action]:
         self.phase, self._ask = Phase.ASK, self._ask + 1
@@ -179,21 +186,27 @@
         self._give_up_s = now_s + GIVE_UP_S
         return self._to_voters(self._question())
 
-    def _send_round(self, now_s: float) -> list[Action]:
+    def _send_full(self, now_s: float) -> list[Action]:
+        self._full_s, self._extend_s = now_s, now_s + EXTEND * self._terms.lease_s
+        return self._send_round(now_s, self._terms.voters)
+
+    def _send_round(self, now_s: float, voters: Iterable[str]) -> list[Action]:
         self._round += 1
-        self._rounds[self._round] = Round(now_s)
-        self._rounds.pop(self._round - ROUNDS, None)
+        self._sent_s[self._round] = now_s
+        self._sent_s.pop(self._round - ROUNDS, None)
         self._resend_s = now_s + self._random.uniform(*RESEND_S)
-        self._extend_s = now_s + EXTEND * self._terms.lease_s
-        return self._to_voters(self._offer())
+        return [Tell(each, self._offer()) for each in voters]
 
     def _taken(self, now_s: float, sender: str, message: Taken) -> list[Action]:
-        sent = self._rounds.get(message.round)
-        if sent is None or message.token != self.token:
+        sent_s = self._sent_s.get(message.round)
+        if sent_s is None or message.token != self.token:
+            return []
+        self._taken_s[sender] = max(sent_s, self._taken_s.get(sender, sent_s))
+        if len(self._taken_s) < self._terms.majority:
             return []
-        sent.taken.add(sender)
-        until_s = sent.sent_s + self._terms.held_s
-        if len(sent.taken) < self._terms.majority or now_s >= until_s:
+        least_s = sorted(self._taken_s.values(), reverse=True)[self._terms.majority - 1]
+        until_s = least_s + self._terms.held_s
+        if now_s >= until_s:
             return []
         self.until_s = max(self.until_s, until_s)
         if self.phase is not Phase.TAKE:
@@ -205,7 +218,7 @@
         mine = message.ask == self._ask if message.ask else message.token == self.token
         if not mine or self.phase is not (Phase.ASK if message.ask else Phase.TAKE):
             return []
-        self.token = max(self.token, message.top) if self.phase is Phase.ASK else self.token
+        self._top = max(self._top, message.top)
         self._refused[sender] = now_s + message.left_ms / 1000
         self.holder = message.holder or self.holder
         if len(self._refused) <= len(self._terms.voters) - self._terms.majority:
@@ -215,16 +228,17 @@
         self._misses = 0
         needed = self._terms.majority - len(self._promised)
         free_s = sorted(self._refused.values())[needed - 1]
-        self._rest(free_s + self._random.uniform(0, RETRY_S[0]))
+        self._rest(free_s + self._random.uniform(0, AGAIN_S))
         return []
 
     def _freed(self, now_s: float, sender: str, message: Freed) -> list[Action]:
         """Seek at once, or ask this voter again, where its refusal was of the holding that ended."""
-        if message.token >= self.token:
+        if message.token >= self._top:
             self.holder = ""
         if self.phase is Phase.REST:
-            self.due_s = min(self.due_s, now_s + (0 if message.follow else self._random.uniform(0, JITTER_S)))
-            self.hinted = self.hinted or message.follow
+            wait_s = 0.0 if message.follow else self._random.uniform(*FREED_S)
+            self.due_s = min(self.due_s, now_s + wait_s)
+            self.hinted, self.freed = self.hinted or message.follow, True
         elif self.phase is Phase.ASK and self._refused.pop(sender, None) is not None:
             return [Tell(sender, self._question())]
         return []
--- a/ringledge/decide/lease_voter.py
+++ b/ringledge/decide/lease_voter.py
@@ -1,9 +1,9 @@
 """One voter: for whom each duty is locked and the highest token taken, all in memory.
 
-What is safe rests on `_take` alone: a duty is locked for one holder until the lock runs out, and under a
-token above the highest only. Any two majorities share a voter, so no two holders overlap and each token is
-above those before. An Ask only reads, and keeps the duty for the asker for a moment, so that seekers don't
-split the votes.
+What is safe rests on `_take` alone. A duty is locked for one member until the lock runs out; any two
+majorities share a voter, so no two holders overlap. Who doesn't hold it yet needs a token above the highest
+taken or learned, so each is above those begun before. An Ask only reads, and keeps the duty for the asker for
+a moment, so that seekers don't split the votes.
 """
 
 from __future__ import annotations
@@ -40,8 +40,10 @@
     """One duty as this voter knows it."""
 
     top: int = 0  # the highest token taken
-    holder: Who = NOBODY  # who took it; NOBODY once it was ended
+    holder: Who = NOBODY  # for whom it is or was locked last; NOBODY once it was ended
+    token: int = 0  # under which
     locked_until_s: float = float("-inf")
+    ended: tuple[Who, int] = (NOBODY, 0)  # the last Release
     kept_for: Who = NOBODY
     kept_until_s: float = float("-inf")
     waiting: dict[str, None] = field(default_factory=dict)  # seekers refused, latest last
@@ -103,7 +105,7 @@
             vote.waiting[who[0]] = None
             if len(vote.waiting) > MOST_WAITING:
                 del vote.waiting[next(iter(vote.waiting))]
-        elif now_s < vote.kept_until_s and vote.kept_for != who:
+        elif now_s < vote.kept_until_s and vote.kept_for != who and not _goes_on(message):
             holder, until_s = vote.kept_for[0], vote.kept_until_s
         else:
             return None
@@ -122,32 +124,36 @@
         return Promise(message.duty, message.start, message.ask, self._top(vote))
 
     def _take(self, now_s: float, sender: str, message: Take) -> Taken | Refused:
-        """Lock it, or go on locking it; a holder goes on under its token also after the lock ran out.
+        """Lock it, or go on locking it.
 
-        That is safe: had another taken it since with a majority, one voter of this holder's majority would
-        know the other's higher token, and refuse.
+        A holder that is well as it sends goes on under its token wherever no other has the lock: at a voter
+        that started since, or that took a higher token from one who gave up. Where it comes so late that
+        another has begun since, the sender is no holder any more and counts no answer; it locks for a lease.
         """
         vote, who = self._vote(now_s, message.duty), (sender, message.start)
-        goes_on = message.token == vote.top and vote.holder == who
-        if not goes_on and (refused := self._refuse(now_s, vote, who, message)):
+        if refused := self._refuse(now_s, vote, who, message):
             return refused
-        if not goes_on and message.token <= self._top(vote):
-            return self._refused(vote, message, "", 0)
-        if not 0 < message.lease_ms <= self._terms.longest_s * 1000:
+        again = vote.holder == who and vote.token == message.token
+        too_low = not (message.held or again) and message.token <= self._top(vote)
+        over = vote.ended[0] == who and message.token <= vote.ended[1]
+        if too_low or over or not 0 < message.lease_ms <= self._terms.longest_s * 1000:
             return self._refused(vote, message, "", 0)
-        vote.top, vote.holder, vote.kept_for = message.token, who, NOBODY
-        vote.kept_until_s = float("-inf")
+        vote.top, vote.token, vote.holder = max(vote.top, message.token), message.token, who
+        vote.kept_for, vote.kept_until_s = NOBODY, float("-inf")
         vote.locked_until_s = max(vote.locked_until_s, now_s + self._terms.locked_s(message.lease_ms))
         return Taken(message.duty, message.start, message.token, message.round)
 
     def _release(self, now_s: float, sender: str, message: Release) -> list[Action]:
         """Unlock it, and remember the token as ended: a Take of it that comes late locks nothing."""
         vote, who = self._vote(now_s, message.duty), (sender, message.start)
-        if vote.kept_for == who:
-            vote.kept_for, vote.kept_until_s = NOBODY, float("-inf")
-        locked = now_s < vote.locked_until_s and vote.holder != who
-        if locked or message.token < vote.top or (message.token == vote.top and vote.holder != who):
+        if vote.ended[0] != who or vote.ended[1] < message.token:
+            vote.ended = (who, message.token)
+        if vote.holder != who or message.token < vote.token:
             return []
-        vote.top, vote.holder, vote.locked_until_s = message.token, NOBODY, float("-inf")
+        vote.holder, vote.locked_until_s = NOBODY, float("-inf")
         waiting, vote.waiting = [*vote.waiting], {}
         return [Tell(each, Freed(message.duty, message.token, False)) for each in waiting if each != sender]
+
+
+def _goes_on(message: Ask | Take) -> bool:
+    return isinstance(message, Take) and message.held
--- a/ringledge/decide/leases.py
+++ b/ringledge/decide/leases.py
@@ -38,9 +38,10 @@
 class Spread:
     """How duties come to be spread over members; each s by which a member seeks later."""
 
-    held_s: float = 0.05  # for each duty that it holds or is after
-    rank_s: float = 0.02  # for each member before it in the duty's order
-    most_s: float = 0.1  # of both together: a duty handed on is begun within 0.2 s
+    held_s: float = 0.04  # for each duty that it holds or is after
+    rank_s: float = 0.01  # for each member before it in the duty's order
+    most_s: float = 0.08  # of both together: a duty handed on is begun within 0.2 s
+    slow: float = 8.0  # times as much where the duty was not handed on: tries are further apart then
     candidates: int = 5  # members of a duty's order who seek it; the rest would only cost datagrams
     others_s: float = 30.0  # the rest: where all candidates are there, but can't
     overloaded_s: float = 10.0  # a member that is overloaded: only where nobody else does
@@ -133,14 +134,17 @@
         """Do what is due; may be called early."""
         actions = self.voter.tick(now_s) if self.voter else []
         for duty, seeker in self._seekers.items():
-            actions += seeker.tick(now_s, self._extra_s(duty))
+            resting = seeker.phase is Phase.REST
+            actions += seeker.tick(now_s, self._extra_s(duty) if resting else float("inf"))
         return self._route(now_s, actions)
 
     def next_s(self) -> float:
         """When the next call of `tick` is wanted."""
         voter_s = self.voter.next_s() if self.voter else float("inf")
-        seekers = (each.next_s(self._extra_s(duty)) for duty, each in self._seekers.items())
-        return min(voter_s, min(seekers, default=float("inf")))
+        for duty, each in self._seekers.items():
+            extra_s = self._extra_s(duty) if each.phase is Phase.REST else 0.0
+            voter_s = min(voter_s, each.next_s(extra_s))
+        return voter_s
 
     def _hear(self, now_s: float, sender: str, message: Any) -> list[Action]:
         if isinstance(message, TO_VOTERS):
@@ -161,7 +165,7 @@
         return out
 
     def _busy(self) -> int:
-        return sum(each.phase is not Phase.REST for each in self._seekers.values())
+        return len([each for each in self._seekers.values() if each.phase is not Phase.REST])
 
     def _rank(self, duty: str) -> int:
         """How many are before this member in the duty's order."""
@@ -175,6 +179,7 @@
             return 0.0
         spread, rank = self._spread, self._ranks[duty]
         late_s = min(spread.most_s, spread.held_s * self._busy() + spread.rank_s * rank)
+        late_s *= 1 if self._seekers[duty].freed else spread.slow
         if rank >= spread.candidates:
             late_s += spread.others_s
         return late_s if self._able else late_s + spread.overloaded_s
