--- a/tests/simulated/mutants.py
+++ b/tests/simulated/mutants.py
@@ -59,7 +59,7 @@
         return 0
 
 
-def _votes_at_once(patch: Patch) -> None:
+def votes_at_once(patch: Patch) -> None:
     """A voter that started doesn't learn."""
 
     def tick(self: Learning, now_s: float) -> list[Any]:
@@ -100,7 +100,7 @@
     )
 
 
-def _no_lock(patch: Patch) -> None:
+def no_lock(patch: Patch) -> None:
     """A voter lets another take what is locked."""
     patch.setattr(lease_voter.LeaseVoter, "_refuse", lambda *told: None)
 
@@ -147,13 +147,13 @@
 
 MUTANTS = (
     Mutant("no silence after a restart", cases.voters_restart, terms=Silent(TERMS.voters)),
-    Mutant("no learning after a restart", _restarted_in_turn, _votes_at_once),
+    Mutant("no learning after a restart", _restarted_in_turn, votes_at_once),
     Mutant("no margin for the rates of clocks", cases.rates_apart, terms=NoMargin(TERMS.voters)),
     Mutant("a minority decides", _split, terms=Minority(TERMS.voters)),
     Mutant("tokens begin anew with all voters", _restarted_together, terms=NoStarts(TERMS.voters)),
     Mutant("the term runs from the answer's arrival", cases.slow_answers, _from_arrival),
     Mutant("an answer counts for a later Take", cases.slow_answers, _any_round),
     Mutant("no look at the clock before acting", _stopped, _no_expiry),
-    Mutant("a voter lets go of what it locked", cases.settled_long, _no_lock),
+    Mutant("a voter lets go of what it locked", cases.settled_long, no_lock),
     Mutant("no fence at the receiver", _open_fence),
 )
