--- /dev/null
+++ b/ringledge/decide/ratio.py
@@ -0,0 +1,106 @@
+"""Which servers read and which write: the planner's look, from facts to rows; free of I/O and clocks.
+
+One planner at a time decides for all sites, with the token of its duty. It holds nothing that the rows and
+the measures don't give again: another that takes over tells the rows in force anew under its own token, lets
+changes under way come to their end, measures for a while, and goes on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from math import inf
+
+from ringledge.decide.fleet import Demand, PlanRow, ServerSeen
+from ringledge.decide.ratio_estimate import Estimate, Need
+from ringledge.decide.ratio_paces import Pace, Paces
+from ringledge.decide.ratio_plan import Plan, plan
+from ringledge.decide.ratio_settings import RatioConfig
+from ringledge.decide.ratio_target import Box, bears
+from ringledge.decide.roles import WARM, RoleBook, State
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """A server on the list."""
+
+    name: str
+    site: str
+    rack: str
+    kind: str  # read, write, both
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """What members tell, as one look finds it."""
+
+    demand: Mapping[tuple[str, str], Demand]  # by member and class
+    seen: Mapping[tuple[str, str], ServerSeen]  # by member and server
+    members: Mapping[str, str]  # the site of each member that is there
+
+
+@dataclass(slots=True)
+class Looked:
+    """What a look has come to."""
+
+    rows: dict[str, PlanRow] = field(default_factory=dict)  # to be told, by server
+    plans: dict[str, Plan] = field(default_factory=dict)  # by site
+    needs: dict[str, Need] = field(default_factory=dict)
+
+
+class Ratio:
+    """The planner's decisions while it holds its duty."""
+
+    def __init__(self, settings: RatioConfig, book: RoleBook) -> None:
+        """`book`: the roles as this member's conductor has them, which hears the rows told here as well."""
+        self.settings, self.book = settings, book
+        self.token, self.number = 0, 0
+        self._since_s = inf
+        self._estimate, self._paces = Estimate(settings), Paces(settings)
+
+    def begin(self, now_s: float, token: int) -> dict[str, PlanRow]:
+        """Take the duty up; gives the rows in force, to be told under the new token."""
+        self.token, self.number, self._since_s = token, 1, now_s
+        self._estimate, self._paces = Estimate(self.settings), Paces(self.settings)
+        return {server: PlanRow(token, 1, row.role) for server, row in sorted(self.book.rows.items())}
+
+    def look(self, now_s: float, heard: Heard, listed: Sequence[Listed]) -> Looked:
+        """Measure, and decide what changes now; rows are to be told and given to the book."""
+        looked = Looked()
+        paces = self._paces.look(now_s, heard.seen, {each.name for each in listed}, self.book.changing())
+        for name, pace in paces.items():
+            self.book.seen(name, pace.waiting, pace.warmth)
+        boxes = [self._box(now_s, each, paces[each.name]) for each in listed if each.name in self.book.places]
+        sites: dict[str, list[Box]] = {each.site: [] for each in listed}
+        for box in boxes:
+            sites[box.site].append(box)
+        cold = {site: self._cold(now_s, its, paces) for site, its in sites.items()}
+        looked.needs = self._estimate.look(now_s, heard.demand, heard.members, cold)
+        if now_s - self._since_s < 2 * self.settings.fast_s:
+            return looked  # one that is new measures first
+        for site, need in looked.needs.items():
+            if sites.get(site):
+                looked.plans[site] = plan(sites[site], need, self.settings)
+        moves = {server: role for each in looked.plans.values() for server, role in each.moves.items()}
+        if moves:
+            self.number += 1
+            looked.rows = {server: PlanRow(self.token, self.number, role) for server, role in moves.items()}
+        return looked
+
+    def _box(self, now_s: float, listed: Listed, pace: Pace) -> Box:
+        place, warmth = self.book.places[listed.name], pace.warmth
+        changing = place.state is not State.BACK
+        free = listed.kind == "both" and now_s - place.asked_s >= self.settings.least_stay_s
+        role = place.role if listed.kind == "both" else listed.kind
+        bearing = 1.0 if changing else warmth  # one on its way counts as what it will be
+        read, write = pace.read * bearing, pace.write * bearing
+        its = (listed.name, listed.site, listed.rack, listed.kind)
+        return Box(*its, role, changing, free, warmth >= WARM, read, write)
+
+    def _cold(self, now_s: float, boxes: Sequence[Box], paces: Mapping[str, Pace]) -> float:
+        """The part of a site's reading that is cold since its server has come to it lately."""
+        lately = [
+            box for box in boxes if now_s - self.book.places[box.name].asked_s < 2 * self.settings.change_s
+        ]
+        cold = sum(bears([box], "read") * (1 - paces[box.name].warmth) for box in lately)
+        return cold / max(bears(boxes, "read"), 1e-9)
--- /dev/null
+++ b/ringledge/decide/ratio_plan.py
@@ -0,0 +1,120 @@
+"""Which servers of a site change their role now; free of I/O and clocks.
+
+A change costs what the server would have done meanwhile. So few move: only where enough is gained, for as
+long as it is expected to last, one at a time in a rack, and never so that the loss of a rack, a release, or
+cold servers would leave a role short that was not.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+
+from ringledge.decide.ratio_estimate import Need
+from ringledge.decide.ratio_settings import RatioConfig
+from ringledge.decide.ratio_target import Box, bears, covered, served, split
+
+OTHER = {"read": "write", "write": "read"}
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What a site's look has come to."""
+
+    moves: dict[str, str]  # new roles by server
+    wanted: int  # servers that should read
+    why: str  # in a word, for the log
+
+
+def plan(boxes: Sequence[Box], need: Need, settings: RatioConfig) -> Plan:
+    """The changes that a site should begin now."""
+    target = split(boxes, need.spans, settings.headroom)
+    if why := held(boxes, need, settings):
+        return Plan({}, len(target), why)
+    steady = [box for box in boxes if not box.changing]
+    now = served(bears(boxes, "read"), bears(boxes, "write"), need.spans, settings.headroom)
+    aim = moved(boxes, {box.name: wanted(box, target) for box in boxes if box.kind == "both"})
+    gain = served(bears(aim, "read"), bears(aim, "write"), need.spans, settings.headroom) - now
+    undecided = any(box.role == "both" and box.kind == "both" for box in boxes)
+    if gain < max(settings.least_gain, need.doubt) and not undecided:  # less may be chance
+        return Plan({}, len(target), "near enough")
+    moves = choose(boxes, target, need)
+    if not moves:
+        return Plan({}, len(target), "none may move")
+    during = [box for box in steady if box.name not in moves]
+    dip = served(bears(steady, "read"), bears(steady, "write"), need.spans, settings.headroom)
+    dip -= served(bears(during, "read"), bears(during, "write"), need.spans, settings.headroom)
+    if not undecided and gain * (need.lasts_s - settings.change_s) < max(0.0, dip) * settings.change_s:
+        return Plan({}, len(target), "would not pay")
+    return Plan(moves, len(target), "moves")
+
+
+def held(boxes: Sequence[Box], need: Need, settings: RatioConfig) -> str:
+    """Why nothing may move in a site, if so."""
+    cold = sum(not box.warm and not box.changing for box in boxes)
+    if cold > settings.release_part * len(boxes):
+        return "release"
+    if need.absent > need.fresh:
+        return "too few heard"
+    if not bears(boxes, "read") or not bears(boxes, "write"):
+        return "paces not known"
+    return ""
+
+
+def wanted(box: Box, target: set[str]) -> str:
+    """The role that a server of both kinds should have."""
+    return "read" if box.name in target else "write"
+
+
+def choose(boxes: Sequence[Box], target: set[str], need: Need) -> dict[str, str]:
+    """Servers that may move toward a target, one a rack, those first whose rack has least of the new role."""
+    mixed = [box for box in boxes if box.kind == "both"]
+    short = len(target) - sum(box.role == "read" for box in mixed)
+    both = sum(box.role == "both" for box in mixed)
+    # Servers that do both are decided first; only then, and only in the way that is short, do others move.
+    role = "read" if short > 0 else "write"
+    left = max(abs(short), both) if both else abs(short)
+    moves: dict[str, str] = {}
+    busy = {box.rack for box in boxes if box.changing}
+    free = [box for box in mixed if box.free and not box.changing and box.role != role]
+    for box in sorted(free, key=lambda box: preference(box, boxes, role, target)):
+        new = wanted(box, target) if box.role == "both" else role
+        if len(moves) >= left or box.rack in busy:
+            continue
+        if allowed(moved(boxes, moves, changing=True), box, new, need):
+            moves[box.name] = new
+            busy.add(box.rack)
+    return moves
+
+
+def preference(box: Box, boxes: Sequence[Box], role: str, target: set[str]) -> tuple[bool, bool, float, str]:
+    """Sorts whom to move: undecided ones, those that the target names, racks with least of the role."""
+    of_rack = sum(each.bears(role) for each in boxes if each.rack == box.rack)
+    return (box.role != "both", (wanted(box, target) == role) is False, of_rack, box.name)
+
+
+def allowed(boxes: Sequence[Box], mover: Box, new: str, need: Need) -> bool:
+    """Whether a server may leave its old role, with all changes under way as they are."""
+    after = moved(boxes, {mover.name: new}, changing=True)
+    for old in {"read", "write"} - {new}:
+        if not mover.bears(old):
+            continue
+        stay = [box for box in after if not box.changing and box.bears(old)]
+        if not any(box.warm for box in stay):
+            return False  # the last warm one
+        needs = {"read": need.read * (1 + need.doubt), "write": need.write * (1 + need.doubt)}
+        # What covers the loss of the largest rack stays, unless the role that gains is still worse off.
+        gains = covered(boxes, new, needs[new])
+        if covered(stay, old, needs[old]) < min(1.0, gains):
+            return False
+    return True
+
+
+def moved(boxes: Sequence[Box], roles: dict[str, str], changing: bool | None = None) -> list[Box]:
+    """The servers with some roles changed; where `changing` is told, those that do change carry it."""
+    return [
+        replace(box, role=roles[box.name], changing=box.changing if changing is None else changing)
+        if box.name in roles and roles[box.name] != box.role
+        else box
+        for box in boxes
+    ]
--- /dev/null
+++ b/ringledge/members/planner.py
@@ -0,0 +1,121 @@
+"""The planner as a duty: it looks at the facts, decides, and tells rows with its token.
+
+The part that runs duties begins it with a token, calls its steps while the lease runs, and stops it. Nobody
+holds it: the rows last told stay in force at every conductor.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Protocol, TypeVar
+
+import msgspec
+
+from ringledge.decide.fleet import Demand, Facts, PlanRow, ServerSeen
+from ringledge.decide.ratio import Heard, Listed, Looked, Ratio
+from ringledge.decide.ratio_settings import RatioConfig
+from ringledge.decide.role_rows import encode
+from ringledge.decide.roles import RoleBook
+from ringledge.observe.logging import log
+
+NAME = "planner"  # of the duty
+DEMAND, SERVER = "demand/", "server/"  # keys of the facts that it reads
+
+Row = TypeVar("Row", bound=msgspec.Struct)
+
+
+class Fleet(Protocol):
+    """Who is there."""
+
+    def servers(self) -> Sequence[Listed]:
+        """The servers on the list."""
+        ...
+
+    def members(self) -> Mapping[str, str]:
+        """The site of each member that is there."""
+        ...
+
+
+class Planner:
+    """Holds the planner's duty from `begin` to `stop`."""
+
+    def __init__(
+        self, settings: RatioConfig, facts: Facts, fleet: Fleet, book: RoleBook, clock: Callable[[], float]
+    ) -> None:
+        """`book`: this conductor's own, which hears rows as everybody's does; `clock`: s, monotonic."""
+        self.settings = settings
+        self._facts, self._fleet, self._book, self._clock = facts, fleet, book, clock
+        self._ratio = Ratio(settings, book)
+        self._again = dict[str, PlanRow]()  # rows in force that are still to be told under this token
+        self._told = set[str]()  # keys of ours
+        self._next_s = 0.0
+        self.malformed = 0  # facts that could not be read
+        self.changes = 0  # roles changed
+
+    def begin(self, token: int) -> None:
+        """Take the duty up; nothing is told before the first step."""
+        self._again = self._ratio.begin(self._clock(), token)
+        self._next_s = self._clock()
+
+    async def step(self, token: int, still: Callable[[], bool]) -> None:
+        """One look, if it is time for one; `still`, whether the lease runs, is asked before each effect."""
+        if token != self._ratio.token:
+            return  # of a holding that has ended
+        for server, row in list(self._again.items()):
+            if not self._tell(server, row, still):
+                return
+            del self._again[server]
+        now_s = self._clock()
+        if now_s < self._next_s:
+            return
+        self._next_s = now_s + self.settings.look_s
+        demand = self._read(now_s, DEMAND, Demand)
+        heard = Heard(demand, self._read(now_s, SERVER, ServerSeen), self._fleet.members())
+        listed = self._fleet.servers()
+        looked = self._ratio.look(now_s, heard, listed)
+        self._forget(now_s, {each.name for each in listed})
+        for server, row in looked.rows.items():
+            if not self._tell(server, row, still):
+                return
+            self.changes += 1
+        if looked.rows:
+            log.info("plan", token=token, number=self._ratio.number, **self._counts(looked))
+
+    def stop(self) -> None:
+        """The duty has ended here; rows told stay where they were heard."""
+        self._ratio.token = 0
+        self._again.clear()
+
+    def _tell(self, server: str, row: PlanRow, still: Callable[[], bool]) -> bool:
+        if not still():
+            return False
+        now_s = self._clock()
+        key, value = encode(server, row)
+        self._facts.put(now_s, key, value)
+        self._told.add(key)
+        self._book.hear(now_s, server, row)
+        return True
+
+    def _forget(self, now_s: float, listed: set[str]) -> None:
+        """Rows of servers that no list names any more."""
+        for key in [key for key in self._told if key.partition("/")[2] not in listed]:
+            self._facts.drop(now_s, key)
+            self._told.discard(key)
+
+    def _read(self, now_s: float, prefix: str, kind: type[Row]) -> dict[tuple[str, str], Row]:
+        """Facts of a kind, by member and what they are about; those that can't be read are counted."""
+        found = dict[tuple[str, str], Row]()
+        for (member, key), value in self._facts.values(now_s, prefix).items():
+            try:
+                found[member, key.removeprefix(prefix)] = msgspec.msgpack.decode(value, type=kind)
+            except (msgspec.DecodeError, msgspec.ValidationError):
+                self.malformed += 1
+        return found
+
+    def _counts(self, looked: Looked) -> dict[str, object]:
+        return {
+            "moves": {server: row.role for server, row in looked.rows.items()},
+            "wanted": {site: plan.wanted for site, plan in looked.plans.items()},
+            "read": {site: round(need.read) for site, need in looked.needs.items()},
+            "write": {site: round(need.write) for site, need in looked.needs.items()},
+        }
