--- a/benchmarks/ratio_lab.py
+++ b/benchmarks/ratio_lab.py
@@ -133,7 +133,7 @@
     ) -> None:
         """`sizes`: sites, racks a site, servers a rack, members a site; `shapes`: prompt and answer tokens.
 
-        `blind`: requests of both shapes are of one class, so that a shift shows late, in what answers came to.
+        `blind`: requests of both shapes are of one class, so that a shift shows late, in answers that end.
         """
         self.blind = blind
         self.rng, self.settings, self.shapes, self.mix = random.Random(seed), settings, shapes, mix
