--- a/ringledge/cli/lazy.py
+++ b/ringledge/cli/lazy.py
@@ -6,7 +6,7 @@
 
 import click
 
-GROUPS = ("lab",)  # each a module here, with a command of its name
+GROUPS = ("lab", "members")  # each a module here, with a command of its name
 
 
 class Lazy(click.Group):
