--- a/ringledge/decide/facts.py
+++ b/ringledge/decide/facts.py
@@ -14,7 +14,6 @@
 
 from ringledge.decide.datagram import checked_name
 from ringledge.decide.facts_messages import (
-    BUCKETS,
     KEY_MOST,
     MESSAGES,
     ROOM_BYTES,
@@ -27,10 +26,10 @@
     Sums,
     Wants,
 )
-from ringledge.decide.facts_rows import Book, bucket, rows_pages
+from ringledge.decide.facts_rows import Book, rows_pages
 from ringledge.decide.facts_settings import FactsConfig
 from ringledge.decide.fleet import Action, Member, Tell
-from ringledge.decide.paging import pages, size
+from ringledge.decide.paging import BUCKETS, bucket, pages, size
 
 __all__ = ["MESSAGES", "FactsTable"]
 
--- a/ringledge/decide/facts_messages.py
+++ b/ringledge/decide/facts_messages.py
@@ -8,8 +8,8 @@
 from msgspec import Meta
 
 from ringledge.decide.datagram import BODY_MOST, Count, Name, Start, Word
+from ringledge.decide.paging import BUCKETS
 
-BUCKETS = 16  # into which writers fall by their names; each has its sum
 KEY_MOST, VALUE_MOST = 48, 120  # bytes
 ROOM_BYTES = BODY_MOST - 10  # for the rows or records of one message, without the heads of its arrays
 
--- a/ringledge/decide/facts_rows.py
+++ b/ringledge/decide/facts_rows.py
@@ -5,15 +5,10 @@
 import zlib
 from collections.abc import Iterable, Iterator
 
-from ringledge.decide.facts_messages import BUCKETS, Record, Row, Rows
+from ringledge.decide.facts_messages import Record, Row, Rows
 from ringledge.decide.paging import pages, size
 
 
-def bucket(writer: str) -> int:
-    """Where a writer's row is summed up."""
-    return zlib.crc32(writer.encode()) % BUCKETS
-
-
 def rows_pages(groups: Iterable[tuple[int, list[Row]]], room: int) -> list[Rows]:
     """Rows by bucket in messages; a bucket whose rows lie in one message is told to be whole there."""
     messages: list[Rows] = []
--- a/ringledge/decide/membership.py
+++ b/ringledge/decide/membership.py
@@ -27,6 +27,7 @@
     Ping,
     Roster,
     Status,
+    Views,
     news_of,
 )
 from ringledge.decide.membership_probes import EVERYONE, Probes
@@ -43,23 +44,12 @@
 )
 from ringledge.decide.membership_words import Words
 
-__all__ = [
-    "EVERYONE",
-    "MESSAGES",
-    "Change",
-    "Died",
-    "Joined",
-    "Left",
-    "Membership",
-    "Restarted",
-    "Status",
-    "Superseded",
-    "Suspected",
-]
+__all__ = ["EVERYONE", "MESSAGES", "Change", "Died", "Joined", "Left", "Membership", "Restarted", "Status",
+           "Superseded", "Suspected"]  # fmt: skip
 
 AGAIN = 5  # intervals between tries to reach one who is not there; one interval where nobody is
 STALL = 0.5  # intervals that a tick may be late before the member blames itself rather than others
-SYNC_PAGES, JOIN_PAGES = 3, 100  # Rosters sent at once: to one who knows otherwise, to one who joins
+SYNC_PAGES, JOIN_PAGES = 8, 100  # Rosters sent at once: to one who believes otherwise, to one who joins
 FAREWELLS = 8  # members that are told when this one leaves
 TRIES = 3  # seeds asked at once while nobody is there
 GRACE = 2.0  # times the suspicion after its begin that a member takes a higher start for its predecessor's
@@ -176,6 +166,10 @@
                 actions.append(words.ping(message.target, nonce))
             case Join():
                 actions += words.rosters(sender, JOIN_PAGES)
+            case Views():
+                differ = words.differ(message.sums)
+                self._rng.shuffle(differ)  # not all may have room
+                actions += words.rosters(sender, SYNC_PAGES, differ)
         if message.to_start != mine and not isinstance(message, Join):
             actions.append(words.join(sender))
         if isinstance(message, Ping | Ack) and message.view != words.view():
@@ -243,8 +237,8 @@
         return [words.ping(name, probes.nonce()) if name in peers else words.join(name) for name in chosen]
 
     def _sync(self, now_s: float, name: str) -> list[Action]:
-        """Tell one who believes otherwise a part of what is known here, if no news explains it."""
+        """Show one who believes otherwise in what; it answers with what is known there."""
         if now_s < self._sync_s:
             return []
         self._sync_s = now_s + self._settings.interval_s
-        return self._words.rosters(name, SYNC_PAGES, self._rng)
+        return [self._words.views(name)]
--- a/ringledge/decide/membership_messages.py
+++ b/ringledge/decide/membership_messages.py
@@ -13,6 +13,7 @@
 from msgspec import Meta
 
 from ringledge.decide.datagram import BODY_MOST, NAME_MOST, Count, Name, Start, Word
+from ringledge.decide.paging import BUCKETS
 
 FRAME_BYTES = 32  # of a Ping without its news: array heads, two starts, a nonce and a view at their longest
 ADDRESS_MOST = 64  # bytes of host:port; an IPv6 address with its port takes 47
@@ -87,16 +88,24 @@
     """Who is there? From one who is no member; answered by Rosters."""
 
 
-MESSAGES: tuple[type[msgspec.Struct], ...] = (Ping, Ack, Ask, Join, Roster, Look)
-Message = Ping | Ack | Ask | Join | Roster | Look
+class Views(msgspec.Struct, array_like=True, frozen=True):
+    """Sums over who is there, by bucket of names. Answered by Rosters of those that differ."""
+
+    start: Start
+    to_start: Start
+    sums: Annotated[tuple[Word, ...], Meta(min_length=BUCKETS, max_length=BUCKETS)]
+
+
+MESSAGES: tuple[type[msgspec.Struct], ...] = (Ping, Ack, Ask, Join, Roster, Look, Views)
+Message = Ping | Ack | Ask | Join | Roster | Look | Views
 
 
-def news_of(message: Ping | Ack | Ask | Join | Roster) -> tuple[News, ...]:
+def news_of(message: Ping | Ack | Ask | Join | Roster | Views) -> tuple[News, ...]:
     """The news that rides on a message."""
     match message:
         case Join():
             return (message.me,)
-        case Ask():
+        case Ask() | Views():
             return ()
         case _:
             return message.news
--- a/ringledge/decide/membership_table.py
+++ b/ringledge/decide/membership_table.py
@@ -14,6 +14,7 @@
 from ringledge.decide.fleet import Member
 from ringledge.decide.membership_messages import News, Status
 from ringledge.decide.membership_settings import ProbeConfig
+from ringledge.decide.paging import BUCKETS, bucket
 
 GONE_MOST = 1024  # names of dead and departed members that are remembered, so that none is revived
 
@@ -97,7 +98,7 @@
     def __init__(self, settings: ProbeConfig) -> None:
         self.peers: dict[str, Peer] = {}
         self.changes: list[Change] = []
-        self.view = 0  # sum over the others who are there
+        self.sums = [0] * BUCKETS  # over the others who are there
         self.there = 0  # how many they are
         self._settings = settings
         self._suspects: set[str] = set()
@@ -205,12 +206,12 @@
         self.changes.append(Suspected(peer.member))
 
     def _come(self, peer: Peer) -> None:
-        self.view ^= mark(peer.member)
+        self.sums[bucket(peer.member.name)] ^= mark(peer.member)
         self.there += 1
         self.changes.append(Joined(peer.member))
 
     def _away(self, peer: Peer) -> None:
-        self.view ^= mark(peer.member)
+        self.sums[bucket(peer.member.name)] ^= mark(peer.member)
         self.there -= 1
 
     def _forget(self) -> None:
--- a/ringledge/decide/membership_words.py
+++ b/ringledge/decide/membership_words.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import random
+import operator
+from functools import reduce
 
 from ringledge.decide.fleet import Action, Member, Tell
 from ringledge.decide.membership_gossip import Gossip
-from ringledge.decide.membership_messages import NEWS_BYTES, Ack, Ask, Join, News, Ping, Roster, Status
+from ringledge.decide.membership_messages import NEWS_BYTES, Ack, Ask, Join, News, Ping, Roster, Status, Views
 from ringledge.decide.membership_settings import ProbeConfig
 from ringledge.decide.membership_table import Table, mark
-from ringledge.decide.paging import pages
+from ringledge.decide.paging import bucket, pages
 
 GONE_TOLD = 32  # of those who are gone, the latest, in Rosters
 
@@ -28,8 +29,18 @@
         return 0 if peer is None else peer.member.start
 
     def view(self) -> int:
-        """The sum over all who are there, itself too."""
-        return self._table.view ^ mark(self.me)
+        """One sum over all who are there, itself too."""
+        return reduce(operator.xor, self.sums())
+
+    def sums(self) -> list[int]:
+        """The same by bucket."""
+        sums = self._table.sums.copy()
+        sums[bucket(self.me.name)] ^= mark(self.me)
+        return sums
+
+    def differ(self, sums: tuple[int, ...]) -> list[int]:
+        """The buckets in which another believes otherwise."""
+        return [at for at, (mine, theirs) in enumerate(zip(self.sums(), sums, strict=True)) if mine != theirs]
 
     def own(self, status: Status = Status.ALIVE) -> News:
         """What it says of itself."""
@@ -64,15 +75,18 @@
         """Tell a member a few things at once."""
         return Tell(name, Roster(self.me.start, self.start(name), news))
 
-    def rosters(self, name: str, most: int, rng: random.Random | None = None) -> list[Action]:
-        """Tell a member what is known here: its own row first; from a drawn place where not all has room."""
+    def views(self, name: str) -> Tell:
+        """Show a member what is believed here of who is there."""
+        return Tell(name, Views(self.me.start, self.start(name), tuple(self.sums())))
+
+    def rosters(self, name: str, most: int, buckets: list[int] | None = None) -> list[Action]:
+        """Tell a member what is known here, of all or in the order of some buckets: its own row first."""
         peers = self._table.peers
         there = [each.news() for each in peers.values() if each.there()]
         gone = [each.news() for each in peers.values() if not each.there()][-GONE_TOLD:]
         rows = [row for row in there + gone if row.name != name]
-        if rng is not None and rows:
-            at = rng.randrange(len(rows))
-            rows = rows[at:] + rows[:at]
+        if buckets is not None:
+            rows = [row for at in buckets for row in rows if bucket(row.name) == at]
         first = [self.own()] + ([peers[name].news()] if name in peers else [])
         return [self.roster(name, *page) for page in pages(first + rows, NEWS_BYTES)[:most]]
 
--- a/ringledge/decide/paging.py
+++ b/ringledge/decide/paging.py
@@ -1,16 +1,23 @@
-"""Rows in groups that fit a datagram each."""
+"""Rows in groups that fit a datagram each, and names in buckets whose sums are compared."""
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Iterable
 from typing import TypeVar
 
 import msgspec
 
 R = TypeVar("R", bound=msgspec.Struct)
+BUCKETS = 16  # their sums take 80 bytes; of 200 names a bucket has a dozen, a few datagrams of rows
 _encoder = msgspec.msgpack.Encoder()
 
 
+def bucket(name: str) -> int:
+    """Where what belongs to a name is summed up."""
+    return zlib.crc32(name.encode()) % BUCKETS
+
+
 def size(row: msgspec.Struct) -> int:
     """How many bytes a row takes, packed."""
     return len(_encoder.encode(row))
--- a/tests/members/test_codec.py
+++ b/tests/members/test_codec.py
@@ -9,9 +9,10 @@
 
 from ringledge.decide import facts_messages, membership_messages
 from ringledge.decide.datagram import BODY_MOST, FIXED_BYTES, NAME_MOST, START_MOST
-from ringledge.decide.facts_messages import BUCKETS, Record, Records, Row, Rows, Sums, Wants
+from ringledge.decide.facts_messages import Record, Records, Row, Rows, Sums, Wants
 from ringledge.decide.fleet import MOST_BYTES
-from ringledge.decide.membership_messages import Ack, Ask, Join, News, Ping, Roster, Status
+from ringledge.decide.membership_messages import Ack, Ask, Join, Look, News, Ping, Roster, Status, Views
+from ringledge.decide.paging import BUCKETS
 from ringledge.members.codec import FIRST_KIND, SPAN, Codec, Drop, MalformedError
 from ringledge.members.guard import WINDOW, Guard
 
@@ -23,6 +24,7 @@
 words = st.integers(0, (1 << 32) - 1)
 news = st.builds(News, names, starts, words, st.sampled_from(Status), names, names)
 few = st.lists(news, max_size=1).map(tuple)
+sums = st.lists(words, min_size=BUCKETS, max_size=BUCKETS).map(tuple)
 rows = st.lists(st.builds(Row, names, starts, words), max_size=3).map(tuple)
 messages = st.one_of(
     st.builds(Ping, starts, starts, words, words, few),
@@ -30,7 +32,9 @@
     st.builds(Ask, starts, starts, words, names),
     st.builds(Join, starts, news),
     st.builds(Roster, starts, starts, few),
-    st.builds(Sums, st.lists(words, min_size=BUCKETS, max_size=BUCKETS).map(tuple)),
+    st.just(Look()),
+    st.builds(Views, starts, starts, sums),
+    st.builds(Sums, sums),
     st.builds(Rows, rows, words),
     st.builds(Wants, rows),
     st.builds(
