Measure members on real sockets, and test cuts, lies and that nothing is imported while off

Need: CPU and memory of a member that talks were not told; a cut in three, a lie about a member that is heard, and the import of nothing while it is off had no test. Change: benchmarks/members_sockets.py runs so many members in one process on loopback; the tests; a mutant that lets gossip outweigh one's own ears is caught.

--- /dev/null
+++ b/benchmarks/members_sockets.py
@@ -0,0 +1,101 @@
+"""What members cost on real sockets of loopback: CPU, memory and datagrams a member and second. JSON."""
+
+from __future__ import annotations
+
+import importlib
+import random
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import click
+import orjson
+import psutil
+from prometheus_client import CollectorRegistry
+
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
+
+if TYPE_CHECKING:
+    from ringledge.members.part import MembersPart
+
+SETTLE_S = 120.0  # in which all have to agree
+LOOK_S = 0.05
+
+
+def figure(registry: CollectorRegistry, name: str, way: str) -> float:
+    """A counter's value."""
+    return registry.get_sample_value(f"ringledge_members_{name}_total", {"way": way}) or 0.0
+
+
+async def play(members: int, seconds: float, seed: int) -> dict[str, Any]:
+    """So many members in one process; what each takes on the average."""
+    from ringledge.members.part import MembersPart
+    from ringledge.members.settings import MembersConfig
+
+    log.configure("error", "benchmark")
+    with tempfile.TemporaryDirectory() as folder:
+        key = Path(folder) / "key"
+        key.write_text(random.Random(seed).randbytes(32).hex())
+        async with anyio.create_task_group() as tasks:
+            memory = psutil.Process().memory_info().rss
+            parts: list[MembersPart] = []
+            registries: list[CollectorRegistry] = []
+            seeds: dict[str, str] = {}
+            began_s = time.monotonic()
+            for at in range(members):
+                settings = MembersConfig(
+                    "benchmark", str(key), "127.0.0.1:0", peers=dict(seeds), strangers=True
+                )
+                registries.append(Metrics().registry)
+                name = f"conductor-{at}"
+                parts.append(MembersPart(settings, name, {}, registries[-1], random.Random(seed * 1000 + at)))
+                parts[-1].start(tasks)
+                address = await parts[-1].bound()
+                if at < 3:
+                    seeds[name] = address
+            with anyio.fail_after(SETTLE_S):
+                while any(len(each.membership.alive()) < members for each in parts):
+                    await anyio.sleep(LOOK_S)
+            joined_s = time.monotonic() - began_s
+            await anyio.sleep(5)  # news of the joining is through
+            cpu_s, sent = time.process_time(), sum(figure(each, "datagrams", "sent") for each in registries)
+            size = sum(figure(each, "bytes", "sent") for each in registries)
+            await anyio.sleep(seconds)
+            cpu_s = time.process_time() - cpu_s
+            sent = sum(figure(each, "datagrams", "sent") for each in registries) - sent
+            size = sum(figure(each, "bytes", "sent") for each in registries) - size
+            grown = psutil.Process().memory_info().rss - memory
+            tasks.cancel_scope.cancel()
+    each_s = members * seconds
+    return {
+        "members": members,
+        "joined_s": round(joined_s, 2),
+        "datagrams_per_member_s": round(sent / each_s, 2),
+        "bytes_per_member_s": round(size / each_s),
+        "cpu_ms_per_member_s": round(cpu_s * 1000 / each_s, 2),
+        "kb_per_member": round(grown / 1024 / members),
+    }
+
+
+@click.command()
+@click.option("--members", "sizes", default="3,40,200", show_default=True, help="Numbers of members.")
+@click.option("--seconds", default=10.0, show_default=True, help="Over which cost is counted.")
+@click.option("--seed", default=1, show_default=True, help="Of keys and draws.")
+def main(sizes: str, seconds: float, seed: int) -> None:
+    """Print one JSON object with a row for each number; metrics of each member are in its memory too."""
+    memory = psutil.Process().memory_info().rss
+    importlib.import_module("ringledge.members.part")
+    imported = psutil.Process().memory_info().rss - memory
+    rows = [anyio.run(play, members, seconds, seed) for members in map(int, sizes.split(","))]
+    click.echo(
+        orjson.dumps(
+            {"seed": seed, "imported_kb": imported // 1024, "rows": rows}, option=orjson.OPT_INDENT_2
+        ).decode()
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -4,7 +4,7 @@
 
 from benchmarks.members_world import World
 from ringledge.decide.membership import Died, Joined, Left, Restarted, Status, Superseded
-from ringledge.decide.membership_messages import News, Roster
+from ringledge.decide.membership_messages import Ack, News, Roster
 
 SOON_S = 30.0  # in which anything here has to settle
 
@@ -111,6 +111,28 @@
     assert world.agreed() and deaths(world) == []  # who is told so by a list suspects first
 
 
+def test_a_death_told_by_another_does_not_outweigh_ones_own_ears() -> None:
+    world = fleet(3)
+    world.run(5.0)
+    said, here = world.nodes["n2"].membership.me, world.nodes["n0"].membership
+    lie = Ack(here.last("n1").start, here.me.start, 0, 0, (News("n2", said.start, 5, Status.DEAD),))  # type: ignore[union-attr]
+    here.hear(world.now_s, "n1", lie)
+    assert here.members()["n2"] is Status.SUSPECT
+    world.run(10.0)
+    assert world.agreed() and deaths(world) == []
+
+
+def test_five_cut_two_two_one_are_one_again() -> None:
+    world = fleet(5)
+    parts = {"n0": 0, "n1": 0, "n2": 1, "n3": 1, "n4": 2}
+    world.cut = lambda a, b: parts[a] != parts[b]
+    world.run(20.0)
+    assert [len(node.membership.alive()) for node in world.nodes.values()] == [2, 2, 2, 2, 1]
+    world.cut = lambda a, b: False
+    assert world.run(SOON_S, world.agreed) < SOON_S
+    assert all(parts[who] != parts[whom] for who, whom, _ in deaths(world))
+
+
 def test_one_that_stood_still_blames_nobody_and_is_back() -> None:
     world = fleet(4)
     world.stop("n2")
--- a/tests/decide/test_membership_mutants.py
+++ b/tests/decide/test_membership_mutants.py
@@ -58,3 +58,14 @@
         table.merge(0.0, first, listed=False)
         table.merge(1.0, older, listed=False)
         assert table.peers["a"].there() is mutated
+
+
+def test_without_ones_own_ears_a_lie_kills(monkeypatch: pytest.MonkeyPatch) -> None:
+    for mutated in (False, True):
+        if mutated:
+            monkeypatch.setattr(Table, "_heard_lately", lambda self, now_s, peer: False)
+        table = Table(ProbeConfig())
+        table.merge(0.0, News("a", 9, 0, Status.ALIVE, "a:1"), listed=False)
+        table.heard(1.0, "a", 9)
+        table.merge(1.5, News("a", 9, 0, Status.DEAD), listed=False)
+        assert table.peers["a"].there() is not mutated
--- a/tests/members/test_settings.py
+++ b/tests/members/test_settings.py
@@ -1,7 +1,11 @@
 """What deploy/members.toml may say."""
 
+import subprocess
+import sys
+import tomllib
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from ringledge.lifecycle import strict
@@ -26,11 +30,14 @@
     assert read_text(enabled) == plain  # what it says is what holds without it
 
 
-def read_text(text: str) -> MembersConfig:
-    import tomllib
+def test_nothing_of_it_is_imported_while_it_is_off() -> None:
+    parts = ("ringledge.members", "ringledge.decide.membership", "ringledge.decide.facts")
+    code = f"import sys, ringledge.cli; print([each for each in sys.modules if each.startswith({parts})])"
+    told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert told.stdout.strip() == "[]"
 
-    import msgspec
 
+def read_text(text: str) -> MembersConfig:
     told = tomllib.loads(text)
     del told["enabled"]
     return msgspec.convert(told, MembersConfig)
