Have a superseded member say and hear nothing more, while its duties still end

Need: a member whose name a successor has taken went on talking for its other deciders, under a name that is not its own any more. Change: the service drops what comes (counted as silent) and leaves out what its deciders tell; they are still ticked, so that what they hold ends. Doubles and leftovers of a restart are counted without a log line. Measured: in a test on sockets a message to such a member is counted and not handed on.

--- a/ringledge/members/codec.py
+++ b/ringledge/members/codec.py
@@ -42,6 +42,7 @@
     SENDER_UNKNOWN = "sender_unknown"  # a name that may not talk here, or a member that is not there
     OTHER_START = "other_start"  # meant for a predecessor of ours
     REPLAYED = "replayed"
+    SILENT = "silent"  # this member has left or has a successor
     FULL = "full"  # the queue has no room
     NO_ADDRESS = "no_address"
     NETWORK = "network"  # the system would not send it
--- a/ringledge/members/datagrams.py
+++ b/ringledge/members/datagrams.py
@@ -61,7 +61,7 @@
     def read(self) -> list[tuple[bytes, Endpoint]]:
         """What waits, up to a batch, with its source; one longer than all may be is cut one byte later."""
         heard: list[tuple[bytes, Endpoint]] = []
-        while len(heard) < BATCH:
+        for _ in range(BATCH):
             try:
                 datagram, extra, _, source = self._socket.recvmsg(MOST_BYTES + 1, socket.CMSG_SPACE(4))
             except BlockingIOError:
--- a/ringledge/members/service.py
+++ b/ringledge/members/service.py
@@ -23,6 +23,7 @@
 from ringledge.observe.logging import log
 
 BATCHES = 8  # read at most before a tick
+ORDINARY = (Drop.REPLAYED, Drop.OTHER_START, Drop.SILENT)  # drops that networks and restarts bring
 SOURCES_MOST = 256  # names whose last source address is remembered
 
 
@@ -101,7 +102,7 @@
 
     def act(self, actions: list[Action]) -> None:
         """Do what a decider wants that was asked from outside, as when a duty is given up."""
-        self._act(actions)
+        self._act(self._muted(actions))
         self.wake()
 
     def _next_s(self) -> float:
@@ -115,7 +116,7 @@
             now_s = self._clock()
             for decider in self._deciders:
                 if decider.next_s() <= now_s:
-                    self._act(decider.tick(now_s))
+                    self._act(self._muted(decider.tick(now_s)))
             self._awaited_s = self._next_s()
             self._wake = anyio.Event()
             wait_s = self._awaited_s - self._clock()
@@ -139,13 +140,16 @@
                 self._take(datagram, source)
             except MalformedError as error:
                 self._figures.dropped("heard", error.why)
-                log.often("datagram_dropped", why=error.why.value, source=source[0], bytes=len(datagram))
+                if error.why not in ORDINARY:
+                    log.often("datagram_dropped", why=error.why.value, source=source[0], bytes=len(datagram))
         if (lost := self._socket.overflowed - before) > 0:
             self._figures.dropped("heard", Drop.FULL, lost)
         return bool(heard)
 
     def _take(self, datagram: bytes, source: Endpoint) -> None:
         """Hand a datagram to its decider; MalformedError with the reason where it is for none."""
+        if self.membership.silent:
+            raise MalformedError(Drop.SILENT)
         heard = self._codec.read(datagram)
         if not self._guard.fresh(heard.sender, heard.start, heard.number):
             raise MalformedError(Drop.REPLAYED)
@@ -176,6 +180,12 @@
                     for hook in self._hooks.duties:
                         hook(action)
 
+    def _muted(self, actions: list[Action]) -> list[Action]:
+        """Without what they tell others, where the name is a successor's by now; duties end all the same."""
+        if not self.membership.silent:
+            return actions
+        return [action for action in actions if not isinstance(action, Tell)]
+
     def _tell_changes(self) -> None:
         changes = self.membership.changes()
         if not changes:
--- a/tests/members/test_part.py
+++ b/tests/members/test_part.py
@@ -139,6 +139,10 @@
             two.service.act(talker.tick(0.0))
             await until(lambda: listener.heard == [("n1", "hello")])
             assert isinstance(begun[0], Begin)
+            one.membership.silent = True  # as with a successor: no decider of it hears or says any more
+            two.service.act(talker.tick(0.0))
+            await until(lambda: dropped(one, "silent") > 0)
+            assert len(listener.heard) == 1
             assert dropped(two, "too_long") >= 2 and dropped(two, "no_address") >= 2
             one.stop()
             two.stop()
