Split the chat front into files by concern, with no change of behaviour

Questions, the core's caller, replies, errors and the front are a file each now; names that cross files lost their underscore, nothing else changed. tests/test_chat.py passes untouched.

--- /dev/null
+++ b/ringledge/wire/chat/front.py
@@ -0,0 +1,200 @@
+"""The chat front: OpenAI-style requests and answers over the same core, decisions and rules.
+
+An answer is written into a session, and connections follow the session. So a client that comes back with
+``Last-Event-ID`` gets what it lacks, while the request behind it runs once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+from uuid import uuid4
+
+import anyio
+import h11
+import orjson
+
+from crowstand import interface as i
+from ringledge.core.conductor import Conductor
+from ringledge.core.port import Payload
+from ringledge.lifecycle.config import ChatConfig, Names
+from ringledge.memory.sessions import End, Session, Sessions
+from ringledge.observe.logging import log
+from ringledge.wire.chat.answer import Answer
+from ringledge.wire.chat.question import prompt_of, read_question, to_request, told_header
+from ringledge.wire.chat.replies import Replies
+from ringledge.wire.http import MAX_BODY, Connection, HttpError, header, only, read_body, respond
+from ringledge.wire.platform import converse, shed
+
+if TYPE_CHECKING:
+    from ringledge.core.gate import Gate
+    from ringledge.memory.held import Held
+
+PATH = b"/v1/chat/completions"
+MOST_KEY = 256  # bytes of an idempotency key, which is kept as long as its answer
+
+
+class Chat:
+    """Handles the requests of chat clients."""
+
+    def __init__(
+        self,
+        config: ChatConfig,
+        settings: i.Settings,
+        names: Names,
+        conductor: Conductor,
+        most_bytes: float,
+        gate: Gate | None = None,
+        held: Held | None = None,
+    ) -> None:
+        self._config, self._settings, self._names, self._conductor = config, settings, names, conductor
+        self.sessions = Sessions(config.sessions, most_bytes, config.resume_for_s)
+        self._gate = gate
+        self._replies = Replies(conductor, names, self._safe, self._go_on)
+        if held is not None:
+            held.keeps(self.sessions.size, self.sessions.give_up)
+
+    async def handle(self, conn: Connection, head: h11.Request) -> None:
+        """Answer one request."""
+        path = head.target.partition(b"?")[0]
+        if path == b"/v1/models":
+            only(head, b"GET")
+            await read_body(conn, head)
+            return await respond(conn, 200, orjson.dumps(self._models()))
+        if path != PATH:
+            raise HttpError(404, f"no such path: {path.decode('ascii', 'replace')}", "unknown_url")
+        only(head, b"POST")
+        self._look(head)
+        body = await read_body(conn, head)
+        last_event = header(head, b"last-event-id")
+        if last_event:
+            session, seen = self._resume(last_event.decode("ascii", "replace"))
+            whole = False
+        else:
+            session, seen = self._start(head, body), 0
+            whole = not session.question["stream"]
+        session.readers += 1
+        try:
+            replies = self._replies
+            follow = replies.whole(conn, session) if whole else replies.stream(conn, session, seen)
+            await converse(conn, follow)
+        finally:
+            session.readers -= 1
+            self._left(session)
+
+    def _look(self, head: h11.Request) -> None:
+        """Turn away before the body is read, as far as the head tells the class; else the body does."""
+        if self._gate is None or header(head, b"last-event-id") or header(head, b"idempotency-key"):
+            return  # what has begun goes on
+        told = told_header(head, b"x-call-class")
+        length = header(head, b"content-length")
+        if told in self._names.classes:
+            self._ask(self._names.classes.index(told), head, int(length or 0))
+        elif reason := self._gate.hopeless():
+            class_index = self._names.classes.index(next(iter(self._config.models.values())))
+            raise shed(self._gate.turn_away(class_index, reason))
+
+    def _ask(self, class_index: int, head: h11.Request, size: int) -> None:
+        """Have the gate decide."""
+        if self._gate is not None:
+            caller = told_header(head, b"x-caller") or self._config.tenant
+            tenant = self._names.index(self._names.tenants, caller)
+            no = self._gate.ask(class_index, tenant, min(size, MAX_BODY))
+            if no is not None:
+                raise shed(no)
+
+    def _left(self, session: Session) -> None:
+        """A client has gone, or has its answer.
+
+        A stream that has begun runs on into the session: it may have booked, so it is neither cut off nor
+        ever sent again, and its client can come back for it. One that has not begun is given up.
+        """
+        record = session.record
+        if session.end is None and not session.readers and record is not None and not record.began:
+            self._conductor.client_gone(record)
+            session.end = End.GONE
+            log.info("chat_ended", session=session.name, how=End.GONE.value, events=0)
+
+    # Starting and resuming.
+
+    def _start(self, head: h11.Request, body: bytes) -> Session:
+        """A new session; or, for an idempotency key that is known, the one that it has begun."""
+        question = read_question(body)
+        key = header(head, b"idempotency-key")
+        if key and len(key) > MOST_KEY:
+            raise HttpError(400, f"longer than {MOST_KEY} bytes", "invalid_value", "Idempotency-Key")
+        known = self.sessions.by_key(key.decode("ascii", "replace")) if key else None
+        if known is not None:
+            record = known.record
+            if known.end in (None, End.SERVED):
+                return known
+            if record is not None and record.may_have_run and not self._safe(known.class_index):
+                raise HttpError(409, "this request may have run before; it is not run again", "may_have_run")
+        class_index, request = to_request(self._config, self._names, self._settings, head, question)
+        if key or not told_header(head, b"x-call-class"):  # else it was asked about by its head
+            self._ask(class_index, head, len(body))
+        if not self.sessions.room():
+            raise HttpError(429, "too many answers are under way", "rate_limit_exceeded")
+        session = Session(
+            f"chatcmpl-{uuid4().hex}", question, class_index, request.max_output_tokens, len(body)
+        )
+        self.sessions.add(session, key.decode("ascii", "replace") if key else None)
+        self._run(session, request, question)
+        return session
+
+    def _resume(self, last_event: str) -> tuple[Session, int]:
+        """The session that a client comes back to, and how much of it the client has."""
+        name, _, number = last_event.rpartition(":")
+        session = self.sessions.get(name)
+        if session is None or not number.isdecimal() or int(number) > len(session.events):
+            raise HttpError(404, "this stream is not known any more", "stream_not_found", "Last-Event-ID")
+        # Broken, or a try to go on that was refused, failed or left: each can be taken up again.
+        if session.end not in (None, End.SERVED):
+            if not self._safe(session.class_index):
+                raise HttpError(409, "the stream broke; it may have run and is not run again", "may_have_run")
+            self._go_on(session)
+        return session, int(number)
+
+    def _go_on(self, session: Session) -> None:
+        """Ask for the rest of a broken answer: the prompt and the answer so far are read, and it goes on."""
+        assert session.record is not None
+        before, text = session.record.request, session.text
+        question = session.question
+        if text:
+            said = {"role": "assistant", "content": text}
+            more = {"continue_final_message": True, "add_generation_prompt": False}
+            question = question | more | {"messages": [*question["messages"], said]}
+        request = replace(
+            before,
+            request=uuid4().hex,
+            expires_in_ms=self._settings.classes[session.class_index].deadline_ms,
+            prompt_tokens=len(prompt_of(question)) / 4,
+            max_output_tokens=max(1.0, session.limit - len(text) // 4),
+            reconnect=True,
+        )
+        session.end = None
+        session.resumed += 1
+        self._run(session, request, question)
+
+    def _run(self, session: Session, request: i.Request, question: dict[str, Any]) -> None:
+        """Give the core one request for the session."""
+        asked = question | {"stream": True, "max_tokens": int(request.max_output_tokens)}
+        asked.pop("max_completion_tokens", None)
+        payload = Payload(PATH, orjson.dumps(asked))
+        session.record = self._conductor.take(request, payload, Answer(session))
+
+    def _safe(self, class_index: int) -> bool:
+        return self._settings.classes[class_index].effect is i.Effect.SAFE
+
+    def _models(self) -> dict[str, Any]:
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "ringledge"}
+            for name in self._config.models
+        ]
+        return {"object": "list", "data": data}
+
+    async def reap(self) -> None:
+        """Drop old sessions in time."""
+        while True:
+            await anyio.sleep(5.0)
+            self.sessions.reap()
