Answer 202 while a site is cut off, and replay its queue as a duty with a token

The chat front queues for clients that prefer it, only while the site is cut off or short; GET and DELETE of the place are answered by any process of the site.

--- a/ringledge/decide/replay.py
+++ b/ringledge/decide/replay.py
@@ -98,39 +98,39 @@
         """`most`: entries under way together."""
         self.pace, self._most = pace, most
         self._fair = Fair(weights or {})
-        self._sent: dict[str, _Sent] = {}
+        self.sent: dict[str, _Sent] = {}  # under way, by name
         self.done = defaultdict[str, float](float)  # work served, by tenant
         self.served = 0.0  # work served in all
 
     @property
     def under_way(self) -> int:
         """Entries sent and not ended."""
-        return len(self._sent)
+        return len(self.sent)
 
     def choose(self, now_s: float, heads: Iterable[Head], probing: bool = False) -> Head | None:
         """What to send now, None: nothing yet. `probing`: the site is cut off, one alone may try the link.
 
         The one chosen counts as sent until `ended` is told of it.
         """
-        waiting = [head for head in heads if head.name not in self._sent]
+        waiting = [head for head in heads if head.name not in self.sent]
         self._fair.forget(head.tenant for head in waiting)
-        if not waiting or len(self._sent) >= (1 if probing else self._most):
+        if not waiting or len(self.sent) >= (1 if probing else self._most):
             return None
-        if not (self.pace.may_probe(now_s) if probing else self.pace.may_send(now_s, len(self._sent))):
+        if not (self.pace.may_probe(now_s) if probing else self.pace.may_send(now_s, len(self.sent))):
             return None
         # To try a link, what may run twice is better: a booking that is cut off midway ends as unknown.
         safe = [head for head in waiting if head.safe] if probing else []
         head = self._fair.first(safe or waiting)
         assert head is not None
         work = min(max(1.0, head.work), MOST_WORK)
-        self._sent[head.name] = _Sent(head, work)
+        self.sent[head.name] = _Sent(head, work)
         self._fair.charge(head, work)
         self.pace.sent(now_s, work)
         return head
 
     def ended(self, now_s: float, name: str, verdict: Verdict, work: float | None = None) -> None:
         """What became of one that was chosen; `work`: the tokens that it took, where they are known."""
-        sent = self._sent.pop(name, None)
+        sent = self.sent.pop(name, None)
         if sent is None:
             return
         took = sent.charged if work is None else min(max(1.0, work), MOST_WORK)
--- /dev/null
+++ b/ringledge/store/part.py
@@ -0,0 +1,220 @@
+"""The queue of a site as one part of the program: the file, how the site stands, the duty of its replay.
+
+    part = QueuePart(config, sight, metrics.registry, random, facts)
+    chats = Chat(..., queued=part.front(classes, settings, tenant))
+    part.sender = ReplaySender(...)
+    part.start(tasks); part.ready(); await part.stop()
+
+Under leases `part.replayer` is handed to them as the duty `part.duty` and `leased` is true; else a lock
+beside the file says which process replays.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Mapping
+from pathlib import Path
+from random import Random
+from typing import Protocol
+
+import anyio
+import anyio.abc
+import msgspec
+from prometheus_client import CollectorRegistry
+
+from ringledge.decide.cut_off import CutOff, Reached, Seen, State
+from ringledge.decide.fleet import Backlog, Demand, Facts, ServerSeen
+from ringledge.decide.replay import Replay
+from ringledge.decide.replay_lend import Lend, Lending, Want
+from ringledge.decide.replay_pace import Pace, spare
+from ringledge.decide.replay_room import room, rows
+from ringledge.members.replayer import Replayer, Sender
+from ringledge.observe.logging import log
+from ringledge.store.entry import StoreError
+from ringledge.store.figures import Figures
+from ringledge.store.holder import Holder
+from ringledge.store.looks import Waiting
+from ringledge.store.queue import Queue
+from ringledge.store.settings import QueueConfig
+
+STEP_S = 0.1  # between steps of the replay while anything waits, at most
+IDLE_S = 0.5  # while nothing does
+TELL_S = 1.0  # between looks at what waits, what expires, and what other sites say
+DRAIN_S = 2.0  # at the stop, for ends that are still to be written
+
+
+class Looks(Protocol):
+    """What this process sees of its servers and answers."""
+
+    def servers(self, now_s: float) -> list[Seen]:
+        """Every server, with times on the clock that reads `now_s`."""
+        ...
+
+    def answers(self) -> tuple[float, float]:
+        """Requests answered, and refused or failed, since the start."""
+        ...
+
+
+class QueuePart:
+    """Start, ready and stop of a site's queue."""
+
+    def __init__(
+        self,
+        config: QueueConfig,
+        looks: Looks,
+        registry: CollectorRegistry,
+        random: Random,
+        facts: Facts | None = None,
+        leased: bool = False,
+    ) -> None:
+        """`leased`: leases begin and stop the replay; else the lock beside the file does."""
+        self.config, self._looks, self._random, self._facts = config, looks, random, facts
+        self.figures = Figures(registry)
+        self.queue = Queue(config)
+        self.cut_off = CutOff()
+        self.duty = f"replay/{config.site}"
+        self.sender: Sender | None = None
+        self.replayer: Replayer | None = None
+        self._leased, self._waiting, self._token = leased, list[Waiting](), 0
+        self._holder: Holder | None = None
+        self._answers, self._told_s, self._stopping = looks.answers(), 0.0, False
+        self._state = State.OPEN
+        self._said: State | None = None  # what the other conductors were told of our own view
+        self._lending: Lending | None = None
+        self._told: set[str] = set()  # keys of loans and questions that stand as facts
+
+    def state(self) -> State:
+        """How the site stands."""
+        return self._state
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Open the file; the sender has to be set by now."""
+        assert self.sender is not None
+        self.queue.start()
+        self.replayer = Replayer(
+            self.queue, self.sender, self._decider, self.state, time.monotonic, tasks, self.figures
+        )
+        self._tasks = tasks
+        if not self._leased:
+            self._holder = Holder(Path(self.config.path), self.queue, self.replayer)
+
+    def ready(self) -> None:
+        """The list is known: begin to look at it, and to replay."""
+        self._tasks.start_soon(self._run)
+
+    async def stop(self) -> None:
+        """Give the duty up, have what is owed written, close the file."""
+        self._stopping = True
+        if self._holder is not None:
+            self._holder.end()
+        assert self.replayer is not None
+        with anyio.move_on_after(DRAIN_S):
+            while self.replayer.owed:
+                await self.replayer.news(STEP_S)
+                await self.replayer.settle()
+        await anyio.to_thread.run_sync(self.queue.stop)
+
+    async def _run(self) -> None:
+        while not self._stopping:
+            now_s = time.monotonic()
+            self._look(now_s)
+            try:
+                if now_s - self._told_s >= TELL_S:
+                    self._told_s = now_s
+                    await self._tidy(now_s)
+                if self._holder is not None:
+                    await self._holder.step()
+            except StoreError as error:
+                log.often("queue_step_failed", why=error.why.value, error=str(error))
+            assert self.replayer is not None
+            await self.replayer.news(STEP_S if self._waiting else IDLE_S)
+
+    def _look(self, now_s: float) -> None:
+        """How the site stands now."""
+        answered, refused = self._looks.answers()
+        if answered > self._answers[0]:
+            self.cut_off.served(now_s)
+        elif refused > self._answers[1]:
+            for _ in range(int(refused - self._answers[1])):
+                self.cut_off.refused()
+        self._answers = answered, refused
+        site = f"reach/{self.config.site}"
+        if self._facts is not None:
+            said = rows(self._facts.values(now_s, site), Reached)
+            self.cut_off.hear(now_s, [(name, row) for (name, key), row in said.items() if key == site])
+        before = self._state
+        self._state = self.cut_off.look(now_s, self._looks.servers(now_s))
+        if self._facts is not None and self._said is not self.cut_off.own:
+            self._said = self.cut_off.own  # also at the start: who says nothing would not count as open
+            self._facts.put(now_s, site, msgspec.msgpack.encode(self.cut_off.row()))
+        if self._state is not before:
+            log.info("site_state", site=self.config.site, state=self._state.name.lower())
+        self.figures.state.set(self._state.value)
+
+    async def _tidy(self, now_s: float) -> None:
+        """End what expired, remove old ends, tell the other sites."""
+        for name in await self.queue.tidy():
+            self.figures.ended.labels("expired").inc()
+            log.info("queue_entry_ended", entry=name, how="expired", token=0)
+        self._waiting = await self.queue.waiting()
+        entries = sum(each.entries for each in self._waiting)
+        oldest_s = max((time.time() - each.oldest_s for each in self._waiting), default=0.0)
+        self.figures.waiting.set(entries)
+        self.figures.oldest.set(oldest_s)
+        replay = None if self.replayer is None else self.replayer.replay
+        if replay is None or self._lending is None:
+            self.figures.pace.set(0.0)
+            return
+        self._share(now_s, replay, self._lending, entries)
+        self.figures.pace.set(replay.pace.rate)
+        if self._facts is not None:
+            weight = self.config.sites.get(self.config.site, 1.0)
+            row = Backlog(self._token, entries, oldest_s, weight, replay.served)
+            self._facts.put(now_s, f"backlog/{self.config.site}", msgspec.msgpack.encode(row))
+
+    def _share(self, now_s: float, replay: Replay, lending: Lending, entries: int) -> None:
+        """The site's part of what live traffic leaves over."""
+        left = None
+        if self._facts is not None:
+            seen = rows(self._facts.values(now_s, "server/"), ServerSeen)
+            left = spare(room(seen, rows(self._facts.values(now_s, "demand/"), Demand)), self.config.reserve)
+        if left is not None:
+            left *= self.config.replay_part
+        wished = 0.0
+        if entries and self._state is State.OPEN:  # twice the pace: a loan is there before the pace needs it
+            wished = 1.0 if not left else min(1.0, max(lending.base, 2 * replay.pace.rate / left))
+        lending.need(now_s, wished)
+        if self._facts is not None:
+            wants = _by_site(rows(self._facts.values(now_s, "want/"), Want), "want/{}")
+            mine = f"/{self.config.site}"
+            lends = rows(self._facts.values(now_s, "lend/"), Lend)
+            ours = {key.split("/")[1]: row for (_, key), row in lends.items() if key.endswith(mine)}
+            lending.hear(now_s, wants, ours)
+            self._put(now_s, lending.rows())
+        replay.pace.allot(now_s, None if left is None else left * lending.part(now_s))
+
+    def _put(self, now_s: float, told: Mapping[str, Want | Lend]) -> None:
+        assert self._facts is not None
+        for key in self._told - told.keys():
+            self._facts.drop(now_s, key)
+        for key, row in told.items():
+            self._facts.put(now_s, key, msgspec.msgpack.encode(row))
+        self._told = set(told)
+
+    def _decider(self, now_s: float, token: int) -> Replay:
+        """A new holding begins."""
+        self._token = token
+        weights = self.config.sites or {self.config.site: 1.0}
+        self._lending = Lending(self.config.site, weights, token, now_s)
+        return Replay(Pace(self._random), self.config.in_flight, self.config.tenants)
+
+
+def _by_site(found: Mapping[tuple[str, str], Want], pattern: str) -> dict[str, Want]:
+    """Of several that were heard for one site the newest token's counts."""
+    newest: dict[str, Want] = {}
+    for (_, key), row in found.items():
+        site = key.removeprefix(pattern.format(""))
+        known = newest.get(site)
+        if known is None or (row.token, row.number) > (known.token, known.number):
+            newest[site] = row
+    return newest
--- a/ringledge/store/queue.py
+++ b/ringledge/store/queue.py
@@ -8,10 +8,11 @@
 from pathlib import Path
 
 from ringledge.decide.replay import Head
-from ringledge.store import steps
+from ringledge.store import looks, steps
 from ringledge.store.entry import Asked, End, Entry
+from ringledge.store.looks import Waiting
 from ringledge.store.settings import QueueConfig
-from ringledge.store.steps import Adopted, Limits, Waiting
+from ringledge.store.steps import Adopted, Limits
 from ringledge.store.worker import Worker
 
 
@@ -73,12 +74,12 @@
 
     async def heads(self, each: int) -> list[Head]:
         """The oldest waiting entries of each tenant, so many of each."""
-        return await self.worker.run(partial(steps.heads, each=each), writes=False)
+        return await self.worker.run(partial(looks.heads, each=each), writes=False)
 
     async def waiting(self) -> list[Waiting]:
         """What waits, by tenant."""
-        return await self.worker.run(steps.waiting, writes=False)
+        return await self.worker.run(looks.waiting, writes=False)
 
     async def highest(self) -> int:
         """The highest token that the file has seen."""
-        return await self.worker.run(steps.highest, writes=False)
+        return await self.worker.run(looks.highest, writes=False)
--- a/ringledge/store/steps.py
+++ b/ringledge/store/steps.py
@@ -16,8 +16,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
-from ringledge.decide.replay import Head
 from ringledge.store.entry import Asked, End, Entry, MovedError, StaleError, State, StoreError, Why
+from ringledge.store.looks import highest
 from ringledge.store.seal import COLUMNS, SpoiltError, from_row, to_row
 
 AT_ONCE = 256  # entries that expire or are removed in one step: a transaction stays short
@@ -42,15 +42,6 @@
     unknown: tuple[str, ...]  # they must not
 
 
-@dataclass(slots=True, frozen=True)
-class Waiting:
-    """What waits of one tenant."""
-
-    tenant: str
-    entries: int
-    oldest_s: float  # when the oldest came, Unix seconds
-
-
 def enqueue(db: sqlite3.Connection, asked: Asked, now_s: float, limits: Limits) -> Entry:
     """Put a request in, or find the one with its key; StoreError tells which limit forbids it."""
     if asked.key is not None:
@@ -174,30 +165,6 @@
     return db.execute(told, (now_s - keep_s, AT_ONCE)).rowcount
 
 
-def waiting(db: sqlite3.Connection) -> list[Waiting]:
-    """What waits, by tenant."""
-    told = """SELECT tenant, count(*), min(created_s) FROM entries INDEXED BY waiting
-        WHERE state = 0 GROUP BY tenant"""
-    return [Waiting(*row) for row in db.execute(told)]
-
-
-def heads(db: sqlite3.Connection, each: int) -> list[Head]:
-    """The oldest waiting entries of each tenant, so many of each; costs by tenants, not by entries."""
-    found, tenant = list[Head](), ""
-    following = "SELECT min(tenant) FROM entries INDEXED BY waiting WHERE state = 0 AND tenant > ?"
-    oldest = """SELECT name, tenant, work, created_s, safe FROM entries INDEXED BY waiting
-        WHERE state = 0 AND tenant = ? ORDER BY seq LIMIT ?"""
-    while (tenant := db.execute(following, (tenant,)).fetchone()[0]) is not None:
-        rows = db.execute(oldest, (tenant, each)).fetchall()
-        found += [Head(name, tenant, work, came_s, bool(safe)) for name, tenant, work, came_s, safe in rows]
-    return found
-
-
-def highest(db: sqlite3.Connection) -> int:
-    """The highest token that was seen."""
-    return int(db.execute("SELECT value FROM meta WHERE name = 'token'").fetchone()[0])
-
-
 def _fence(db: sqlite3.Connection, token: int) -> None:
     """Only the holding that adopted the queue last may go on."""
     if token != (seen := highest(db)):
--- a/ringledge/wire/chat/front.py
+++ b/ringledge/wire/chat/front.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from ringledge.core.gate import Gate
     from ringledge.memory.held import Held
+    from ringledge.wire.chat.queued import QueuedChat
 
 PATH = b"/v1/chat/completions"
 MOST_KEY = 256  # bytes of an idempotency key, which is kept as long as its answer
@@ -46,10 +47,11 @@
         most_bytes: float,
         gate: Gate | None = None,
         held: Held | None = None,
+        queued: QueuedChat | None = None,
     ) -> None:
         self._config, self._settings, self._names, self._conductor = config, settings, names, conductor
         self.sessions = Sessions(config.sessions, most_bytes, config.resume_for_s)
-        self._gate = gate
+        self._gate, self._queued = gate, queued
         self._replies = Replies(conductor, names, self._safe, self._go_on)
         if held is not None:
             held.keeps(self.sessions.size, self.sessions.give_up)
@@ -61,6 +63,8 @@
             only(head, b"GET")
             await read_body(conn, head)
             return await respond(conn, 200, orjson.dumps(self._models()))
+        if self._queued is not None and path.startswith(b"/v1/queue/"):
+            return await self._queued.handle(conn, head)
         if path != PATH:
             raise HttpError(404, f"no such path: {path.decode('ascii', 'replace')}", "unknown_url")
         only(head, b"POST")
@@ -71,7 +75,10 @@
             session, seen = self._resume(last_event.decode("ascii", "replace"))
             whole = False
         else:
-            session, seen = self._start(head, body), 0
+            started = await self._start(conn, head, body)
+            if started is None:
+                return  # it is queued, and its client has been told
+            session, seen = started, 0
             whole = not session.question["stream"]
         session.readers += 1
         try:
@@ -117,8 +124,11 @@
 
     # Starting and resuming.
 
-    def _start(self, head: h11.Request, body: bytes) -> Session:
-        """A new session; or, for an idempotency key that is known, the one that it has begun."""
+    async def _start(self, conn: Connection, head: h11.Request, body: bytes) -> Session | None:
+        """A new session; or, for an idempotency key that is known, the one that it has begun.
+
+        None where the request is queued.
+        """
         question = read_question(body)
         key = header(head, b"idempotency-key")
         if key and len(key) > MOST_KEY:
@@ -133,6 +143,8 @@
         class_index, request = to_request(self._config, self._names, self._settings, head, question)
         if key or not told_header(head, b"x-call-class"):  # else it was asked about by its head
             self._ask(class_index, head, len(body))
+        if self._queued is not None and await self._queued.take(conn, head, question, request):
+            return None
         if not self.sessions.room():
             raise HttpError(429, "too many answers are under way", "rate_limit_exceeded")
         session = Session(
--- a/ringledge/wire/chat/question.py
+++ b/ringledge/wire/chat/question.py
@@ -51,25 +51,47 @@
     config: ChatConfig, names: Names, settings: i.Settings, head: h11.Request, question: dict[str, Any]
 ) -> tuple[int, i.Request]:
     """The core's request; HttpError names the field that is wrong."""
+    told, caller = told_header(head, b"x-call-class"), told_header(head, b"x-caller")
+    budget = told_header(head, b"x-budget-ms")
+    if budget and not (budget.isdecimal() and 0 < int(budget) < 10_000_000):
+        raise HttpError(400, "not a number of milliseconds", "invalid_value", "X-Budget-Ms")
+    route = told_header(head, b"x-route-hash") or ""
+    budget_ms = float(budget) if budget else None
+    return class_and_request(
+        config, names, settings, question, told, caller or config.tenant, uuid4().hex, budget_ms, route
+    )
+
+
+def class_and_request(
+    config: ChatConfig,
+    names: Names,
+    settings: i.Settings,
+    question: dict[str, Any],
+    told: str | None,
+    caller: str,
+    name: str,
+    budget_ms: float | None = None,
+    route: str = "",
+) -> tuple[int, i.Request]:
+    """The class and the core's request of a question; HttpError names the field that is wrong.
+
+    `told`: the class's name, None: the model's; `route`: what names the conversation, empty: its opening.
+    """
     if question["model"] not in config.models:
         raise HttpError(404, f"no such model: {question['model']}", "model_not_found", "model")
-    told = told_header(head, b"x-call-class") or config.models[question["model"]]
+    told = told or config.models[question["model"]]
     if told not in names.classes:
         raise HttpError(400, f"no such class: {told}", "unknown_class", "X-Call-Class")
-    caller = told_header(head, b"x-caller") or config.tenant
     if names.tenants and caller not in names.tenants:
         raise HttpError(400, f"no such caller: {caller}", "unknown_caller", "X-Caller")
     index = names.classes.index(told)
-    budget = told_header(head, b"x-budget-ms")
-    if budget and not (budget.isdecimal() and 0 < int(budget) < 10_000_000):
-        raise HttpError(400, "not a number of milliseconds", "invalid_value", "X-Budget-Ms")
     first = question["messages"][0]
     shared = _content(first) if first["role"] in ("system", "developer") else ""
     opening = orjson.dumps(question["messages"][: 2 if shared else 1])
-    session = (told_header(head, b"x-route-hash") or "").encode() or opening
+    session = route.encode() or opening
     request = i.Request(
-        uuid4().hex,
-        float(budget or settings.classes[index].deadline_ms),
+        name,
+        budget_ms or settings.classes[index].deadline_ms,
         index,
         names.index(names.tenants, caller),
         _number(session),
--- /dev/null
+++ b/ringledge/wire/chat/replaying.py
@@ -0,0 +1,100 @@
+"""Queued requests on their way: by the same conductor, decisions and rules as those of clients that wait."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import Any
+
+import orjson
+
+from crowstand import interface as i
+from ringledge.core.conductor import Conductor
+from ringledge.core.ledger import Record
+from ringledge.core.port import Payload
+from ringledge.core.stages.take_in import DuplicateError
+from ringledge.decide.replay import Verdict
+from ringledge.lifecycle.config import ChatConfig, Names
+from ringledge.members.replayer import Result, Sending
+from ringledge.memory.sessions import End, Session
+from ringledge.store.entry import Entry
+from ringledge.wire.chat.answer import Answer
+from ringledge.wire.chat.question import class_and_request
+from ringledge.wire.chat.replies import whole_answer
+from ringledge.wire.http import HttpError
+
+
+class _Run(Answer):
+    """One entry's run: a session that nobody follows, whose end goes back to the replay."""
+
+    def __init__(self, session: Session, conductor: Conductor, ended: Callable[[Result], None]) -> None:
+        super().__init__(session)
+        self._mine, self._conductor, self._told = session, conductor, ended
+        self._left = False
+
+    def _end(self, end: End) -> None:
+        super()._end(end)
+        if self._left:
+            return
+        self._left = True
+        record = self._mine.record
+        # Until `take` has returned nothing can have been sent.
+        ran = record is not None and (record.began or record.may_have_run)
+        if end is End.SERVED:
+            usage = self._mine.usage or {}
+            work = float(usage.get("prompt_tokens") or 0) + float(usage.get("completion_tokens") or 0)
+            self._told(Result(Verdict.SERVED, True, whole_answer(self._mine), work or None))
+        elif end is End.REFUSED or not ran:
+            self._told(Result(Verdict.REFUSED, False))
+        else:
+            self._told(Result(Verdict.FAILED, True))
+
+    def cancel(self) -> None:
+        """Give it up. A booking runs on: it may have run, and its end may still be taken."""
+        record, self._left = self._mine.record, True
+        if record is not None:
+            self._conductor.client_gone(record)
+
+
+class _Booking(_Run):
+    """One that must not run twice."""
+
+    def cancel(self) -> None:
+        """It runs on: it may have run, and its end may still be taken."""
+
+
+class ReplaySender:
+    """Sends queued entries through the conductor."""
+
+    def __init__(
+        self, config: ChatConfig, settings: i.Settings, names: Names, conductor: Conductor
+    ) -> None:
+        self._config, self._settings, self._names, self._conductor = config, settings, names, conductor
+
+    def __call__(self, entry: Entry, ended: Callable[[Result], None]) -> Sending | None:
+        """Start one; None where its class or model is not served any more."""
+        told: dict[str, Any] = orjson.loads(entry.asked.question)
+        try:
+            asked, shop = entry.asked, (self._config, self._names, self._settings)
+            index, request = class_and_request(*shop, told, asked.kind, asked.tenant, _id(entry))
+        except HttpError:
+            return None
+        name = f"chatcmpl-{entry.name}"
+        session = Session(name, told, index, request.max_output_tokens, len(entry.asked.question))
+        safe = self._settings.classes[index].effect is i.Effect.SAFE
+        run = (_Run if safe and entry.asked.safe else _Booking)(session, self._conductor, ended)
+        body = told | {"stream": True, "max_tokens": int(request.max_output_tokens)}
+        body.pop("max_completion_tokens", None)
+        payload = Payload(b"/v1/chat/completions", orjson.dumps(body))
+        try:
+            record: Record = self._conductor.take(request, payload, run)
+        except DuplicateError:  # the last attempt is still being let go of
+            ended(Result(Verdict.REFUSED, False))
+            return run
+        session.record = record
+        return run
+
+
+def _id(entry: Entry) -> str:
+    """The request's id at the servers: another for each attempt, and not the name that opens the answer."""
+    return blake2b(f"{entry.name}:{entry.attempts}".encode(), digest_size=16).hexdigest()
--- a/ringledge/wire/chat/replies.py
+++ b/ringledge/wire/chat/replies.py
@@ -59,12 +59,7 @@
                 await session.news.wait()
         if session.end is not End.SERVED:
             raise HttpError(500, "the answer broke off; it may have run", "stream_broken")
-        message = {"role": "assistant", "content": session.text}
-        choice = {"index": 0, "message": message, "finish_reason": session.finish_reason or "stop"}
-        told = _envelope(session, "chat.completion") | {"choices": [choice]}
-        if session.usage:
-            told["usage"] = session.usage
-        await respond(conn, 200, orjson.dumps(told))
+        await respond(conn, 200, whole_answer(session))
 
     async def stream(self, conn: Connection, session: Session, seen: int) -> None:
         """Server-sent events from the one behind `seen` on; a break ends the connection, never cleanly."""
@@ -98,6 +93,16 @@
             yield _sse(chunk, f"{session.name}:{number}")
 
 
+def whole_answer(session: Session) -> bytes:
+    """All of a session that was served, as one JSON object."""
+    message = {"role": "assistant", "content": session.text}
+    choice = {"index": 0, "message": message, "finish_reason": session.finish_reason or "stop"}
+    told = _envelope(session, "chat.completion") | {"choices": [choice]}
+    if session.usage:
+        told["usage"] = session.usage
+    return orjson.dumps(told)
+
+
 def _envelope(session: Session, kind: str) -> dict[str, Any]:
     return {
         "id": session.name,
