--- a/ringledge/decide/replay_pace.py
+++ b/ringledge/decide/replay_pace.py
@@ -50,8 +50,8 @@
 class Pace:
     """The pace of one site's replay."""
 
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+    def __init__(self, rng: random.Random, jitter_s: float = JITTER_S) -> None:
+        self._rng, self._jitter_s = rng, jitter_s
         self.ceiling: float | None = None  # tokens per s; None: not known
         self.rate = 0.0
         self._bucket = Bucket(0.0)
@@ -63,7 +63,7 @@
         """The site reaches servers again."""
         if not self._open:
             self._open, self.rate = True, self._start()
-            self._not_before_s = now_s + self._rng.uniform(0.0, JITTER_S)
+            self._not_before_s = now_s + self._rng.uniform(0.0, self._jitter_s)
             self._bucket = Bucket(0.0, now_s * 1000)
             self._rose_s = now_s
 
--- a/ringledge/store/queue.py
+++ b/ringledge/store/queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import time
 from collections.abc import Callable
 from functools import partial
@@ -23,6 +24,7 @@
         """`clock`: Unix seconds; ages must outlive the process, so it is no monotonic one."""
         self._config, self._now = config, clock
         self._limits = Limits(config.entries, config.most_bytes, config.tenant_share, config.entry_bytes)
+        self._folder = Path(config.path).parent
         self.worker = Worker(Path(config.path), config.busy_s)
 
     def start(self) -> None:
@@ -35,7 +37,14 @@
 
     async def enqueue(self, asked: Asked) -> Entry:
         """Put a request in; a 202 may be said once this returns."""
-        return await self.worker.run(lambda db: steps.enqueue(db, asked, self._now(), self._limits))
+        return await self.worker.run(
+            lambda db: steps.enqueue(db, asked, self._now(), self._limits, self._free())
+        )
+
+    def _free(self) -> float:
+        """Bytes that the disk has for us; asked for in the thread that waits for disks."""
+        told = os.statvfs(self._folder)
+        return float(told.f_bavail * told.f_frsize)
 
     async def get(self, name: str) -> Entry | None:
         """The entry of that name."""
--- a/ringledge/store/steps.py
+++ b/ringledge/store/steps.py
@@ -15,12 +15,14 @@
 import sqlite3
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
+from math import inf
 
 from ringledge.store.entry import Asked, End, Entry, MovedError, StaleError, State, StoreError, Why
 from ringledge.store.looks import highest
 from ringledge.store.seal import COLUMNS, SpoiltError, from_row, to_row
 
 AT_ONCE = 256  # entries that expire or are removed in one step: a transaction stays short
+RESERVE = 4 * 1024 * 1024  # bytes left free by new entries, so that those there can still be begun and ended
 SPOILT = b"the entry is spoilt on the disk; it may have run"
 
 
@@ -42,8 +44,11 @@
     unknown: tuple[str, ...]  # they must not
 
 
-def enqueue(db: sqlite3.Connection, asked: Asked, now_s: float, limits: Limits) -> Entry:
-    """Put a request in, or find the one with its key; StoreError tells which limit forbids it."""
+def enqueue(db: sqlite3.Connection, asked: Asked, now_s: float, limits: Limits, free: float = inf) -> Entry:
+    """Put a request in, or find the one with its key; StoreError tells which limit forbids it.
+
+    `free`: bytes that the disk still has.
+    """
     if asked.key is not None:
         known = db.execute("SELECT name FROM entries WHERE tenant = ? AND key = ?", (asked.tenant, asked.key))
         if (row := known.fetchone()) is not None:
@@ -63,6 +68,8 @@
     share = limits.tenant_share
     if entries >= limits.entries * share or held + size > limits.most_bytes * share:
         raise StoreError(Why.TENANT, f"this tenant has {entries} entries of {held} bytes")
+    if min(free, _room(db)) < RESERVE + 2 * size:  # twice: in the log, then in the file
+        raise StoreError(Why.DISK, "little room is left on the disk")
     entry = Entry(asked, State.WAITING, 0, 0)
     marks = ", ".join("?" * 16)
     db.execute(f"INSERT INTO entries ({COLUMNS}, seal) VALUES ({marks})", to_row(entry))
@@ -171,6 +178,13 @@
         raise StaleError(f"token {token}, {seen} was seen")
 
 
+def _room(db: sqlite3.Connection) -> int:
+    """Bytes that the file may still grow by."""
+    told = "SELECT * FROM pragma_max_page_count, pragma_page_count, pragma_freelist_count, pragma_page_size"
+    most, pages, unused, size = db.execute(told).fetchone()
+    return int((most - pages + unused) * size)
+
+
 def _must(db: sqlite3.Connection, name: str) -> Entry:
     entry = get(db, name)
     if entry is None:
--- /dev/null
+++ b/tests/store/test_file.py
@@ -0,0 +1,229 @@
+"""The file when it is spoilt, old, new, full, or another process has it: a clear error or a way on."""
+
+from __future__ import annotations
+
+import sqlite3
+import threading
+from collections.abc import Callable, Coroutine
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from ringledge.store import looks, schema, steps
+from ringledge.store.entry import End, Entry, StaleError, State, StoreError, Why
+from ringledge.store.queue import Queue
+from ringledge.store.seal import COLUMNS, to_row
+from ringledge.store.settings import QueueConfig
+from ringledge.store.steps import SPOILT
+from tests.store.helpers import LIMITS, NOW_S, asked, db, within
+
+__all__ = ["db"]
+
+Play = Callable[[Queue], Coroutine[Any, Any, None]]
+
+
+def play(path: Path, game: Play, **told: Any) -> None:
+    """Run a game at a queue in its own thread."""
+
+    async def run() -> None:
+        queue = Queue(QueueConfig(path=str(path), **told), lambda: NOW_S)
+        queue.start()
+        try:
+            with anyio.fail_after(20):
+                await game(queue)
+        finally:
+            queue.stop()
+
+    anyio.run(run)
+
+
+def refused(path: Path) -> StoreError:
+    with pytest.raises(StoreError) as told:
+        schema.connect(path, 0.1).close()
+    return told.value
+
+
+def test_a_spoilt_row_ends_as_unknown_and_holds_nothing_up(db: sqlite3.Connection) -> None:
+    for name in ("a", "b"):
+        within(db, partial(steps.enqueue, asked=asked(name, safe=False), now_s=NOW_S, limits=LIMITS))
+    db.execute("UPDATE entries SET question = x'00' WHERE name = 'a'")  # as a byte on the disk might
+    within(db, lambda db: steps.adopt(db, 1, NOW_S))
+    told = steps.get(db, "a")
+    assert told is not None and told.end is End.UNKNOWN and told.answer == SPOILT
+    assert within(db, lambda db: steps.begin(db, "a", 1, NOW_S)).state is State.ENDED
+    assert [head.name for head in looks.heads(db, 4)] == ["b"]
+
+
+def test_a_state_that_was_spoilt_back_to_waiting_is_not_sent_again(db: sqlite3.Connection) -> None:
+    within(db, lambda db: steps.enqueue(db, asked("a", safe=False), NOW_S, LIMITS))
+    within(db, lambda db: steps.adopt(db, 1, NOW_S))
+    within(db, lambda db: steps.begin(db, "a", 1, NOW_S))
+    db.execute("UPDATE entries SET state = 0")
+    assert within(db, lambda db: steps.begin(db, "a", 1, NOW_S)).end is End.UNKNOWN
+
+
+def test_a_spoilt_file_is_refused_and_left_as_it_is(tmp_path: Path) -> None:
+    path = tmp_path / "queue.db"
+    opened = schema.connect(path, 1.0)
+    for number in range(50):
+        new = asked(f"{number}", f"t{number}", size=900)
+        within(opened, partial(steps.enqueue, asked=new, now_s=NOW_S, limits=LIMITS))
+    opened.close()
+    spoilt = bytearray(path.read_bytes())
+    spoilt[4096 * 2 : 4096 * 12] = b"\xff" * (4096 * 10)
+    path.write_bytes(spoilt)
+    assert refused(path).why is Why.CLOSED
+    assert path.read_bytes() == spoilt
+
+    async def game(queue: Queue) -> None:
+        with pytest.raises(StoreError) as told:
+            await queue.enqueue(asked("new"))
+        assert told.value.why is Why.CLOSED
+
+    play(path, game)
+
+
+def test_no_database_and_another_programs_are_refused(tmp_path: Path) -> None:
+    (tmp_path / "text").write_bytes(b"no database at all, but long enough to look at" * 100)
+    assert refused(tmp_path / "text").why is Why.CLOSED
+    with sqlite3.connect(tmp_path / "other") as other:
+        other.execute("CREATE TABLE mine (x)")
+    other.close()
+    assert "version" in str(refused(tmp_path / "other"))
+    assert refused(tmp_path / "no" / "folder").why is Why.CLOSED
+
+
+def test_a_newer_file_is_refused_and_left_as_it_is(tmp_path: Path) -> None:
+    path = tmp_path / "queue.db"
+    schema.connect(path, 1.0).close()
+    with sqlite3.connect(path) as newer:
+        newer.execute(f"PRAGMA user_version = {schema.VERSION + 1}")
+    newer.close()
+    before = path.read_bytes()
+    assert f"version {schema.VERSION + 1}" in str(refused(path))
+    assert path.read_bytes() == before
+
+
+def test_an_older_file_is_brought_up_to_date_with_all_it_holds(tmp_path: Path) -> None:
+    path = tmp_path / "queue.db"
+    older = sqlite3.connect(path, isolation_level=None)
+    older.execute("PRAGMA journal_mode = WAL")
+    for statement in schema.STEPS[0]:
+        older.execute(statement)
+    older.execute("PRAGMA user_version = 1")
+    older.execute(f"PRAGMA application_id = {schema.MAGIC}")
+    entry = Entry(asked("a", safe=False), State.BEGUN, 3, 1)
+    row = to_row(entry)
+    columns = COLUMNS.removesuffix(", key")
+    marks = ", ".join("?" * 15)
+    older.execute(f"INSERT INTO entries ({columns}, seal) VALUES ({marks})", (*row[:14], row[15]))
+    older.close()
+    db = schema.connect(path, 1.0)
+    assert steps.get(db, "a") == entry
+    assert db.execute("SELECT entries, bytes FROM totals").fetchone() == (1, 10)
+    assert within(db, lambda db: steps.adopt(db, 4, NOW_S)).unknown == ("a",)
+    db.close()
+
+
+def test_a_full_disk_refuses_and_loses_nothing(tmp_path: Path) -> None:
+    async def game(queue: Queue) -> None:
+        await queue.enqueue(asked("first", safe=False))
+        await queue.adopt(1)
+        await pages(queue, 1_060)  # a reserve of 1,024 is left to what is in already
+        kept, why = ["first"], None
+        for number in range(200):
+            try:
+                kept.append((await queue.enqueue(asked(f"{number}", size=5_000))).name)
+            except StoreError as error:
+                why = error.why
+                break
+        assert why is Why.DISK and len(kept) > 3
+        for name in kept:  # each 202 stands, and can still be begun, ended and taken back
+            assert (await queue.begin(name, 1)).state is State.BEGUN
+        assert (await queue.finish("first", 1, End.SERVED, b"{}")).end is End.SERVED
+        await pages(queue, 1)  # no page more, whatever was reserved
+        with pytest.raises(StoreError) as told:
+            await queue.finish("0", 1, End.SERVED, b"?" * 100_000)
+        assert told.value.why is Why.DISK
+        entry = await queue.get("0")
+        assert entry is not None and entry.state is State.BEGUN  # nothing half done
+        await pages(queue, 2_000)
+        assert (await queue.finish("0", 1, End.SERVED, b"?" * 100_000)).end is End.SERVED
+
+    play(tmp_path / "queue.db", game)
+
+
+async def pages(queue: Queue, most: int) -> None:
+    await queue.worker.run(lambda db: db.execute(f"PRAGMA max_page_count = {most}").fetchone(), writes=False)
+
+
+def test_what_waits_together_is_committed_together_and_refused_each_by_itself(tmp_path: Path) -> None:
+    async def game(queue: Queue) -> None:
+        told: dict[str, str] = {}
+
+        async def one(name: str, size: int) -> None:
+            try:
+                await queue.enqueue(asked(name, f"t{name}", size=size))
+                told[name] = "kept"
+            except StoreError as error:
+                told[name] = error.why.value
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(40):
+                tasks.start_soon(one, f"{number}", 9_999 if number == 7 else 100)
+        assert told.pop("7") == "large" and set(told.values()) == {"kept"}
+        assert queue.worker.commits < 20
+
+    play(tmp_path / "queue.db", game, entry_bytes=1_024, entries=1000)
+
+
+def test_another_process_at_the_file_is_waited_for_and_then_told(tmp_path: Path) -> None:
+    path = tmp_path / "queue.db"
+    other = schema.connect(path, 1.0)
+
+    async def game(queue: Queue) -> None:
+        other.execute("BEGIN IMMEDIATE")
+        with pytest.raises(StoreError) as told:
+            await queue.enqueue(asked("a"))
+        assert told.value.why is Why.BUSY
+        threading.Timer(0.05, lambda: other.execute("ROLLBACK")).start()
+        assert (await queue.enqueue(asked("a"))).state is State.WAITING
+
+    play(path, game, busy_s=0.3)
+    other.close()
+
+
+def test_two_processes_at_one_file_see_each_others_entries_and_tokens(tmp_path: Path) -> None:
+    path = tmp_path / "queue.db"
+
+    async def game(queue: Queue) -> None:
+        second = Queue(QueueConfig(path=str(path)), lambda: NOW_S)
+        second.start()
+        await queue.enqueue(asked("a"))
+        await queue.adopt(1)
+        await queue.begin("a", 1)
+        told = await second.get("a")
+        assert told is not None and told.state is State.BEGUN
+        await second.adopt(2)
+        with pytest.raises(StaleError):
+            await queue.finish("a", 1, End.SERVED, b"{}")
+        second.stop()
+
+    play(path, game)
+
+
+def test_the_loop_is_not_held_up_by_a_slow_disk(tmp_path: Path) -> None:
+    async def game(queue: Queue) -> None:
+        gate = threading.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(queue.worker.run, lambda db: gate.wait(20))
+            turns = 0
+            while turns < 100:  # the loop goes round while the thread stands still
+                await anyio.lowlevel.checkpoint()
+                turns += 1
+            gate.set()
+
+    play(tmp_path / "queue.db", game)
