--- a/benchmarks/queue_child.py
+++ b/benchmarks/queue_child.py
@@ -49,6 +49,11 @@
         say("sent", entry.name)
         return self
 
+    @property
+    def over(self) -> bool:
+        """Whether nothing new comes."""
+        return self.stopping and self.all_taken
+
     def cancel(self) -> None:
         """Nothing: the stand-in answers all the same."""
 
@@ -111,7 +116,7 @@
         replayer.begin(token)
         say("began", str(token))
         await replayer.step(token, lambda: True)  # settles what earlier holders had begun
-        while not (stand_in.stopping and stand_in.all_taken) or replayer.under_way or replayer.owed or await queue.waiting():
+        while not stand_in.over or replayer.under_way or replayer.owed or await queue.waiting():
             await replayer.news(0.005)
             await replayer.step(token, lambda: True)
         tasks.cancel_scope.cancel()
