--- a/ringledge/wire/chat/queued.py
+++ b/ringledge/wire/chat/queued.py
@@ -143,7 +143,8 @@
                 await self._queue.withdraw(name)
                 self._figures.ended.labels(End.WITHDRAWN.value).inc()
                 log.info("queue_entry_ended", entry=name, how=End.WITHDRAWN.value, token=0)
-                return await respond(conn, 204, b"")
+                told = {"id": name, "object": "queue.entry", "status": "withdrawn"}
+                return await respond(conn, 200, orjson.dumps(told))
         except MovedError as error:
             raise HttpError(409, "it has begun or ended, and can't be taken back", "begun") from error
         except StoreError as error:
