--- a/ringledge/decide/replay.py
+++ b/ringledge/decide/replay.py
@@ -19,6 +19,8 @@
 
 from ringledge.decide.replay_pace import Pace
 
+MIX = 0.95  # of what the mix was known by that stays with each one served: the last twenty tell it
+FIRST_MIX = 2_000.0  # tokens by which the mix is first taken to be that of live traffic: a request or two
 MOST_WORK = 2_000_000.0  # tokens: a row that tells more is not believed, for it would stop its tenant
 
 
@@ -101,12 +103,17 @@
         self.sent: dict[str, _Sent] = {}  # under way, by name
         self.done = defaultdict[str, float](float)  # work served, by tenant
         self.served = 0.0  # work served in all
+        self._mix = (0.0, 0.0)  # read and written, of those served last
 
     @property
     def under_way(self) -> int:
         """Entries sent and not ended."""
         return len(self.sent)
 
+    def written(self, live: float) -> float:
+        """The part of the work that is written: of those served last; of few, as of `live` traffic."""
+        return (self._mix[1] + FIRST_MIX * live) / (sum(self._mix) + FIRST_MIX)
+
     def choose(self, now_s: float, heads: Iterable[Head], probing: bool = False) -> Head | None:
         """What to send now, None: nothing yet. `probing`: the site is cut off, one alone may try the link.
 
@@ -128,8 +135,13 @@
         self.pace.sent(now_s, work)
         return head
 
-    def ended(self, now_s: float, name: str, verdict: Verdict, work: float | None = None) -> None:
-        """What became of one that was chosen; `work`: the tokens that it took, where they are known."""
+    def ended(
+        self, now_s: float, name: str, verdict: Verdict, work: float | None = None, written: float = 0.0
+    ) -> None:
+        """What became of one that was chosen; `work`: the tokens that it took, where they are known.
+
+        `written`: those of them that were written.
+        """
         sent = self.sent.pop(name, None)
         if sent is None:
             return
@@ -138,6 +150,9 @@
             self.pace.served(now_s, took)
             self.done[sent.head.tenant] += took
             self.served += took
+            if work is not None:
+                read, wrote = self._mix
+                self._mix = (read * MIX + max(0.0, took - written), wrote * MIX + min(took, written))
         elif verdict is Verdict.REFUSED:
             self.pace.refused(now_s)
         elif verdict is Verdict.FAILED:
--- a/ringledge/decide/replay_pace.py
+++ b/ringledge/decide/replay_pace.py
@@ -13,7 +13,7 @@
 
 from ringledge.structures.bucket import Bucket
 
-START_PART = 1 / 16  # of the ceiling where it begins: a sixteenth more load is noise for live traffic
+START_PART = 1 / 16  # of the ceiling where it begins: a sixteenth of what is spare is noise for live traffic
 START = 500.0  # tokens per s to begin with where no ceiling is known: one short request a second
 RISE_S = 20.0  # from nothing to the ceiling: servers that were idle or restarted warm in 13 s or so
 RISE = 250.0  # tokens per s gained each s where no ceiling is known
@@ -22,6 +22,7 @@
 HOLD_S = 0.5  # nothing is sent for so long after a refusal
 JITTER_S = 1.0  # after a link returns the first one is sent within so long
 PROBE_S = 3.0  # between tries of a link that is down
+LEAST_PART = 0.02  # of either in the work: a mix without any of one would make that role's room endless
 DEPTH_S = 0.25  # of the pace that may be saved up: a burst no longer than live traffic's own
 
 
@@ -34,17 +35,22 @@
     read_live: float  # that live traffic asks for
     write_live: float
 
+    def written(self) -> float:
+        """The part of live work that is written; where there is none, half."""
+        live = self.read_live + self.write_live
+        return self.write_live / live if live > 0 else 0.5
 
-def spare(room: Room, reserve: float) -> float | None:
+
+def spare(room: Room, reserve: float, written: float) -> float | None:
     """Tokens per s that live traffic leaves over after a reserve; None where capacities are not known.
 
-    A token of queued work is either read or written, so the scarcer of the two bounds the sum of both.
+    `written`: the part of the queued work that is written, the rest is read; the scarcer role bounds the sum.
     """
     if room.read_capacity <= 0 or room.write_capacity <= 0:
         return None
     reading = room.read_capacity * (1 - reserve) - room.read_live
     writing = room.write_capacity * (1 - reserve) - room.write_live
-    return max(0.0, min(reading, writing))
+    return max(0.0, min(reading / max(LEAST_PART, 1 - written), writing / max(LEAST_PART, written)))
 
 
 class Pace:
@@ -57,6 +63,9 @@
         self._bucket = Bucket(0.0)
         self._open, self._not_before_s = False, -inf
         self._fell_s = self._rose_s = self._probed_s = -inf
+        # For how long what was sent has used the pace, as far as it has not raised it: one that has little to
+        # send must not grow into a pace that it never tried.
+        self._used_s = 0.0
         self.falls = 0
 
     def opened(self, now_s: float) -> None:
@@ -65,7 +74,7 @@
             self._open, self.rate = True, self._start()
             self._not_before_s = now_s + self._rng.uniform(0.0, self._jitter_s)
             self._bucket = Bucket(0.0, now_s * 1000)
-            self._rose_s = now_s
+            self._rose_s, self._used_s = now_s, 0.0
 
     def closed(self) -> None:
         """The site is cut off or short: what was known of the pace is worth nothing at its return."""
@@ -95,13 +104,16 @@
         """So much work was sent."""
         self._probed_s = now_s
         self._bucket.take(work)
+        if self.rate > 0:
+            self._used_s += work / self.rate
 
     def served(self, now_s: float, work: float) -> None:
         """Some was served: the pace grows with time, as far as it was used."""
         if not self._open or now_s - self._fell_s < FALL_EVERY_S:
             return
         step = RISE if self.ceiling is None else self.ceiling / RISE_S
-        since_s, self._rose_s = min(1.0, max(0.0, now_s - self._rose_s)), now_s
+        since_s = max(0.0, min(now_s - self._rose_s, self._used_s))
+        self._rose_s, self._used_s = now_s, self._used_s - since_s
         self.rate = min(self.rate + step * since_s, inf if self.ceiling is None else self.ceiling)
 
     def refused(self, now_s: float) -> None:
@@ -109,6 +121,7 @@
         self._not_before_s = max(self._not_before_s, now_s + HOLD_S)
         if now_s - self._fell_s >= FALL_EVERY_S:
             self._fell_s = self._rose_s = now_s
+            self._used_s = 0.0
             self.rate = max(self.rate * FALL, self._start() * FALL)
             self.falls += 1
 
--- a/ringledge/members/replayer.py
+++ b/ringledge/members/replayer.py
@@ -34,6 +34,7 @@
     ran: bool  # it may have run
     answer: bytes = b""  # served: what the client gets
     work: float | None = None  # tokens read and written, where they are known
+    written: float = 0.0  # those that were written
 
 
 class Sending(Protocol):
@@ -181,7 +182,7 @@
         def ended(result: Result) -> None:
             self._out.pop(entry.name, None)
             if self.replay is not None:
-                self.replay.ended(self._now(), entry.name, result.verdict, result.work)
+                self.replay.ended(self._now(), entry.name, result.verdict, result.work, result.written)
             if self._figures is not None:
                 self._figures.sends.labels(result.verdict.value).inc()
             self._settling += 1
--- a/ringledge/store/part.py
+++ b/ringledge/store/part.py
@@ -177,7 +177,9 @@
         left = None
         if self._facts is not None:
             seen = rows(self._facts.values(now_s, "server/"), ServerSeen)
-            left = spare(room(seen, rows(self._facts.values(now_s, "demand/"), Demand)), self.config.reserve)
+            demand = rows(self._facts.values(now_s, "demand/"), Demand)
+            known = room(seen, demand)
+            left = spare(known, self.config.reserve, replay.written(known.written()))
         if left is not None:
             left *= self.config.replay_part
         wished = 0.0
--- a/ringledge/wire/chat/replaying.py
+++ b/ringledge/wire/chat/replaying.py
@@ -42,8 +42,9 @@
         ran = record is not None and (record.began or record.may_have_run)
         if end is End.SERVED:
             usage = self._mine.usage or {}
-            work = float(usage.get("prompt_tokens") or 0) + float(usage.get("completion_tokens") or 0)
-            self._told(Result(Verdict.SERVED, True, whole_answer(self._mine), work or None))
+            written = float(usage.get("completion_tokens") or 0)
+            work = float(usage.get("prompt_tokens") or 0) + written
+            self._told(Result(Verdict.SERVED, True, whole_answer(self._mine), work or None, written))
         elif end is End.REFUSED or not ran:
             self._told(Result(Verdict.REFUSED, False))
         else:
