Shield a step of the replay, so that a lost lease never leaves a start without its send

Leases cancel a step when they end: between the start on the disk and the send a booking that was never sent would have ended as unknown. Steps tell when the next is wanted, as the leases' runner has it.

--- a/benchmarks/queue_child.py
+++ b/benchmarks/queue_child.py
@@ -21,7 +21,8 @@
 from ringledge.decide.replay import Head, Replay, Verdict
 from ringledge.decide.replay_pace import Pace
 from ringledge.members.duty import Still
-from ringledge.members.replayer import Replayer, Result, Sending
+from ringledge.members.replayer import Replayer
+from ringledge.members.sending import Result, Sending
 from ringledge.observe.logging import log
 from ringledge.store.entry import Asked, Entry
 from ringledge.store.queue import Queue
--- a/ringledge/members/duty.py
+++ b/ringledge/members/duty.py
@@ -15,8 +15,8 @@
         """The lease is ours; each effect from here on carries the token."""
         ...
 
-    async def step(self, token: int, still: Still) -> None:
-        """One step; asks `still` right before each effect."""
+    async def step(self, token: int, still: Still) -> float:
+        """One step, `still` asked right before each effect; s to wait until the next. It may be cancelled."""
         ...
 
     def stop(self) -> None:
--- a/ringledge/members/replayer.py
+++ b/ringledge/members/replayer.py
@@ -9,13 +9,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
 
 import anyio.abc
 
 from ringledge.decide.cut_off import State
 from ringledge.decide.replay import Head, Replay, Verdict
 from ringledge.members.duty import Still
+from ringledge.members.sending import Result, Sender, Sending
 from ringledge.observe.logging import log
 from ringledge.store.entry import End, Entry, MovedError, StaleError, StoreError
 from ringledge.store.entry import State as Stands
@@ -23,36 +23,10 @@
 from ringledge.store.queue import Queue
 
 EACH = 4  # oldest entries of each tenant that are looked at: those under way leave gaps
+STEP_S, IDLE_S = 0.05, 0.5  # until the next step, while something waits and while nothing does
 AT_ONCE = 8  # sends in one step: the lease is asked for again soon
 
 
-@dataclass(slots=True, frozen=True)
-class Result:
-    """What became of one send."""
-
-    verdict: Verdict
-    ran: bool  # it may have run
-    answer: bytes = b""  # served: what the client gets
-    work: float | None = None  # tokens read and written, where they are known
-    written: float = 0.0  # those that were written
-
-
-class Sending(Protocol):
-    """One entry on its way."""
-
-    def cancel(self) -> None:
-        """Give it up, save one that must not run twice: that runs on, and its end may still be taken."""
-        ...
-
-
-class Sender(Protocol):
-    """Sends entries by the same decisions as all other requests."""
-
-    def __call__(self, entry: Entry, ended: Callable[[Result], None]) -> Sending | None:
-        """Start one; `ended` is called once, maybe at once. None: it can't be sent at all."""
-        ...
-
-
 @dataclass(slots=True, frozen=True)
 class _Outcome:
     entry: Entry
@@ -80,7 +54,7 @@
         self.replay: Replay | None = None
         self._out: dict[str, Sending] = {}
         self._unsettled: list[_Outcome] = []  # ends that the disk did not take yet
-        self._settling = 0
+        self._settling, self._busy = 0, False
         self._news = anyio.Event()
 
     @property
@@ -108,8 +82,17 @@
             sending.cancel()
         self._out.clear()
 
-    async def step(self, token: int, still: Still) -> None:
-        """Settle what is owed, then send what it is time for."""
+    async def step(self, token: int, still: Still) -> float:
+        """Settle what is owed, then send what it is time for; s until the next step is wanted.
+
+        Shielded: cancelled between a start on the disk and its send, a booking that was never sent would end
+        as unknown. It lasts some syncs, and `still` is asked before each effect.
+        """
+        with anyio.CancelScope(shield=True):
+            await self._step(token, still)
+        return STEP_S if self._busy else IDLE_S
+
+    async def _step(self, token: int, still: Still) -> None:
         try:
             await self._adopt(token)
             await self.settle()
@@ -147,6 +130,7 @@
         else:
             replay.pace.opened(self._now())
         heads = await self._queue.heads(EACH + replay.under_way)
+        self._busy = bool(heads) or bool(replay.under_way)
         for _ in range(AT_ONCE):
             head = replay.choose(self._now(), heads, probing)
             if head is None:
--- /dev/null
+++ b/ringledge/members/sending.py
@@ -0,0 +1,37 @@
+"""What sends a queued entry, and what it tells of the end; the fronts implement it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from ringledge.decide.replay import Verdict
+from ringledge.store.entry import Entry
+
+
+@dataclass(slots=True, frozen=True)
+class Result:
+    """What became of one send."""
+
+    verdict: Verdict
+    ran: bool  # it may have run
+    answer: bytes = b""  # served: what the client gets
+    work: float | None = None  # tokens read and written, where they are known
+    written: float = 0.0  # those that were written
+
+
+class Sending(Protocol):
+    """One entry on its way."""
+
+    def cancel(self) -> None:
+        """Give it up, save one that must not run twice: that runs on, and its end may still be taken."""
+        ...
+
+
+class Sender(Protocol):
+    """Sends entries by the same decisions as all other requests."""
+
+    def __call__(self, entry: Entry, ended: Callable[[Result], None]) -> Sending | None:
+        """Start one; `ended` is called once, maybe at once. None: it can't be sent at all."""
+        ...
--- a/ringledge/store/part.py
+++ b/ringledge/store/part.py
@@ -1,8 +1,9 @@
 """The queue of a site as one part of the program: the file, how the site stands, the duty of its replay.
 
-    part = QueuePart(config, sight, metrics.registry, random, facts)
-    chats = Chat(..., queued=part.front(classes, settings, tenant))
-    part.sender = ReplaySender(...)
+    part = QueuePart(config, Sight(conductor, upstream.reach, metrics), metrics.registry, random, facts)
+    queued = QueuedChat(part.queue, part.state, classes, settings, tenant, config.expire_s, part.figures)
+    chats = Chat(..., queued=queued)
+    part.sender = ReplaySender(chat_config, settings, names, conductor)
     part.start(tasks); part.ready(); await part.stop()
 
 Under leases `part.replayer` is handed to them as the duty `part.duty` and `leased` is true; else a lock
@@ -28,7 +29,8 @@
 from ringledge.decide.replay_lend import Lend, Lending, Want
 from ringledge.decide.replay_pace import Pace, spare
 from ringledge.decide.replay_room import room, rows
-from ringledge.members.replayer import Replayer, Sender
+from ringledge.members.replayer import Replayer
+from ringledge.members.sending import Sender
 from ringledge.observe.logging import log
 from ringledge.store.entry import StoreError
 from ringledge.store.figures import Figures
--- a/ringledge/wire/chat/replaying.py
+++ b/ringledge/wire/chat/replaying.py
@@ -15,7 +15,7 @@
 from ringledge.core.stages.take_in import DuplicateError
 from ringledge.decide.replay import Verdict
 from ringledge.lifecycle.config import ChatConfig, Names
-from ringledge.members.replayer import Result, Sending
+from ringledge.members.sending import Result, Sending
 from ringledge.memory.sessions import End, Session
 from ringledge.store.entry import Entry
 from ringledge.wire.chat.answer import Answer
--- a/tests/store/test_part.py
+++ b/tests/store/test_part.py
@@ -17,7 +17,7 @@
 from ringledge.decide.fleet import Backlog
 from ringledge.decide.replay import Verdict
 from ringledge.lifecycle import strict
-from ringledge.members.replayer import Result, Sending
+from ringledge.members.sending import Result, Sending
 from ringledge.store.entry import Asked, End, Entry
 from ringledge.store.part import QueuePart
 from ringledge.store.settings import QueueConfig
--- a/tests/store/test_replayer.py
+++ b/tests/store/test_replayer.py
@@ -13,7 +13,8 @@
 from ringledge.decide.cut_off import State
 from ringledge.decide.replay import Replay, Verdict
 from ringledge.decide.replay_pace import PROBE_S, Pace
-from ringledge.members.replayer import Replayer, Result, Sending
+from ringledge.members.replayer import Replayer
+from ringledge.members.sending import Result, Sending
 from ringledge.store.entry import End, Entry
 from ringledge.store.entry import State as Stands
 from ringledge.store.figures import Figures
--- a/tests/wire/queued.py
+++ b/tests/wire/queued.py
@@ -18,7 +18,7 @@
 from ringledge.core.ledger import Attempt
 from ringledge.decide.cut_off import State
 from ringledge.lifecycle.config import ChatConfig, Names
-from ringledge.members.replayer import Result
+from ringledge.members.sending import Result
 from ringledge.memory.servers import ServerList
 from ringledge.observe.metrics import Metrics
 from ringledge.store.figures import Figures
