--- a/ringledge/wire/chat/front.py
+++ b/ringledge/wire/chat/front.py
@@ -17,12 +17,13 @@
 from crowstand import interface as i
 from ringledge.core.conductor import Conductor
 from ringledge.core.port import Payload
-from ringledge.lifecycle.config import ChatConfig, Names
+from ringledge.memory.names import Names
 from ringledge.memory.sessions import End, Session, Sessions
 from ringledge.observe.logging import log
 from ringledge.wire.chat.answer import Answer
 from ringledge.wire.chat.question import prompt_of, read_question, to_request, told_header
 from ringledge.wire.chat.replies import Replies
+from ringledge.wire.chat_settings import ChatConfig
 from ringledge.wire.http import MAX_BODY, Connection, HttpError, header, only, read_body, respond
 from ringledge.wire.platform import converse, shed
 
--- a/ringledge/wire/chat/question.py
+++ b/ringledge/wire/chat/question.py
@@ -10,7 +10,8 @@
 import orjson
 
 from crowstand import interface as i
-from ringledge.lifecycle.config import ChatConfig, Names
+from ringledge.memory.names import Names
+from ringledge.wire.chat_settings import ChatConfig
 from ringledge.wire.http import HttpError, header
 
 
--- a/ringledge/wire/chat/replaying.py
+++ b/ringledge/wire/chat/replaying.py
@@ -14,13 +14,14 @@
 from ringledge.core.port import Payload
 from ringledge.core.stages.take_in import DuplicateError
 from ringledge.decide.replay import Verdict
-from ringledge.lifecycle.config import ChatConfig, Names
 from ringledge.members.sending import Result, Sending
+from ringledge.memory.names import Names
 from ringledge.memory.sessions import End, Session
 from ringledge.store.entry import Entry
 from ringledge.wire.chat.answer import Answer
 from ringledge.wire.chat.question import class_and_request
 from ringledge.wire.chat.replies import whole_answer
+from ringledge.wire.chat_settings import ChatConfig
 from ringledge.wire.http import HttpError
 
 
--- a/ringledge/wire/chat/replies.py
+++ b/ringledge/wire/chat/replies.py
@@ -9,7 +9,7 @@
 import orjson
 
 from ringledge.core.conductor import Conductor
-from ringledge.lifecycle.config import Names
+from ringledge.memory.names import Names
 from ringledge.memory.sessions import End, Session
 from ringledge.wire.http import Connection, HttpError, respond
 from ringledge.wire.platform import STREAM_HEAD, retry_after
--- a/tests/wire/queued.py
+++ b/tests/wire/queued.py
@@ -17,8 +17,8 @@
 from ringledge.core.conductor import Conductor
 from ringledge.core.ledger import Attempt
 from ringledge.decide.cut_off import State
-from ringledge.lifecycle.config import ChatConfig, Names
 from ringledge.members.sending import Result
+from ringledge.memory.names import Names
 from ringledge.memory.servers import ServerList
 from ringledge.observe.metrics import Metrics
 from ringledge.store.figures import Figures
@@ -27,6 +27,7 @@
 from ringledge.wire.chat import Chat, error_body
 from ringledge.wire.chat.queued import QueuedChat
 from ringledge.wire.chat.replaying import ReplaySender
+from ringledge.wire.chat_settings import ChatConfig
 from ringledge.wire.http import Connection, HttpError, respond
 
 SETTINGS = i.Settings(
