--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -18,6 +18,7 @@
 from ringledge.decide.overload_settings import OverloadConfig
 from ringledge.lifecycle import strict
 from ringledge.memory.names import Names as Names
+from ringledge.store.settings import QueueConfig
 from ringledge.wire.chat_settings import ChatConfig as ChatConfig
 from ringledge.wire.prometheus_settings import PrometheusConfig
 from ringledge.wire.xds_settings import XdsConfig
@@ -58,6 +59,7 @@
     "prometheus": PrometheusConfig,
     "overload": OverloadConfig,
     "doors": DoorsConfig,
+    "queue": QueueConfig,
 }
 
 S = TypeVar("S", bound=msgspec.Struct)
--- a/ringledge/lifecycle/parts/__init__.py
+++ b/ringledge/lifecycle/parts/__init__.py
@@ -29,6 +29,7 @@
     ("doors", _file("doors")),
     ("platform", _always),
     ("operators", lambda config: bool(config.operator)),
+    ("queue", _file("queue")),
     ("chat", _file("chat")),
     ("xds", _file("xds")),
     ("prometheus", _file("prometheus")),
--- a/ringledge/lifecycle/parts/chat.py
+++ b/ringledge/lifecycle/parts/chat.py
@@ -15,6 +15,15 @@
     config = shared.config
     told = config.extra(ChatConfig)
     most_bytes = config.memory / ANSWERS_PART
-    chats = Chat(told, config.settings, config.names, shared.conductor, most_bytes, shared.gate, shared.held)
+    chats = Chat(
+        told,
+        config.settings,
+        config.names,
+        shared.conductor,
+        most_bytes,
+        shared.gate,
+        shared.held,
+        shared.queued,
+    )
     shared.fronts.open(Service("chat", told.listen, chats.handle, error_body))
     return Part(start=lambda: shared.tasks.start_soon(chats.reap))
--- /dev/null
+++ b/ringledge/lifecycle/parts/queue.py
@@ -0,0 +1,30 @@
+"""The queue of a cut-off site: made before the chat front, which asks it; replayed by the conductor."""
+
+from __future__ import annotations
+
+from random import Random
+
+from ringledge.lifecycle.config import ConfigError
+from ringledge.lifecycle.shared import Part, Shared
+from ringledge.store.part import QueuePart
+from ringledge.store.settings import QueueConfig
+from ringledge.wire.chat.queued import QueuedChat
+from ringledge.wire.chat.replaying import ReplaySender
+from ringledge.wire.chat_settings import ChatConfig
+from ringledge.wire.sight import Sight
+
+
+def part(shared: Shared) -> Part:
+    """Open the file at the start, look at the site and replay once the list is known."""
+    config = shared.config
+    told = config.extra(QueueConfig)
+    if "chat" not in config.extras:
+        raise ConfigError("queue.toml: chat.toml has to be enabled, too; its clients are queued")
+    chat, settings, names = config.extra(ChatConfig), config.settings, config.names
+    sight = Sight(shared.conductor, shared.upstream.reach, shared.metrics)
+    queue = QueuePart(told, sight, shared.metrics.registry, Random())
+    queue.sender = ReplaySender(chat, settings, names, shared.conductor)
+    shared.queued = QueuedChat(
+        queue.queue, queue.state, names.classes, settings, chat.tenant, told.expire_s, queue.figures
+    )
+    return Part(start=lambda: queue.start(shared.tasks), ready=queue.ready, stop=queue.stop)
--- a/ringledge/lifecycle/shared.py
+++ b/ringledge/lifecycle/shared.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from ringledge.core.gate import Gate
     from ringledge.memory.held import Held
+    from ringledge.wire.chat.queued import QueuedChat
 
 
 def _nothing() -> None:
@@ -66,3 +67,4 @@
     gate: Gate | None = None
     held: Held | None = None
     platform: Platform | None = None
+    queued: QueuedChat | None = None
