Have a new planner hear all rows before it tells those in force anew

Told at once, rows in force turned back a change that the planner before had begun less than a second earlier: a server changed twice within its least stay. A planner reads the rows among the facts itself and waits twice the time that facts take.

--- a/ringledge/decide/ratio.py
+++ b/ringledge/decide/ratio.py
@@ -58,11 +58,21 @@
         self._since_s = inf
         self._estimate, self._paces = Estimate(settings), Paces(settings)
 
-    def begin(self, now_s: float, token: int) -> dict[str, PlanRow]:
-        """Take the duty up; gives the rows in force, to be told under the new token."""
+    def begin(self, now_s: float, token: int) -> None:
+        """Take the duty up."""
         self.token, self.number, self._since_s = token, 1, now_s
         self._estimate, self._paces = Estimate(self.settings), Paces(self.settings)
-        return {server: PlanRow(token, 1, row.role) for server, row in sorted(self.book.rows.items())}
+
+    def again(self, now_s: float) -> dict[str, PlanRow]:
+        """Rows in force that are still to be told under the present token.
+
+        None at first: what the planner before told last may still be on its way here, and to tell what was
+        in force before it would turn a change back that others have begun.
+        """
+        if now_s - self._since_s < 2 * self.settings.spread_s:
+            return {}
+        old = sorted((server, row) for server, row in self.book.rows.items() if row.token < self.token)
+        return {server: PlanRow(self.token, 1, row.role) for server, row in old}
 
     def look(self, now_s: float, heard: Heard, listed: Sequence[Listed]) -> Looked:
         """Measure, and decide what changes now; rows are to be told and given to the book."""
--- a/ringledge/decide/ratio_plan.py
+++ b/ringledge/decide/ratio_plan.py
@@ -28,13 +28,13 @@
 
 def plan(boxes: Sequence[Box], need: Need, settings: RatioConfig) -> Plan:
     """The changes that a site should begin now."""
-    target = split(boxes, need.spans, settings.headroom)
+    target = split(boxes, need.spans, settings)
     if why := held(boxes, need, settings):
         return Plan({}, len(target), why)
     steady = [box for box in boxes if not box.changing]
-    now = served(bears(boxes, "read"), bears(boxes, "write"), need.spans, settings.headroom)
+    now = served(bears(boxes, "read"), bears(boxes, "write"), need.spans, settings)
     aim = moved(boxes, {box.name: wanted(box, target) for box in boxes if box.kind == "both"})
-    gain = served(bears(aim, "read"), bears(aim, "write"), need.spans, settings.headroom) - now
+    gain = served(bears(aim, "read"), bears(aim, "write"), need.spans, settings) - now
     undecided = any(box.role == "both" and box.kind == "both" for box in boxes)
     if gain < max(settings.least_gain, need.doubt) and not undecided:  # less may be chance
         return Plan({}, len(target), "near enough")
@@ -42,9 +42,9 @@
     if not moves:
         return Plan({}, len(target), "none may move")
     during = [box for box in steady if box.name not in moves]
-    dip = served(bears(steady, "read"), bears(steady, "write"), need.spans, settings.headroom)
-    dip -= served(bears(during, "read"), bears(during, "write"), need.spans, settings.headroom)
-    if not undecided and gain * (need.lasts_s - settings.change_s) < max(0.0, dip) * settings.change_s:
+    dip = served(bears(steady, "read"), bears(steady, "write"), need.spans, settings)
+    dip -= served(bears(during, "read"), bears(during, "write"), need.spans, settings)
+    if not undecided and gain * (need.lasts_s - settings.change_s) <= max(0.0, dip) * settings.change_s:
         return Plan({}, len(target), "would not pay")
     return Plan(moves, len(target), "moves")
 
--- a/ringledge/decide/ratio_target.py
+++ b/ringledge/decide/ratio_target.py
@@ -11,6 +11,9 @@
 from dataclasses import dataclass
 
 from ringledge.decide.ratio_estimate import FEW
+from ringledge.decide.ratio_settings import RatioConfig
+
+Spans = Sequence[tuple[float, float]]  # tokens per s to read and to write, a look each
 
 SHARED = 0.5  # of what a server gets through in a role that counts while it does both
 
@@ -41,10 +44,24 @@
     return sum(box.bears(role) for box in boxes)
 
 
-def served(read: float, write: float, spans: Sequence[tuple[float, float]], headroom: float) -> float:
-    """The part of the demand that both roles can serve, in the mean over the mixes."""
-    parts = (room(read, write, need, headroom) for need in spans)
-    return sum(min(1.0, part) for part in parts) / len(spans)
+def served(read: float, write: float, spans: Spans, settings: RatioConfig) -> float:
+    """The part of the demand that both roles can serve.
+
+    Of a mix that stays: what the shorter role bears with headroom. Of one that swings, look by look: what
+    waits in one leg is done in the next, up to the wait that requests bear; the rest is lost.
+    """
+    if len(spans) == 1:
+        return min(1.0, room(read, write, spans[0], settings.headroom))
+    bears, behind, sum_of_parts = (read, write), [0.0, 0.0], 0.0
+    for needs in spans:
+        part = 1.0
+        for role, (bear, need) in enumerate(zip(bears, needs, strict=True)):
+            most = bear * settings.wait_s
+            behind[role] = max(0.0, behind[role] + (need - bear) * settings.look_s)
+            if behind[role] > most:
+                behind[role], part = most, min(part, bear / max(need, FEW))
+        sum_of_parts += part
+    return sum_of_parts / len(spans)
 
 
 def room(read: float, write: float, need: tuple[float, float], headroom: float) -> float:
@@ -52,7 +69,7 @@
     return headroom * min(read / max(need[0], FEW), write / max(need[1], FEW))
 
 
-def split(boxes: Sequence[Box], spans: Sequence[tuple[float, float]], headroom: float) -> set[str]:
+def split(boxes: Sequence[Box], spans: Spans, settings: RatioConfig) -> set[str]:
     """The servers of both kinds that should read for the most demand served, then for the most room.
 
     Those that read well against how they write come first, so one number tells the whole split.
@@ -64,8 +81,8 @@
     for count in range(len(mixed) + 1):
         if count:
             read, write = read + mixed[count - 1].read, write - mixed[count - 1].write
-        rooms = [min(2.0, room(read, write, need, headroom)) for need in spans]
-        found = (round(served(read, write, spans, headroom), 6), round(sum(rooms) / len(rooms), 6))
+        rooms = [min(2.0, room(read, write, need, settings.headroom)) for need in spans]
+        found = (round(served(read, write, spans, settings), 6), round(sum(rooms) / len(rooms), 6))
         if found > best:
             best, chosen = found, count
     return {box.name for box in mixed[:chosen]}
--- a/ringledge/members/planner.py
+++ b/ringledge/members/planner.py
@@ -14,7 +14,7 @@
 from ringledge.decide.fleet import Demand, Facts, PlanRow, ServerSeen
 from ringledge.decide.ratio import Heard, Listed, Looked, Ratio
 from ringledge.decide.ratio_settings import RatioConfig
-from ringledge.decide.role_rows import encode
+from ringledge.decide.role_rows import PREFIX, encode, rows
 from ringledge.decide.roles import RoleBook
 from ringledge.observe.logging import log
 
@@ -46,7 +46,6 @@
         self.settings = settings
         self._facts, self._fleet, self._book, self._clock = facts, fleet, book, clock
         self._ratio = Ratio(settings, book)
-        self._again = dict[str, PlanRow]()  # rows in force that are still to be told under this token
         self._told = set[str]()  # keys of ours
         self._next_s = 0.0
         self.malformed = 0  # facts that could not be read
@@ -54,18 +53,19 @@
 
     def begin(self, token: int) -> None:
         """Take the duty up; nothing is told before the first step."""
-        self._again = self._ratio.begin(self._clock(), token)
+        self._ratio.begin(self._clock(), token)
         self._next_s = self._clock()
 
     async def step(self, token: int, still: Callable[[], bool]) -> None:
         """One look, if it is time for one; `still`, whether the lease runs, is asked before each effect."""
         if token != self._ratio.token:
             return  # of a holding that has ended
-        for server, row in list(self._again.items()):
+        now_s = self._clock()
+        for server, row in rows(self._facts.values(now_s, PREFIX)):  # above all those of the planner before
+            self._book.hear(now_s, server, row)
+        for server, row in self._ratio.again(now_s).items():
             if not self._tell(server, row, still):
                 return
-            del self._again[server]
-        now_s = self._clock()
         if now_s < self._next_s:
             return
         self._next_s = now_s + self.settings.look_s
@@ -84,7 +84,6 @@
     def stop(self) -> None:
         """The duty has ended here; rows told stay where they were heard."""
         self._ratio.token = 0
-        self._again.clear()
 
     def _tell(self, server: str, row: PlanRow, still: Callable[[], bool]) -> bool:
         if not still():
