Take roles by plan in the decisions: an event Roles that shuts servers of both kinds to one

The planner's roles reach nothing that sends. The event names servers that get no new reads and no new writes; kinds that only read or only write are not touched, what is under way goes on, and a role that a plan would leave to nobody is open to all who can.

--- a/crowstand/evidence.py
+++ b/crowstand/evidence.py
@@ -93,6 +93,7 @@
         self.readers, self.writers = list[Server](), list[Server]()  # those that are up and not left out
         self.out, self.recalled = set[str](), set[str]()  # by hand: left out; called back and not yet used
         self.silent = frozenset[str]()  # servers that no connection reaches just now
+        self.roles = i.Roles()  # which servers that do both are kept to one role, by plan
         self.rankings: dict[str, list[Server]] = {}
         self.peak = Counter[i.Role]()  # most servers listed at once
         self.leave: dict[str, float] = {}  # chance that a state leaves a place for want of writers
--- a/crowstand/interface.py
+++ b/crowstand/interface.py
@@ -284,7 +284,16 @@
     servers: frozenset[str]
 
 
-Event = Members | Request | Outcome | FirstToken | ClientGone | Probed | Timer | ByHand | LastCall | Silent
+@dataclass(slots=True, frozen=True)
+class Roles:
+    """Servers of kinds that do both which get nothing new of one role; it replaces what was said before."""
+
+    no_reads: frozenset[str] = frozenset()
+    no_writes: frozenset[str] = frozenset()
+
+
+Heard = Outcome | FirstToken | ClientGone | Probed
+Event = Members | Request | Heard | Timer | ByHand | LastCall | Silent | Roles
 
 
 # Actions
--- a/crowstand/listing.py
+++ b/crowstand/listing.py
@@ -61,6 +61,11 @@
     def _fall_silent(self, event: i.Silent) -> None:
         self.silent = event.servers
 
+    def _take_roles(self, event: i.Roles) -> None:
+        """What is under way goes on: a server that does both can end whatever it was sent."""
+        self.roles = event
+        self._level()
+
     def _by_hand(self, event: i.ByHand) -> None:
         """Whom operators leave out gets nothing, whatever the list says; called back, it is cold and new."""
         if event.out:
@@ -76,19 +81,27 @@
         """What follows from the list: rankings, and how far each cell's writers fall short of its reads."""
         up = [s for s in self.servers.values() if self.availability(s) == i.Availability.UP]
         self.rankings.clear()
-        self.writers = [s for s in up if s.role != i.Role.READER]
-        self.readers = [s for s in up if s.role != i.Role.WRITER] or self.writers * self.settings.writers_read
+        writers = [s for s in up if s.role != i.Role.READER]
+        readers = [s for s in up if s.role != i.Role.WRITER] or writers * self.settings.writers_read
+        # By plan each does one; were a role left to nobody, any that can would be better than none.
+        self.writers = [s for s in writers if not self._shut(s, i.Role.READER)] or writers
+        self.readers = [s for s in readers if not self._shut(s, i.Role.WRITER)] or readers
         self.peak |= Counter(server.role for server in self.servers.values())  # the larger of both
         cells = {server.entry.cell for server in self.servers.values()}
         self.fetch_delays = defaultdict(Fading, {k: v for k, v in self.fetch_delays.items() if k[0] in cells})
         reads, writes = defaultdict[str, float](float), defaultdict[str, float](float)
         for server in up:
             for place in ("all", f"cell {server.entry.cell}", f"zone {server.entry.zone}"):
-                reads[place] += self.warmth(server) * (server.role != i.Role.WRITER)
-                writes[place] += self.warmth(server) * (server.role != i.Role.READER)
+                reads[place] += self.warmth(server) * (not self._shut(server, i.Role.WRITER))
+                writes[place] += self.warmth(server) * (not self._shut(server, i.Role.READER))
         need = writes["all"] / max(1.0, reads["all"])
         self.leave = {place: 1 - writes[place] / (need * n) for place, n in reads.items() if need * n}
 
+    def _shut(self, server: Server, other: i.Role) -> bool:
+        """Whether all that is new to it is of the other role, by its kind or by plan."""
+        names = self.roles.no_reads if other == i.Role.WRITER else self.roles.no_writes
+        return server.role == other or (server.role == i.Role.MIXED and server.entry.server in names)
+
     def _cancel(self, job: Job) -> None:
         if job.at is not None and not job.started and self.settings.may_cancel:
             self.actions.append(i.Cancel(job.request.request, job.sent - 1))
--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -29,6 +29,7 @@
             i.Members: self._members, i.Request: self._arrive, i.Outcome: self._outcome,
             i.FirstToken: self._first_token, i.ClientGone: self._client_gone, i.Timer: self._timer,
             i.ByHand: self._by_hand, i.LastCall: self._last_call, i.Silent: self._fall_silent,
+            i.Roles: self._take_roles,
         }
 
     def handle(self, now_ms: float, event: i.Event) -> list[i.Action]:
--- a/ringledge/decide/roles.py
+++ b/ringledge/decide/roles.py
@@ -137,6 +137,15 @@
                     roles[server] |= DOES[place.kind] & {role}
         return roles
 
+    def shut(self) -> tuple[frozenset[str], frozenset[str]]:
+        """Servers that get no new reads, and those that get no new writes, as the policy wants to hear."""
+        roles = self.roles()
+        reads, writes = (
+            frozenset(server for server, does in roles.items() if role not in does)
+            for role in ("read", "write")
+        )
+        return reads, writes
+
     def changing(self) -> set[str]:
         """Servers whose change has not come to its end."""
         return {server for server, place in self.places.items() if place.state is not State.BACK}
--- a/tests/decide/test_ratio_world.py
+++ b/tests/decide/test_ratio_world.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from itertools import pairwise
 from pathlib import Path
@@ -122,13 +123,9 @@
     box = ratio.Ratio._box
 
     def free(self: ratio.Ratio, *told: object) -> Box:
-        made = box(self, *told)  # type: ignore[arg-type]
-        return Box(
-            *(getattr(made, name) for name in made.__slots__[:6]), True, made.warm, made.read, made.write
-        )  # type: ignore[arg-type]
+        return replace(box(self, *told), free=True)  # type: ignore[arg-type]
 
     monkeypatch.setattr(ratio.Ratio, "_box", free)
-    monkeypatch.setattr(Planner, "_next_s", 0.0, raising=False)
 
 
 def told_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/decide/test_roles.py
+++ b/tests/decide/test_roles.py
@@ -55,9 +55,8 @@
     its.work("a", reads=0, streams=9)
     its.tick(SET.spread_s)
     its.tick(SET.spread_s + SET.drain_s - 0.1)
-    assert its.places["a"].state is State.DRAINING
-    its.tick(SET.spread_s + SET.drain_s)
-    assert its.places["a"].state is State.CHANGED
+    assert its.tick(SET.spread_s + SET.drain_s - 0.1) == []
+    assert its.tick(SET.spread_s + SET.drain_s) == [("a", State.CHANGED)]
 
 
 def test_the_list_leads_and_a_row_never_goes_against_a_kind() -> None:
--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,61 @@
+"""Roles by plan in the decisions: what servers that do both get new, and what they end all the same."""
+
+from crowstand import interface as i
+from ringledge.decide.fleet import PlanRow
+from ringledge.decide.ratio_settings import RatioConfig
+from ringledge.decide.roles import RoleBook
+from tests.world import MIXED, READER, SAFE, WRITER, World, entry, released, sends
+
+MIXES = tuple(entry(f"m{at}", MIXED) for at in range(4))
+
+
+def used(world: World, start: int = 0) -> set[str]:
+    """Where the first attempts of many requests go."""
+    for at in range(start, start + 40):
+        world.request(f"a{at}", session=at)
+    return {world.at[f"a{at}"] for at in range(start, start + 40)}
+
+
+def test_a_server_kept_from_reads_gets_none_and_is_back_when_it_is_not_named() -> None:
+    world = World(MIXES)
+    assert used(world) == {"m0", "m1", "m2", "m3"}
+    world.give(i.Roles(no_reads=frozenset({"m0", "m1"})))
+    assert used(world, 100) == {"m2", "m3"}
+    world.give(i.Roles())
+    assert used(world, 200) == {"m0", "m1", "m2", "m3"}
+
+
+def test_no_plan_shuts_a_role_everywhere_and_none_goes_against_a_kind() -> None:
+    world = World((*MIXES, entry("r0", READER), entry("w0", WRITER)))
+    world.give(i.Roles(frozenset({"m0", "m1", "m2", "m3", "r0"}), frozenset({"m0", "m1", "m2", "m3", "w0"})))
+    assert used(world) == {"r0"}
+    world.outcome("a0", i.Status.READ)
+    assert world.at["a0"] == "w0"
+    lone = World(MIXES)
+    lone.give(i.Roles(no_reads=frozenset(each.server for each in MIXES)))
+    assert used(lone) == {"m0", "m1", "m2", "m3"}
+
+
+def test_a_state_that_waits_at_a_server_that_changes_is_fetched_and_a_stream_ends() -> None:
+    world = World((*MIXES[:2], entry("r0", READER)), classes=(SAFE,))
+    world.give(i.Roles(no_reads=frozenset({"m0", "m1"})))
+    world.request("a", session=1)
+    assert world.at["a"] == "r0"
+    world.give(i.Roles(no_writes=frozenset({"m0"})))  # while it is read
+    assert sends(world.outcome("a", i.Status.READ)) == ["m1"]  # fetched, by whom is left
+    world.first("a")
+    shut = world.give(i.Roles(no_writes=frozenset({"m0", "m1"})))
+    assert shut == []  # its stream goes on, nothing is sent again
+    assert not sends(world.outcome("a", i.Status.OK, over=True)) and not released(world.last)
+
+
+def test_the_book_says_what_the_decisions_take() -> None:
+    book = RoleBook(RatioConfig())
+    book.listed(0.0, {"m0": "both", "m1": "both", "r0": "read", "w0": "write"})
+    book.hear(0.0, "m0", PlanRow(1, 1, "read"))
+    for at in range(60):
+        book.tick(float(at))
+    assert book.shut() == (frozenset({"w0"}), frozenset({"m0", "r0"}))
+    world = World((*MIXES[:2], entry("r0", READER), entry("w0", WRITER)))
+    world.give(i.Roles(*book.shut()))
+    assert used(world) <= {"m0", "m1", "r0"}
