--- a/benchmarks/ratio.py
+++ b/benchmarks/ratio.py
@@ -72,12 +72,11 @@
     return readers
 
 
-def to_ninety(lab: Lab, best: Lab, from_s: float) -> float | None:
-    """Time from a shift's begin until three bins running are at 90% of the best; None: never."""
-    bins = [from_s + BIN_S * at for at in range(int((END_S - from_s) / BIN_S))]
-    well = [lab.worth(at, at + BIN_S) >= 0.9 * best.worth(at, at + BIN_S) for at in bins]
-    found = [at for at in range(len(well) - 2) if all(well[at : at + 3])]
-    return BIN_S * found[0] if found else None
+def to_ninety(lab: Lab, best: Lab, from_s: float, to_s: float) -> float:
+    """Time from a shift's begin until it stays at 90% of the best, up to the next shift; 0: never below."""
+    bins = [from_s + BIN_S * at for at in range(int((to_s - from_s) / BIN_S))]
+    below = [at for at in bins if lab.worth(at, at + BIN_S) < 0.9 * best.worth(at, at + BIN_S)]
+    return below[-1] + BIN_S - from_s if below else 0.0
 
 
 def compare(mix: str, size: int, seed: int, blind: bool) -> dict[str, Any]:
@@ -109,7 +108,9 @@
         **worths,
         "of_foresight": round(worths["planner"] / worths["foresight"], 3),
         "from_60s_after_shift": [round(lab.worth(*at) / best.worth(*at), 3) for at in within],
-        "to_ninety_s": [to_ninety(lab, best, at_s) for at_s in (SHIFT_S, BACK_S)] if shifts else [],
+        "to_ninety_s": [to_ninety(lab, best, *at) for at in ((SHIFT_S, BACK_S), (BACK_S, END_S))]
+        if shifts
+        else [],
         "changes": planned.changes,
         "foresight_changes": told.changes,
         "fixed_readers": middle,
