--- a/ringledge/decide/ratio_plan.py
+++ b/ringledge/decide/ratio_plan.py
@@ -12,7 +12,7 @@
 
 from ringledge.decide.ratio_estimate import Need
 from ringledge.decide.ratio_settings import RatioConfig
-from ringledge.decide.ratio_target import Box, bears, covered, served, split
+from ringledge.decide.ratio_target import Box, advantage, bears, covered, served, split
 
 OTHER = {"read": "write", "write": "read"}
 
@@ -33,10 +33,11 @@
         return Plan({}, len(target), why)
     steady = [box for box in boxes if not box.changing]
     now = served(bears(boxes, "read"), bears(boxes, "write"), need.spans, settings)
-    aim = moved(boxes, {box.name: wanted(box, target) for box in boxes if box.kind == "both"})
+    roles = {box.name: "read" if box.name in target else "write" for box in boxes if box.kind == "both"}
+    aim = moved(boxes, roles)
     gain = served(bears(aim, "read"), bears(aim, "write"), need.spans, settings) - now
     undecided = any(box.role == "both" and box.kind == "both" for box in boxes)
-    if gain < max(settings.least_gain, need.doubt) and not undecided:  # less may be chance
+    if gain <= max(settings.least_gain, need.doubt) and not undecided:  # less may be chance
         return Plan({}, len(target), "near enough")
     moves = choose(boxes, target, need)
     if not moves:
@@ -61,36 +62,31 @@
     return ""
 
 
-def wanted(box: Box, target: set[str]) -> str:
-    """The role that a server of both kinds should have."""
-    return "read" if box.name in target else "write"
-
-
 def choose(boxes: Sequence[Box], target: set[str], need: Need) -> dict[str, str]:
-    """Servers that may move toward a target, one a rack, those first whose rack has least of the new role."""
-    mixed = [box for box in boxes if box.kind == "both"]
+    """Servers that may move toward a target's number, one a rack, racks with least of the role first.
+
+    Servers that do both are decided first, so that none that has a role has to change it for their sake.
+    """
+    mixed = sorted((box for box in boxes if box.kind == "both"), key=advantage)
     short = len(target) - sum(box.role == "read" for box in mixed)
-    both = sum(box.role == "both" for box in mixed)
-    # Servers that do both are decided first; only then, and only in the way that is short, do others move.
-    role = "read" if short > 0 else "write"
-    left = max(abs(short), both) if both else abs(short)
-    moves: dict[str, str] = {}
-    busy = {box.rack for box in boxes if box.changing}
-    free = [box for box in mixed if box.free and not box.changing and box.role != role]
-    for box in sorted(free, key=lambda box: preference(box, boxes, role, target)):
-        new = wanted(box, target) if box.role == "both" else role
-        if len(moves) >= left or box.rack in busy:
-            continue
-        if allowed(moved(boxes, moves, changing=True), box, new, need):
-            moves[box.name] = new
+    role, left = ("read" if short > 0 else "write"), abs(short)
+    wanted = {box.name: role for box in mixed if box.role == OTHER[role]}
+    if undecided := [box.name for box in mixed if box.role == "both"]:
+        left = len(undecided)
+        wanted = {name: "read" if at < short else "write" for at, name in enumerate(undecided)}
+    busy, moves = {box.rack for box in boxes if box.changing}, dict[str, str]()
+    free = [box for box in mixed if box.name in wanted and box.free and not box.changing]
+    for box in sorted(free, key=lambda box: (beside(box, boxes, wanted[box.name]), box.name)):
+        others = moved(boxes, moves, changing=True)
+        if len(moves) < left and box.rack not in busy and allowed(others, box, wanted[box.name], need):
+            moves[box.name] = wanted[box.name]
             busy.add(box.rack)
     return moves
 
 
-def preference(box: Box, boxes: Sequence[Box], role: str, target: set[str]) -> tuple[bool, bool, float, str]:
-    """Sorts whom to move: undecided ones, those that the target names, racks with least of the role."""
-    of_rack = sum(each.bears(role) for each in boxes if each.rack == box.rack)
-    return (box.role != "both", (wanted(box, target) == role) is False, of_rack, box.name)
+def beside(box: Box, boxes: Sequence[Box], role: str) -> float:
+    """What a server's rack bears of a role."""
+    return bears((each for each in boxes if each.rack == box.rack), role)
 
 
 def allowed(boxes: Sequence[Box], mover: Box, new: str, need: Need) -> bool:
--- a/tests/decide/test_ratio_plan.py
+++ b/tests/decide/test_ratio_plan.py
@@ -117,3 +117,13 @@
 def test_a_mutant_of_the_plan_is_caught(monkeypatch: pytest.MonkeyPatch, name: str, mutant: object) -> None:
     monkeypatch.setattr(ratio_plan, name, mutant)
     assert find() != ""
+
+
+def test_servers_that_do_both_are_decided_before_any_that_has_a_role_changes() -> None:
+    boxes = [*site(3, 3), *(box(f"u{at}", f"r{at}", "both") for at in range(4))]
+    moves = plan(boxes, need(40_000, 5_000), SET).moves
+    assert moves and all(name.startswith("u") for name in moves)
+    wanted = plan(boxes, need(40_000, 5_000), SET).wanted
+    assert list(moves.values()).count("read") == wanted - 3
+    blocked = [box("x", "r0", "read", changing=True), *boxes]
+    assert all(name.startswith("u") for name in plan(blocked, need(60_000, 3_000), SET).moves)
