Say in one log line how long the event loop was away, and what took the time

The loop that looks for silent servers each 0.1 s beats too. A beat over 200 ms late writes `stalled`: how late, CPU, time runnable without a processor (schedstat, kept open, read in place), switches, page faults, collector, writes of the log, and the longest event of the core. No thread, signal, timer or further wake-up.

A line may tell up to 100 ms less than the loop was away; where the kernel keeps no schedstat, withheld time shows as waited, and the line says null.

--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -24,6 +24,7 @@
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
+from ringledge.observe.stalls import stalls
 
 LOOK_S = 1.0  # timers are looked at this often, though none falls due
 
@@ -152,13 +153,15 @@
         self._busy = True
         try:
             while self._events:
-                event = self._events.popleft()
+                event, began_s = self._events.popleft(), time.perf_counter()
                 silent = self.desk.port.silences()
                 if silent != self._silent:  # the policy knows it before it decides anything more
                     self._silent = silent
                     self.policy.handle(self.clock.now_ms(), i.Silent(silent))
                 for action in self.policy.handle(self.clock.now_ms(), event):
                     self._carry_out(action)
+                if (ran_s := time.perf_counter() - began_s) > stalls.longest_s:
+                    stalls.longest_s, stalls.longest = ran_s, type(event).__name__
         finally:
             self._busy = False
 
--- a/ringledge/observe/logging.py
+++ b/ringledge/observe/logging.py
@@ -38,6 +38,7 @@
     def __init__(self) -> None:
         self.level = LEVELS.index("info")
         self.name = ""
+        self.spent_s = 0.0  # in writes, since the start
         self._lost = 0  # lines that the reader left no room for
         self._often: dict[str, tuple[int, int]] = {}  # by event: the second, and lines in it
 
@@ -60,9 +61,11 @@
                 self._lost += 1
                 return
             self._lost = 0
+            began_s = time.perf_counter()
             with suppress(OSError):  # where nobody takes the log any more, requests are served all the same
                 sys.stderr.buffer.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
                 sys.stderr.buffer.flush()
+            self.spent_s += time.perf_counter() - began_s
 
     def debug(self, event: str, **fields: Any) -> None:
         """For tracing one request."""
--- a/ringledge/wire/silence.py
+++ b/ringledge/wire/silence.py
@@ -13,11 +13,12 @@
 from ringledge.decide.arrivals import Arrivals
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
+from ringledge.observe.stalls import BEAT_S, stalls
 from ringledge.wire.exchange import Live
 from ringledge.wire.lines import Lines
 from ringledge.wire.releases import Releaser
 
-SILENCE_LOOK_S = 0.1  # how often it is looked for silent streams and servers
+SILENCE_LOOK_S = BEAT_S  # how often it is looked for silent streams and servers
 
 
 class Silence:
@@ -38,8 +39,10 @@
 
     async def watch(self) -> None:
         """End streams whose server says nothing more, and try servers that owe an answer."""
+        stalls.beat()
         while True:
             await anyio.sleep(SILENCE_LOOK_S)
+            stalls.beat()  # this loop runs as long as the process does: a second one would wake it twice
             if not self._live:
                 continue
             now, waiting = time.monotonic(), list[tuple[str, float]]()
