--- /dev/null
+++ b/tests/members/test_duty_settings.py
@@ -0,0 +1,45 @@
+"""deploy/duties.toml is read strictly."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from ringledge.lifecycle import strict
+from ringledge.members.duty_settings import DutiesConfig
+
+SHIPPED = Path(__file__).parents[2] / "deploy" / "duties.toml"
+
+
+def _read(tmp_path: Path, text: str) -> DutiesConfig | None:
+    path = tmp_path / "duties.toml"
+    path.write_text(text)
+    return strict.read(DutiesConfig, path)
+
+
+def test_the_file_that_is_shipped_is_right_and_off(tmp_path: Path) -> None:
+    assert strict.read(DutiesConfig, SHIPPED) is None
+    told = _read(tmp_path, SHIPPED.read_text().replace("enabled = false", "enabled = true"))
+    assert told is not None
+    assert told.terms().silence_s == pytest.approx(3.3)
+    assert told.terms().held_s == pytest.approx(2.7)
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ("", "voters"),
+        ('voters = ["a", "b"]', "voters"),
+        ('voters = ["a", "b", "c", "d"]', "voters"),
+        ('voters = ["a", "b", "b"]', "voters"),
+        ('voters = ["a", "b", "c"]\nlease_s = 3.0\nlongest_s = 2.0', "longest_s"),
+        ('voters = ["a", "b", "c"]\nrate = 0.7', "rate"),
+        ('voters = ["a", "b", "c"]\ngeneration = 0', "generation"),
+        ('voters = ["a", "b", "c"]\nleases = 3', "leases"),
+        (f'voters = ["a", "b", "{"ä" * 30}"]', "voters"),
+    ],
+)
+def test_what_is_wrong_is_told_by_its_key(tmp_path: Path, text: str, key: str) -> None:
+    with pytest.raises(strict.SettingsError, match=key):
+        _read(tmp_path, "enabled = true\n" + text)
