Wire members and leased duties as parts, and play faults between real processes

Members and duties are entries of the table of parts, on only where deploy/members.toml and duties.toml enable them; a duty is offered by any part before `duties`. Parts stop one by one, the last made first, beside the drain, and also when a successor serves, so that duties are given up before the member says goodbye. Settings are read from one table of modules by name: what is off is not imported, not even its settings; `check-config` still checks files that are off.

tests/fleet/ starts 3 to 5 processes of the program, with one part more whose effects a receiver behind a fence takes; all datagrams pass relays that cut (one way too), lose, double and delay, and count it. SIGTERM, SIGKILL, SIGSTOP beyond a lease and between the look and the effect, all voters at once, a holder that is cut off or not heard, 2:2:1, a poor link. The records of all processes are checked: one holder a token, no look that allowed an effect after the next holding began; a mutant whose leases never run out is caught.

Found: with three voters one that was restarted and has not learned yet can't do without either of the others, so a second one stopped then leaves duties at rest until it is back. The log line `voting` says when to go on.

--- a/ringledge/cli/serve.py
+++ b/ringledge/cli/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from typing import NoReturn
 
 import anyio
 import click
@@ -37,6 +38,10 @@
 def check_config() -> None:
     """Read the configuration, say what it holds, and exit."""
     config = _load()
+    try:
+        configuration.extras(check_all=True)
+    except configuration.ConfigError as error:
+        _unusable(error)
     known = len(config.known["endpoints"])
     click.echo(f"{config.name}: listens at {config.listen}, discovery at {config.discovery}")
     click.echo(f"operators call at {config.operator or 'no address'}")
@@ -54,5 +59,9 @@
     try:
         return configuration.load()
     except configuration.ConfigError as error:
-        click.echo(f"configuration: {error}", err=True)
-        sys.exit(2)
+        _unusable(error)
+
+
+def _unusable(error: Exception) -> NoReturn:
+    click.echo(f"configuration: {error}", err=True)
+    sys.exit(2)
--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -6,6 +6,7 @@
 import tempfile
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from importlib import import_module
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -14,13 +15,9 @@
 
 from crowstand import interface as i
 from crowstand import wirehost
-from ringledge.decide.doors_settings import DoorsConfig
-from ringledge.decide.overload_settings import OverloadConfig
 from ringledge.lifecycle import strict
 from ringledge.memory.names import Names as Names
 from ringledge.wire.chat_settings import ChatConfig as ChatConfig
-from ringledge.wire.prometheus_settings import PrometheusConfig
-from ringledge.wire.xds_settings import XdsConfig
 
 DEPLOY = "deploy"  # the folder of our own files; RINGLEDGE_DEPLOY names another
 
@@ -50,15 +47,18 @@
     return str(value).replace(" ", "_").replace(",", "_")
 
 
-# Our own files under deploy/, each off unless it says `enabled = true`: a subsystem adds its line here, and
-# its part's in lifecycle/parts.
-FILES: dict[str, type[msgspec.Struct]] = {
-    "chat": ChatConfig,
-    "xds": XdsConfig,
-    "prometheus": PrometheusConfig,
-    "overload": OverloadConfig,
-    "doors": DoorsConfig,
+# Our own files under deploy/, each off unless it says `enabled = true`, with the module and the name of what
+# it may say: a subsystem adds its line here, and its part's in lifecycle/parts. What is off is not imported.
+FILES = {
+    "chat": "ringledge.wire.chat_settings:ChatConfig",
+    "xds": "ringledge.wire.xds_settings:XdsConfig",
+    "prometheus": "ringledge.wire.prometheus_settings:PrometheusConfig",
+    "overload": "ringledge.decide.overload_settings:OverloadConfig",
+    "doors": "ringledge.decide.doors_settings:DoorsConfig",
+    "members": "ringledge.members.settings:MembersConfig",
+    "duties": "ringledge.members.duty_settings:DutiesConfig",
 }
+PEERS = ("peer_listen", "peers", "peers_all")  # what RELAY_CONFIG tells of other conductors
 
 S = TypeVar("S", bound=msgspec.Struct)
 
@@ -81,6 +81,7 @@
     settings: i.Settings
     names: Names
     extras: dict[str, msgspec.Struct]  # by file, without its ending: what is enabled
+    peers: dict[str, Any]  # of other conductors, as PEERS names it
 
     @property
     def memory(self) -> float:
@@ -103,18 +104,25 @@
     return text
 
 
-def optional(kind: type[S], file: str, environ: Mapping[str, str]) -> S | None:
-    """Read one of our own files under deploy/; None where it is absent or not enabled."""
+def extras(environ: Mapping[str, str] = os.environ, check_all: bool = False) -> dict[str, msgspec.Struct]:
+    """Our own files that are enabled; `check_all`: those that are off are checked, too."""
+    folder, found = Path(environ.get("RINGLEDGE_DEPLOY", DEPLOY)), dict[str, msgspec.Struct]()
     try:
-        return strict.read(kind, Path(environ.get("RINGLEDGE_DEPLOY", DEPLOY)) / file)
+        for name, place in FILES.items():
+            path = folder / f"{name}.toml"
+            if check_all or strict.enabled(path):
+                told = strict.read(_kind(place), path)
+                if told is not None:
+                    found[name] = told
     except strict.SettingsError as error:
         raise ConfigError(str(error)) from error
+    return found
 
 
-def extras(environ: Mapping[str, str]) -> dict[str, msgspec.Struct]:
-    """Read all of them; those that are off are checked, too, and left out."""
-    found = {name: optional(kind, f"{name}.toml", environ) for name, kind in FILES.items()}
-    return {name: told for name, told in found.items() if told is not None}
+def _kind(place: str) -> type[msgspec.Struct]:
+    module, _, name = place.partition(":")
+    kind: type[msgspec.Struct] = getattr(import_module(module), name)
+    return kind
 
 
 def load(environ: Mapping[str, str] = os.environ) -> Config:
@@ -152,6 +160,7 @@
             wirehost.settings(fields),
             names,
             extras(environ),
+            {key: told[key] for key in PEERS if key in told},
         )
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from error
--- a/ringledge/lifecycle/handover.py
+++ b/ringledge/lifecycle/handover.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 
@@ -71,6 +71,13 @@
             await self._news.wait()
 
 
+class Told(NamedTuple):
+    """Who is told of what the other process does."""
+
+    share: Callable[[int], None]  # among how many processes the limits are divided
+    left: Callable[[], None]  # a successor serves
+
+
 class Handover:
     """Where this process stands among those of its conductor: who came before, who comes after."""
 
@@ -79,16 +86,16 @@
         path: Path,
         fronts: Fronts,
         conductor: Conductor,
-        share: Callable[[int], None],  # told among how many processes the limits are divided
+        told: Told,
     ) -> None:
         self.left = False  # a successor serves
-        self._path, self._fronts, self._conductor, self._share = path, fronts, conductor, share
+        self._path, self._fronts, self._conductor, self._told = path, fronts, conductor, told
         self._listeners = fronts.listeners
         self._processes = 1
 
     def _count(self, change: int) -> None:
         self._processes += change
-        self._share(self._processes)
+        self._told.share(self._processes)
 
     async def follow(self, sock: socket.socket, serving: anyio.Event) -> None:
         """Keep in touch with the predecessor, and tell it once this process serves."""
@@ -143,6 +150,7 @@
             if message.get("serving") and not self.left:
                 self.left = True
                 self._fronts.leave(set(message["serving"]))
+                self._told.left()
                 log.info("successor_serves")
 
         peer = Peer(sock, self._conductor.ledger)
--- a/ringledge/lifecycle/parts/__init__.py
+++ b/ringledge/lifecycle/parts/__init__.py
@@ -32,6 +32,8 @@
     ("chat", _file("chat")),
     ("xds", _file("xds")),
     ("prometheus", _file("prometheus")),
+    ("members", _file("members")),
+    ("duties", _file("duties")),  # the last of the fleet: those before it say which duties there are
 )
 
 
--- /dev/null
+++ b/ringledge/lifecycle/parts/duties.py
@@ -0,0 +1,70 @@
+"""Duties that one member of the fleet holds at a time, by leases."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import anyio
+
+from ringledge.decide.lease_learning import Learning
+from ringledge.decide.leases import MESSAGES, Leases
+from ringledge.decide.membership import Change, Restarted
+from ringledge.lifecycle.config import ConfigError
+from ringledge.lifecycle.shared import Part, Shared
+from ringledge.members.duties import Duties, now_s
+from ringledge.members.duty_settings import DutiesConfig
+from ringledge.members.on_clock import OnClock
+from ringledge.observe.logging import log
+
+LOOK_S = 0.05  # how often it is looked whether a voter that started votes
+
+
+def part(shared: Shared) -> Part:
+    """Vote, and seek all duties that the parts before this one offer, once the list is known."""
+    fleet, told = shared.fleet, shared.config.extra(DutiesConfig)
+    if fleet is None:
+        raise ConfigError("duties.toml: members.toml has to be enabled, too")
+    members = fleet.members
+    me = members.membership.me
+    leases = Leases(now_s(), me.name, me.start, told.terms(), random.Random(), told.spread())
+    duties = Duties(fleet.duties, leases, shared.tasks, lambda duty: give_up(duty))
+
+    def give_up(duty: str) -> None:
+        if members.service is not None:
+            members.service.act(leases.give_up(now_s(), duty))
+
+    def changed(change: Change) -> None:
+        leases.alive(each.name for each in members.membership.alive())
+        if isinstance(change, Restarted) and members.service is not None:
+            # Our wall clock had stepped back: under so low a start no vote may be given and no duty held.
+            members.service.act(leases.stop(now_s()))
+
+    def ready() -> None:
+        for duty in fleet.duties:
+            leases.want(now_s(), duty)
+        if members.service is not None:
+            members.service.wake()
+
+    async def stop() -> None:
+        if members.service is not None:
+            members.service.act(leases.stop(now_s()))
+        await duties.stopped()
+
+    def start() -> None:
+        if leases.voter is not None:
+            shared.tasks.start_soon(_tell_voting, leases.voter.learning)
+
+    fleet.give_up = give_up
+    members.add("leases", OnClock(leases, now_s, time.monotonic), MESSAGES)
+    members.hooks.duties.append(duties.apply)
+    members.hooks.changes.append(changed)
+    return Part(start=start, ready=ready, stop=stop)
+
+
+async def _tell_voting(learning: Learning) -> None:
+    """Say once that this voter votes: until then no other one should be restarted."""
+    began_s = time.monotonic()
+    while not learning.active:
+        await anyio.sleep(LOOK_S)
+    log.info("voting", after_s=round(time.monotonic() - began_s, 2))
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -47,7 +47,7 @@
             channel.path_for(config.folder, config.name),
             self.shared.fronts,
             self.shared.conductor,
-            self._share,
+            handover.Told(self._share, self._left),
         )
         self._set_figures()
 
@@ -108,6 +108,14 @@
         self._latest = new
         log.info("reloaded", discovery=discovery.address, waits_for_restart=waits)
 
+    async def _stop_parts(self) -> None:
+        for part in reversed(self.parts):
+            await part.stop()
+
+    def _left(self) -> None:
+        """A successor serves: what only one process of this conductor can do is its own from here on."""
+        self._tasks.start_soon(self._stop_parts)
+
     def _share(self, processes: int) -> None:
         """Divide the limits among the processes that there are of this conductor."""
         self.shared.fronts.share(processes)
@@ -134,8 +142,7 @@
         await shared.stopping.wait()
         async with anyio.create_task_group() as ending:
             ending.start_soon(drain, shared)
-            for part in self.parts:
-                ending.start_soon(part.stop)
+            ending.start_soon(self._stop_parts)
         shared.fronts.close()
         self.handover.close()
         log.info("stopped")
--- a/ringledge/lifecycle/shared.py
+++ b/ringledge/lifecycle/shared.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from ringledge.core.gate import Gate
+    from ringledge.members.fleet import Fleet
     from ringledge.memory.held import Held
 
 
@@ -42,9 +43,8 @@
 
     start: Callable[[], object] = _nothing  # before the list of servers is known
     ready: Callable[[], object] = _nothing  # the list is known as well as it gets: serve
-    stop: Callable[[], Coroutine[Any, Any, None]] = (
-        _at_once  # end in good order; all parts' run beside each other
-    )
+    # End in good order, also when a successor serves: the last made first, one by one, beside the drain.
+    stop: Callable[[], Coroutine[Any, Any, None]] = _at_once
     share: Callable[[int], None] = _not_told  # among how many processes the limits are divided now
 
 
@@ -66,3 +66,4 @@
     gate: Gate | None = None
     held: Held | None = None
     platform: Platform | None = None
+    fleet: Fleet | None = None
--- a/ringledge/lifecycle/strict.py
+++ b/ringledge/lifecycle/strict.py
@@ -18,15 +18,10 @@
 
 def read(kind: type[S], path: Path) -> S | None:
     """The settings that the file holds; None where it is absent or not enabled. Both kinds are checked."""
-    if not path.exists():
+    told = _told(path)
+    if told is None:
         return None
-    try:
-        told = tomllib.loads(path.read_text())
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise SettingsError(f"{path}: {error}") from error
     enabled = told.pop("enabled", False)
-    if not isinstance(enabled, bool):
-        raise SettingsError(f"{path}: enabled: true or false is allowed")
     try:
         settings = msgspec.convert(told, kind)
     except msgspec.ValidationError as error:
@@ -34,6 +29,25 @@
     return settings if enabled else None
 
 
+def enabled(path: Path) -> bool:
+    """Whether the file is there and turns its subsystem on; what else it says is not looked at."""
+    told = _told(path)
+    return told is not None and told.get("enabled", False)
+
+
+def _told(path: Path) -> dict[str, Any] | None:
+    """What the file says; None where there is none."""
+    if not path.exists():
+        return None
+    try:
+        told = tomllib.loads(path.read_text())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    if not isinstance(told.get("enabled", False), bool):
+        raise SettingsError(f"{path}: enabled: true or false is allowed")
+    return told
+
+
 def _plain(kind: type[Any], text: str) -> str:
     """Turn msgspec's words round: the key first, then what is allowed."""
     if unknown := re.match(r"Object contains unknown field `(.*?)`", text):
--- /dev/null
+++ b/tests/fleet/child.py
@@ -0,0 +1,81 @@
+"""The program with one part more: a duty whose effects the test receives, and a record of all it does.
+
+rig.json in its folder says where effects go (`receiver`), the names of the `duties`, and maybe a `mutant`.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+from ringledge.cli import main
+from ringledge.decide.lease_seeker import LeaseSeeker, Phase
+from ringledge.lifecycle import parts
+from ringledge.lifecycle.shared import Part, Shared
+
+EACH_S = 0.03  # between effects
+FOLDER = Path(os.environ.get("RINGLEDGE_DEPLOY", "."))
+
+
+class Effects:
+    """A duty: each step is one effect, a datagram with the token."""
+
+    def __init__(self, name: str, told: dict[str, Any], member: str) -> None:
+        host, _, port = told["receiver"].rpartition(":")
+        self._name, self._member, self._to = name, member, (host, int(port))
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._record = (FOLDER / "record.jsonl").open("a", buffering=1)
+        self._token = 0
+
+    def _write(self, what: str, at_s: float) -> None:
+        line = {"what": what, "duty": self._name, "token": self._token, "member": self._member}
+        self._record.write(json.dumps(line | {"pid": os.getpid(), "at_s": at_s}) + "\n")
+
+    def begin(self, token: int) -> None:
+        self._token = token
+        self._write("begun", time.monotonic())
+
+    async def step(self, token: int, still: Callable[[], bool]) -> float:
+        looked_s = time.monotonic()  # before the look: what it allows holds from no later moment
+        if still():
+            stand_still = FOLDER / "stand_still"  # the test wants it stopped between its look and its effect
+            if stand_still.exists():
+                stand_still.unlink()
+                os.kill(os.getpid(), signal.SIGSTOP)
+            self._write("effect", looked_s)
+            told = {"duty": self._name, "token": token, "member": self._member, "pid": os.getpid()}
+            self._socket.sendto(json.dumps(told).encode(), self._to)
+        return EACH_S
+
+    def stop(self) -> None:
+        self._write("ended", time.monotonic())
+
+
+def part(shared: Shared) -> Part:
+    told = json.loads((FOLDER / "rig.json").read_text())
+    assert shared.fleet is not None
+    for name in told["duties"]:
+        shared.fleet.duties[name] = Effects(name, told, shared.config.name)
+    mutant = told.get("mutant")
+    if mutant == "never_expires":  # a holder goes on by what it knew, whatever its clock says
+        seeker: Any = LeaseSeeker
+        seeker.token_at = lambda self, now_s: self.token if self.phase is Phase.HOLD else None
+        seeker._expire = lambda self, now_s: []
+    return Part()
+
+
+if __name__ == "__main__":
+    rig: Any = ModuleType(f"{parts.__name__}.rig")
+    rig.part = part
+    sys.modules[rig.__name__] = rig
+    place = [name for name, _ in parts.TABLE].index("duties")
+    parts.TABLE = (*parts.TABLE[:place], ("rig", lambda config: True), *parts.TABLE[place:])
+    main()
--- /dev/null
+++ b/tests/fleet/fleet.py
@@ -0,0 +1,142 @@
+"""Several processes of the program that are members of one fleet, with relays between them."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import signal
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+from tests.fleet.links import Links
+from tests.fleet.receiver import Receiver
+from tests.fleet.record import breaches
+from tests.loopback import Node
+
+KEY = "5c" * 32
+MEMBERS = """enabled = true
+cluster = "rig"
+key_file = "{folder}/members.key"
+listen = "127.0.0.1:0"
+[peers]
+{peers}
+[probe]
+interval_s = 0.2
+answer_s = 0.05
+"""
+DUTIES = "enabled = true\nvoters = {voters}\nlease_s = {lease_s}\nlongest_s = {lease_s}\n"
+
+
+class Fleet:
+    """Members c1, c2, ...; each is a real process with stand-in servers of its own."""
+
+    def __init__(
+        self,
+        folder: Path,
+        members: int = 3,
+        voters: int = 3,
+        lease_s: float = 1.0,
+        duties: tuple[str, ...] = ("watch",),
+        **rig: Any,
+    ) -> None:
+        self.names = [f"c{number + 1}" for number in range(members)]
+        self.links, self.receiver = Links(self.names), Receiver()
+        self._folder, self._stopped = folder, set[str]()
+        self._files = {"rig.json": json.dumps({"receiver": self.receiver.address, "duties": duties} | rig)}
+        self._files["members.key"] = KEY
+        self._voters = self.names[:voters]
+        told = json.dumps(self._voters)
+        self._files["duties.toml"] = DUTIES.format(voters=told, lease_s=lease_s)
+        self.nodes = {name: self._node(name) for name in self.names}
+
+    def _node(self, name: str) -> Node:
+        folder = self._folder / name
+        folder.mkdir(parents=True)
+        peers = "\n".join(f'{other} = "{address}"' for other, address in self.links.peers(name).items())
+        files = self._files | {"members.toml": MEMBERS.format(folder=folder, peers=peers)}
+        return Node(folder, files=files, name=name, module="tests.fleet.child")
+
+    def __enter__(self) -> Fleet:
+        self._each(self.names, lambda name: self._started(name, True))
+        for name in self._voters:  # one that has not learned yet can't do without any other
+            self.nodes[name].logged("voting")
+        return self
+
+    def _each(self, names: list[str], do: Any) -> None:
+        """For all at the same time: a start takes a second or more."""
+        failed = list[BaseException]()
+
+        def run(name: str) -> None:
+            try:
+                do(name)
+            except BaseException as error:
+                failed.append(error)
+
+        threads = [threading.Thread(target=run, args=(name,)) for name in names]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        if failed:
+            raise failed[0]
+
+    def _started(self, name: str, first: bool) -> None:
+        node = self.nodes[name]
+        if first:
+            node.__enter__()
+        else:
+            node.start(node.folder)
+        told = [line for line in node.passed if line["event"] == "members_listen"]
+        line = told[0] if told else node.logged("members_listen")
+        self.links.moved(name, line["address"])
+
+    def __exit__(self, *_: object) -> None:
+        for node in self.nodes.values():
+            if hasattr(node, "process"):
+                node.process.kill()  # a stopped one, too
+                node.__exit__()
+        self.links.close()
+        self.receiver.close()
+
+    # Faults.
+
+    def kill(self, name: str) -> float:
+        """SIGKILL; when."""
+        at_s = time.monotonic()
+        self.nodes[name].kill()
+        return at_s
+
+    def signal(self, name: str, number: signal.Signals) -> float:
+        """Send it; when."""
+        at_s = time.monotonic()
+        self.nodes[name].process.send_signal(number)
+        return at_s
+
+    def restart(self, *names: str, empty: bool = True) -> None:
+        """Start again those that were killed or have ended; what they kept is gone, the record stays here."""
+
+        def again(name: str) -> None:
+            node = self.nodes[name]
+            if empty:
+                for path in node.folder.iterdir():
+                    if path.name not in (*self._files, "members.toml", "config.json", "record.jsonl"):
+                        shutil.rmtree(path) if path.is_dir() else path.unlink()
+            self._started(name, False)
+
+        self._each(list(names), again)
+
+    # What is seen.
+
+    def records(self) -> list[Path]:
+        return [node.folder / "record.jsonl" for node in self.nodes.values()]
+
+    def check(self) -> None:
+        """Whatever was done to it, this has to hold."""
+        assert breaches(self.records()) == []
+        assert self.links.count("too_long") == 0 and self.links.count("passed") > 0
+        tokens = dict[str, int]()
+        for effect in self.receiver.accepted:
+            assert effect.token >= tokens.get(effect.duty, 0)
+            tokens[effect.duty] = effect.token
--- /dev/null
+++ b/tests/fleet/links.py
@@ -0,0 +1,143 @@
+"""Relays between members: each datagram passes a socket of the test, which may harm it."""
+
+from __future__ import annotations
+
+import heapq
+import selectors
+import socket
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+MOST = 256  # bytes of a datagram: longer ones are a fault of the program
+
+
+@dataclass(slots=True)
+class Harm:
+    """What becomes of datagrams of one link; parts from 0 to 1."""
+
+    cut: bool = False
+    every_second: bool = False  # each second one is lost
+    loss: float = 0.0
+    double: float = 0.0
+    late: float = 0.0  # of them that come late, and so behind younger ones
+    late_s: float = 0.05
+
+
+@dataclass(slots=True)
+class Link:
+    """From one member to another."""
+
+    sock: socket.socket
+    to: tuple[str, int] | None = None  # where the other listens now; None: nowhere
+    harm: Harm = field(default_factory=Harm)
+    counts: Counter[str] = field(default_factory=Counter)
+
+
+class Links:
+    """All links among members of these names, served by one thread."""
+
+    def __init__(self, names: Iterable[str], seed: int = 1) -> None:
+        self.names, self._random = tuple(names), Random(seed)
+        self.links = dict[tuple[str, str], Link]()
+        self._selector, self._late = selectors.DefaultSelector(), list[tuple[float, int, Link, bytes]]()
+        self._numbers, self._lock, self._ended = count(), threading.Lock(), threading.Event()
+        for one in self.names:
+            for other in self.names:
+                if one != other:
+                    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                    sock.bind(("127.0.0.1", 0))
+                    sock.setblocking(False)
+                    self.links[one, other] = link = Link(sock)
+                    self._selector.register(sock, selectors.EVENT_READ, link)
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def peers(self, name: str) -> dict[str, str]:
+        """Where this member reaches the others."""
+        return {
+            other: "{}:{}".format(*link.sock.getsockname())
+            for (one, other), link in self.links.items()
+            if one == name
+        }
+
+    def moved(self, name: str, address: str) -> None:
+        """A member listens there now."""
+        host, _, port = address.rpartition(":")
+        for (_, other), link in self.links.items():
+            if other == name:
+                link.to = (host, int(port))
+
+    def harm(self, harm: Harm, links: Iterable[tuple[str, str]]) -> None:
+        """Do that to these links, from one member to another, from now on."""
+        with self._lock:
+            for each in links:
+                self.links[each].harm = harm
+
+    def between(self, *sides: Iterable[str]) -> list[tuple[str, str]]:
+        """The links, both ways, between members of different sides."""
+        side = {name: number for number, names in enumerate(sides) for name in names}
+        return [(one, other) for one, other in self.links if side.get(one) != side.get(other)]
+
+    def heal(self) -> None:
+        """Harm nothing any more."""
+        self.harm(Harm(), self.links)
+
+    def count(self, what: str, links: Iterable[tuple[str, str]] | None = None) -> int:
+        """How many of these links' datagrams were passed, cut, lost, doubled or late."""
+        return sum(self.links[each].counts[what] for each in links or self.links)
+
+    def close(self) -> None:
+        self._ended.set()
+        self._thread.join()
+        for link in self.links.values():
+            link.sock.close()
+
+    def _run(self) -> None:
+        while not self._ended.is_set():
+            wait_s = min(0.02, max(0.0, self._late[0][0] - time.monotonic())) if self._late else 0.02
+            for key, _ in self._selector.select(wait_s):
+                self._read(key.data)
+            while self._late and self._late[0][0] <= time.monotonic():
+                _, _, link, datagram = heapq.heappop(self._late)
+                self._pass(link, datagram)
+
+    def _read(self, link: Link) -> None:
+        try:
+            datagram = link.sock.recv(65536)
+        except (BlockingIOError, ConnectionError):
+            return
+        with self._lock:
+            harm, draw = link.harm, self._random.random
+            link.counts["heard"] += 1
+            link.counts["too_long"] += len(datagram) > MOST
+            if harm.cut:
+                link.counts["cut"] += 1
+            elif draw() < harm.loss or (harm.every_second and link.counts["heard"] % 2):
+                link.counts["lost"] += 1
+            else:
+                if draw() < harm.double:
+                    link.counts["doubled"] += 1
+                    self._later(link, datagram, harm.late_s)
+                if draw() < harm.late:
+                    link.counts["late"] += 1
+                    self._later(link, datagram, harm.late_s)
+                else:
+                    self._pass(link, datagram)
+
+    def _later(self, link: Link, datagram: bytes, most_s: float) -> None:
+        at_s = time.monotonic() + self._random.uniform(0.0, most_s)
+        heapq.heappush(self._late, (at_s, next(self._numbers), link, datagram))
+
+    def _pass(self, link: Link, datagram: bytes) -> None:
+        if link.to is None:
+            return
+        try:
+            link.sock.sendto(datagram, link.to)
+            link.counts["passed"] += 1
+        except OSError:  # whoever listened there was killed
+            link.counts["refused"] += 1
--- a/tests/lifecycle/test_parts.py
+++ b/tests/lifecycle/test_parts.py
@@ -20,11 +20,18 @@
     "prometheus": (LISTEN, "ringledge.wire.remote_write"),
     "overload": ("", "ringledge.core.gate"),
     "doors": ("", "ringledge.decide.doors"),
+    "members": (
+        'cluster = "test"\nkey_file = "{folder}/members.key"\n' + LISTEN,
+        "ringledge.decide.membership",
+    ),
+    "duties": ('voters = ["n1", "n2", "n3"]\n', "ringledge.decide.leases"),
 }
 
 
 def imported(folder: Path, files: dict[str, str]) -> set[str]:
     """What a process has imported when it is ready."""
+    files = {name: text.replace("{folder}", str(folder)) for name, text in files.items()}
+    files["members.key"] = "5c" * 16
     with Node(folder, files=files, flags=("-X", "importtime")) as node:
         texts = [line["text"] for line in node.passed if line["event"] == "text"]
     return {text.rsplit("|", 1)[1].strip() for text in texts if "|" in text}
@@ -36,6 +43,9 @@
     assert "ringledge.wire.platform" in found and "psutil" not in found
     for name, (_, module) in FILES.items():
         assert module not in found, name
+    assert not {
+        each for each in found if each.startswith(("ringledge.members", "ringledge.store", "sqlite3"))
+    }
 
 
 def test_what_is_on_is_imported(tmp_path: Path) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -55,11 +55,13 @@
 class Process:
     """The program, started with a folder's configuration; its log as it comes."""
 
+    module = "ringledge"  # that is run
+
     def start(self, folder: Path, *flags: str) -> None:
         environ = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "RINGLEDGE_"))}
         environ |= {"RELAY_CONFIG": str(folder / "config.json"), "RINGLEDGE_DEPLOY": str(folder)}
         environ["TMPDIR"] = str(folder)
-        command = [sys.executable, *flags, "-m", "ringledge"]
+        command = [sys.executable, *flags, "-m", self.module]
         self.process = subprocess.Popen(command, cwd=ROOT, env=environ, stderr=subprocess.PIPE)
         self.lines = queue.Queue[dict[str, Any]]()
         threading.Thread(target=self._read_log, daemon=True).start()
@@ -122,6 +124,8 @@
     told: Callable[[Node], str] = lambda _: ""  # what discovery says first of all
     operator: bool = False  # it listens at a second address too
     flags: tuple[str, ...] = ()  # the interpreter's
+    name: str = "n1"
+    module: str = "ringledge"
 
     def __enter__(self) -> Node:
         gone = threading.Event()
@@ -146,7 +150,7 @@
         self.away = [Hung() for _ in range(self.hung)]
         self.discovery = StandIn(watch)
         self.config = {
-            "name": "n1", "listen": "127.0.0.1:0", "discovery": self.discovery.address,
+            "name": self.name, "listen": "127.0.0.1:0", "discovery": self.discovery.address,
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
             "known": self.listing(7), "settings": SETTINGS,
