--- a/ringledge/lifecycle/shared.py
+++ b/ringledge/lifecycle/shared.py
@@ -23,6 +23,7 @@
     from ringledge.core.gate import Gate
     from ringledge.members.fleet import Fleet
     from ringledge.memory.held import Held
+    from ringledge.wire.chat.queued import QueuedChat
 
 
 def _nothing() -> None:
@@ -67,3 +68,4 @@
     held: Held | None = None
     platform: Platform | None = None
     fleet: Fleet | None = None
+    queued: QueuedChat | None = None
