--- a/tests/members/test_duties.py
+++ b/tests/members/test_duties.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import os
+import signal
+import subprocess
+import sys
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -117,7 +122,18 @@
 
 
 async def test_a_holding_that_follows_begins_after_the_one_before_has_stopped() -> None:
-    held, duty = Held(), Recorded()
+    class Slow(Recorded):
+        async def step(self, token: int, still: Still) -> float:
+            try:
+                await super().step(token, still)
+                await anyio.sleep_forever()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    for _ in range(10):
+                        await anyio.lowlevel.checkpoint()
+            return 0.0
+
+    held, duty = Held(), Slow()
     async with anyio.create_task_group() as group:
         duties = Duties({"planner": duty}, held, group, clock=lambda: held.now_s)
         duties.apply(Begin("planner", 7, 3.0))
@@ -152,3 +168,27 @@
 def test_the_clock_only_grows() -> None:
     readings = [now_s() for _ in range(100)]
     assert readings == sorted(readings)
+
+
+def test_the_clock_runs_on_while_the_process_is_stopped() -> None:
+    code = "from ringledge.members.duties import now_s\nfor line in open(0): print(now_s(), flush=True)"
+    with subprocess.Popen(
+        [sys.executable, "-c", code], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    ) as child:
+        assert child.stdin is not None and child.stdout is not None
+
+        def reading() -> float:
+            assert child.stdin is not None and child.stdout is not None
+            child.stdin.write("\n")
+            child.stdin.flush()
+            return float(child.stdout.readline())
+
+        before = reading()
+        child.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, child.pid, os.WSTOPPED)
+        stopped_s = now_s()
+        while now_s() < stopped_s + 0.2:  # what is measured is that time passes
+            time.sleep(0.01)
+        child.send_signal(signal.SIGCONT)
+        assert reading() - before >= 0.2
+        child.stdin.close()
