--- a/tests/simulated/test_lease_cases.py
+++ b/tests/simulated/test_lease_cases.py
@@ -96,6 +96,19 @@
     assert held.holder() != before
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_a_member_that_ends_itself_hands_all_on_and_votes_no_more(seed: int) -> None:
+    held = cases.settled(seed, FIVE)
+    before = held.holder()
+    process, leases = held.world.processes[before], held.leases[before]
+    process.run(lambda: process.act(leases.stop(process.clock_s())))
+    assert leases.voter is None
+    held.covered_within(0.3)
+    held.world.run_for(10)
+    assert held.holder() not in ("", before)
+    assert held.begins["planner"] == 2
+
+
 @pytest.mark.parametrize("how", ["kill", "stop", "cut"])
 @pytest.mark.parametrize("seed", range(10))
 def test_a_holder_that_is_gone_is_followed_within_five_seconds(seed: int, how: str) -> None:
