--- a/ringledge/decide/lease_messages.py
+++ b/ringledge/decide/lease_messages.py
@@ -25,6 +25,7 @@
     duty: str
     start: int  # of the seeker; told back, so that an answer to its predecessor is known as such
     ask: int  # the seeker's count of its questions
+    follow: bool  # the last holder named it to follow
     terms: int  # `LeaseTerms.digest`
 
 
--- a/ringledge/decide/lease_seeker.py
+++ b/ringledge/decide/lease_seeker.py
@@ -171,7 +171,7 @@
         return [each for each in self._terms.voters if each not in settled]
 
     def _question(self) -> Ask:
-        return Ask(self.duty, self._start, self._ask, self._terms.digest)
+        return Ask(self.duty, self._start, self._ask, self.hinted, self._terms.digest)
 
     def _offer(self) -> Take:
         lease_ms = round(self._terms.lease_s * 1000)
@@ -228,8 +228,9 @@
         self._misses = 0
         needed = self._terms.majority - len(self._promised)
         free_s = sorted(self._refused.values())[needed - 1]
+        let_go = [Tell(each, Release(self.duty, self._start, self.token)) for each in self._promised]
         self._rest(free_s + self._random.uniform(0, AGAIN_S))
-        return []
+        return [*let_go]  # what they keep for this member would only be in others' way
 
     def _freed(self, now_s: float, sender: str, message: Freed) -> list[Action]:
         """Seek at once, or ask this voter again, where its refusal was of the holding that ended."""
--- a/ringledge/decide/lease_voter.py
+++ b/ringledge/decide/lease_voter.py
@@ -105,7 +105,7 @@
             vote.waiting[who[0]] = None
             if len(vote.waiting) > MOST_WAITING:
                 del vote.waiting[next(iter(vote.waiting))]
-        elif now_s < vote.kept_until_s and vote.kept_for != who and not _goes_on(message):
+        elif now_s < vote.kept_until_s and vote.kept_for != who and not _goes_first(message):
             holder, until_s = vote.kept_for[0], vote.kept_until_s
         else:
             return None
@@ -146,7 +146,9 @@
     def _release(self, now_s: float, sender: str, message: Release) -> list[Action]:
         """Unlock it, and remember the token as ended: a Take of it that comes late locks nothing."""
         vote, who = self._vote(now_s, message.duty), (sender, message.start)
-        if vote.ended[0] != who or vote.ended[1] < message.token:
+        if vote.kept_for == who:
+            vote.kept_for, vote.kept_until_s = NOBODY, float("-inf")
+        if message.token >= max(vote.token, vote.ended[1]):
             vote.ended = (who, message.token)
         if vote.holder != who or message.token < vote.token:
             return []
@@ -155,5 +157,6 @@
         return [Tell(each, Freed(message.duty, message.token, False)) for each in waiting if each != sender]
 
 
-def _goes_on(message: Ask | Take) -> bool:
-    return isinstance(message, Take) and message.held
+def _goes_first(message: Ask | Take) -> bool:
+    """Whether it is the holder's or its follower's, for whom others' questions are no hindrance."""
+    return message.follow if isinstance(message, Ask) else message.held
--- a/tests/decide/test_leases.py
+++ b/tests/decide/test_leases.py
@@ -57,7 +57,7 @@
     name, start, token, digest = "n" * MOST_NAME, MOST_START - 1, 2**63 - 1, 2**32 - 1
     many = 10**9
     longest = (
-        Ask(name, start, many, digest),
+        Ask(name, start, many, True, digest),
         Promise(name, start, many, token),
         Take(name, start, token, many, 60_000, True, digest),
         Taken(name, start, token, many),
@@ -84,20 +84,20 @@
 ):
     voter = LeaseVoter(0.0, "a", 5, TERMS)
     almost_s = TERMS.silence_s - 0.001
-    for message in (Ask("d", 1, 1, DIGEST), _take(9), Learn(7, DIGEST), Known(5, 5, True, 9, DIGEST)):
+    for message in (Ask("d", 1, 1, False, DIGEST), _take(9), Learn(7, DIGEST), Known(5, 5, True, 9, DIGEST)):
         assert voter.hear(almost_s, "b", message) == []
     assert voter.tick(almost_s) == []
     now_s = voter.next_s()
     assert now_s == TERMS.silence_s
     assert [each.to for each in voter.tick(now_s) if isinstance(each, Tell)] == ["b", "c"]
-    assert voter.hear(now_s, "x", Ask("d", 1, 1, DIGEST)) == []
+    assert voter.hear(now_s, "x", Ask("d", 1, 1, False, DIGEST)) == []
     assert _said(voter.hear(now_s, "b", Learn(7, DIGEST))) == Known(7, 5, False, 0, DIGEST)
     voter.hear(now_s, "b", Known(5, 3, True, 9, DIGEST))
-    assert voter.hear(now_s, "x", Ask("d", 1, 1, DIGEST)) == []  # one that is active is no majority
+    assert voter.hear(now_s, "x", Ask("d", 1, 1, False, DIGEST)) == []  # one that is active is no majority
     voter.hear(now_s, "c", Known(4, 3, True, 99, DIGEST))  # meant for its predecessor
-    assert voter.hear(now_s, "x", Ask("d", 1, 1, DIGEST)) == []
+    assert voter.hear(now_s, "x", Ask("d", 1, 1, False, DIGEST)) == []
     voter.hear(now_s, "c", Known(5, 3, True, 8, DIGEST))
-    assert _said(voter.hear(now_s, "x", Ask("d", 1, 1, DIGEST))) == Promise("d", 1, 1, 9)
+    assert _said(voter.hear(now_s, "x", Ask("d", 1, 1, False, DIGEST))) == Promise("d", 1, 1, 9)
 
 
 def test_voters_that_all_started_go_on_above_what_their_starts_add_up_to() -> None:
@@ -128,7 +128,7 @@
     voter, now_s = _active(0.0), TERMS.silence_s
     assert isinstance(_said(voter.hear(now_s, "x", _take(7))), Refused)
     assert isinstance(_said(voter.hear(now_s, "x", _take(7, held=True))), Taken)
-    refused = _said(voter.hear(now_s, "y", Ask("d", 1, 1, DIGEST)))
+    refused = _said(voter.hear(now_s, "y", Ask("d", 1, 1, False, DIGEST)))
     assert isinstance(refused, Refused)
     assert refused.top == 10  # what it learned, above the holder's
     assert _said(voter.hear(now_s, "x", Release("d", 1, 7))) == Freed("d", 7, False)
@@ -142,16 +142,19 @@
     voter.hear(now_s, "y", _take(12))
     voter.hear(now_s, "x", Release("d", 1, 13))
     voter.hear(now_s, "y", Release("d", 2, 12))
-    assert isinstance(_said(voter.hear(now_s, "x", Ask("d", 1, 1, DIGEST))), Refused)
+    assert isinstance(_said(voter.hear(now_s, "x", Ask("d", 1, 1, False, DIGEST))), Refused)
 
 
 def test_it_is_kept_for_who_asked_first_for_a_moment() -> None:
     voter, now_s = _active(0.0), TERMS.silence_s
-    assert isinstance(_said(voter.hear(now_s, "x", Ask("d", 1, 1, DIGEST))), Promise)
-    refused = _said(voter.hear(now_s, "y", Ask("d", 1, 1, DIGEST)))
+    assert isinstance(_said(voter.hear(now_s, "x", Ask("d", 1, 1, False, DIGEST))), Promise)
+    refused = _said(voter.hear(now_s, "y", Ask("d", 1, 1, False, DIGEST)))
     assert isinstance(refused, Refused)
     assert refused.holder == "x"
-    assert isinstance(_said(voter.hear(now_s + RESERVED_S, "y", Ask("d", 1, 1, DIGEST))), Promise)
+    assert isinstance(_said(voter.hear(now_s, "z", Ask("d", 1, 1, True, DIGEST))), Promise)  # named to follow
+    voter.hear(now_s, "z", Release("d", 1, 0))  # and lets go of it
+    voter.hear(now_s, "x", Ask("d", 1, 2, False, DIGEST))
+    assert isinstance(_said(voter.hear(now_s + RESERVED_S, "y", Ask("d", 1, 1, False, DIGEST))), Promise)
 
 
 def test_what_a_voter_remembers_is_bounded_and_no_token_is_forgotten() -> None:
@@ -162,7 +165,7 @@
     late_s = now_s + 10 * 3 * MOST_DUTIES
     assert isinstance(_said(voter.hear(late_s, "y", Take("d0", 1, 100, 1, 3000, False, DIGEST))), Refused)
     for each in range(2 * MOST_WAITING):
-        voter.hear(now_s, f"y{each}", Ask(f"d{3 * MOST_DUTIES - 1}", 1, 1, DIGEST))
+        voter.hear(now_s, f"y{each}", Ask(f"d{3 * MOST_DUTIES - 1}", 1, 1, False, DIGEST))
     assert all(len(vote.waiting) <= MOST_WAITING for vote in voter._votes.values())
 
 
--- a/tests/simulated/test_lease_cases.py
+++ b/tests/simulated/test_lease_cases.py
@@ -103,7 +103,7 @@
     process, leases = held.world.processes[before], held.leases[before]
     process.run(lambda: process.act(leases.stop(process.clock_s())))
     assert leases.voter is None
-    held.covered_within(0.3)
+    held.covered_within(0.2)
     held.world.run_for(10)
     assert held.holder() not in ("", before)
     assert held.begins["planner"] == 2
