--- a/tests/simulated/test_lease_cases.py
+++ b/tests/simulated/test_lease_cases.py
@@ -166,3 +166,20 @@
     assert held.holder() == holder
     voter = held.leases["a"].voter
     assert voter is not None and voter.misfits > 0
+
+
+def test_without_a_majority_that_remembers_nobody_holds_until_all_voters_met_or_are_named_anew() -> None:
+    for mended_by in ("the missing one", "another list"):
+        held = cases.settled(8, TERMS, names="abcxyz")
+        before = held.tops["planner"]
+        held.world.kill("a")
+        held.world.start("b")
+        held.world.run_for(20)
+        assert held.holders("planner") == []
+        if mended_by == "the missing one":
+            held.world.start("a")
+        else:
+            held.terms = LeaseTerms(("b", "c", "x"), generation=2)
+            held.start_all(but="a")
+        held.covered_within(9)
+        assert held.tops["planner"] > before
