Ask a suspect in its last three intervals, by all who suspect it

Need: at 200 members and 20% loss 24 times one that ran was taken for dead in 5.5 member-hours, since the news of its refutation did not come through and six pings in the last 1.5 intervals were lost. Change: those who heard of a suspicion ask from three intervals before its end on.

--- a/ringledge/decide/membership_probes.py
+++ b/ringledge/decide/membership_probes.py
@@ -12,7 +12,7 @@
 
 EVERYONE = "*"  # as a seed: the address at which all are heard at once
 CHASES = 4  # times an interval that a suspect is asked and told what is said of it
-LAST = 1.5  # intervals before a suspect's end from which all who suspect it ask
+LAST = 3.0  # intervals before a suspect's end from which all who suspect it ask
 RELAYS_MOST = 64  # probes for others that wait for their answers
 WORD = 1 << 32
 
