--- a/ringledge/decide/leases.py
+++ b/ringledge/decide/leases.py
@@ -1,8 +1,7 @@
 """Duties that one member holds at a time, by a majority of named voters; a member's whole part in it.
 
 Free of I/O and clocks: events and a time in, actions out. The time is one monotonic clock of this process
-that runs on while the process or its machine stands still (`ringledge.members.duties.now_s`); it is compared
-with nobody's.
+that runs on while the process is stopped; it is compared with nobody's.
 """
 
 from __future__ import annotations
--- a/ringledge/members/duties.py
+++ b/ringledge/members/duties.py
@@ -1,9 +1,10 @@
 """Runs the duties that this member holds: begun with their token, a step at a time, stopped when they end.
 
 Whether the lease still runs is asked of this process's own clock before each step, and by the duty itself
-right before each effect (`still`). That clock runs on while the process is stopped (SIGSTOP), and `now_s`
-also while the machine sleeps. What stands still between `still()` and its effect acts late all the same:
-each effect carries its token, and who receives it asks a `ringledge.decide.fence.Fence`.
+right before each effect (`still`). That clock, `time.monotonic`, runs on while the process is stopped
+(SIGSTOP); while the whole machine sleeps, or its host stops it, it need not. What stands still between
+`still()` and its effect acts late all the same: each effect carries its token, and who receives it asks a
+`ringledge.decide.fence.Fence`.
 """
 
 from __future__ import annotations
@@ -12,15 +13,14 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import anyio
 from anyio.abc import TaskGroup
 
 from ringledge.decide.fleet import Action, Begin, End, Tokens
+from ringledge.members.duty import Duty
 from ringledge.observe.logging import log
 
-Still = Callable[[], bool]
 Clock = Callable[[], float]
 Sleep = Callable[[float], Awaitable[None]]
 
@@ -29,36 +29,6 @@
 MOST_FAILED = 5  # steps in a row that raised: another member may do better
 
 
-def now_s() -> float:
-    """The clock of leases: it runs on while the machine sleeps too, where the system has such a one (Linux).
-
-    A virtual machine that its host stops may not see the time go by; there the fence alone keeps order.
-    """
-    return time.clock_gettime(_CLOCK) if _CLOCK is not None else time.monotonic()
-
-
-_CLOCK: int | None = getattr(time, "CLOCK_BOOTTIME", None)
-
-
-class Duty(Protocol):
-    """What one member does at a time."""
-
-    def begin(self, token: int) -> None:
-        """The duty is this member's from now on."""
-        ...
-
-    async def step(self, token: int, still: Still) -> float:
-        """Do one piece of it, `still()` asked right before each effect; s to wait until the next.
-
-        It is cancelled when the duty ends, so it holds nothing half done over an await.
-        """
-        ...
-
-    def stop(self) -> None:
-        """The duty is this member's no more; called once for each begin, whatever became of the steps."""
-        ...
-
-
 @dataclass(slots=True)
 class _Running:
     """One holding."""
@@ -78,10 +48,10 @@
         tokens: Tokens,
         group: TaskGroup,
         give_up: Callable[[str], None] = lambda duty: None,
-        clock: Clock = now_s,
+        clock: Clock = time.monotonic,
         sleep: Sleep = anyio.sleep,
     ) -> None:
-        """`tokens` is asked with `clock`; `give_up(duty)` is told of one whose steps fail again and again."""
+        """`clock`: that of who ticks the leases. `give_up(duty)` is told of one whose steps keep failing."""
         self._duties, self._tokens, self._group = duties, tokens, group
         self._give_up, self._clock, self._sleep = give_up, clock, sleep
         self._running: dict[str, _Running] = {}
