--- a/ringledge/lifecycle/parts/duties.py
+++ b/ringledge/lifecycle/parts/duties.py
@@ -12,9 +12,9 @@
 from ringledge.decide.membership import Change, Restarted
 from ringledge.lifecycle.config import ConfigError
 from ringledge.lifecycle.shared import Part, Shared
-from ringledge.members.duties import Duties, now_s
+from ringledge.members.duties import Duties
 from ringledge.members.duty_settings import DutiesConfig
-from ringledge.members.on_clock import OnClock
+from ringledge.members.on_clock import OnClock, now_s
 from ringledge.observe.logging import log
 
 LOOK_S = 0.05  # how often it is looked whether a voter that started votes
@@ -28,7 +28,7 @@
     members = fleet.members
     me = members.membership.me
     leases = Leases(now_s(), me.name, me.start, told.terms(), random.Random(), told.spread())
-    duties = Duties(fleet.duties, leases, shared.tasks, lambda duty: give_up(duty))
+    duties = Duties(fleet.duties, leases, shared.tasks, lambda duty: give_up(duty), now_s)
 
     def give_up(duty: str) -> None:
         if members.service is not None:
--- a/ringledge/members/duties.py
+++ b/ringledge/members/duties.py
@@ -1,8 +1,8 @@
 """Runs the duties that this member holds: begun with their token, a step at a time, stopped when they end.
 
 Whether the lease still runs is asked of this process's own clock before each step, and by the duty itself
-right before each effect (`still`). That clock, `time.monotonic`, runs on while the process is stopped
-(SIGSTOP); while the whole machine sleeps, or its host stops it, it need not. What stands still between
+right before each effect (`still`). That clock is the one that ticks the leases (`on_clock.now_s` in the
+program): it runs on while the process is stopped or the machine sleeps. What stands still between
 `still()` and its effect acts late all the same: each effect carries its token, and who receives it asks a
 `ringledge.decide.fence.Fence`.
 """
--- a/ringledge/members/fleet.py
+++ b/ringledge/members/fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ringledge.members.duties import Duty
+from ringledge.members.duty import Duty
 from ringledge.members.part import MembersPart
 
 
--- a/ringledge/members/on_clock.py
+++ b/ringledge/members/on_clock.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Any
 
 from ringledge.decide.fleet import Action, Decider
 
 
+def now_s() -> float:
+    """The clock of leases, s: monotonic, and it runs on while the process or the machine stands still."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class OnClock:
     """Implements Decider; the times that it is given are its runner's, those handed on of `clock`.
 
