Hold the decisions and the program to a table of what the design wants kept

The design's ordinary path (table, shared hash, late writer) was tested here and there; nothing listed its claims, and a change of the writers' choice could bend one unseen.

A row names no tuned value: ages are taken from the table's own, "clearly" is shown at both ends; on what is left open a row wants only that a request is served.

--- /dev/null
+++ b/tests/conformance/play.py
@@ -0,0 +1,107 @@
+"""Plays a row against the decisions and says which of its wants failed."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from crowstand import interface as i
+from tests.conformance.rows import At, Off, Row, Step
+from tests.world import MIXED, WRITER, World
+
+SEEDS = 12  # plays of a row, each at another router with a seed of its own
+LISTED = {"leaves": i.Availability.GONE, "drains": i.Availability.DRAINING, "up": i.Availability.UP}
+
+
+@dataclass
+class Seen:
+    """Where each request was read and written last, and how often it was sent."""
+
+    reads: dict[str, str] = field(default_factory=dict)
+    writes: dict[str, str] = field(default_factory=dict)
+    sends: dict[str, int] = field(default_factory=dict)
+    entries: int = 0
+
+
+def key_for(what: str, told: Any, fleet: tuple[i.ServerEntry, ...], reads: Mapping[str, str]) -> Any:
+    """A key that the hash puts where it is wanted, told by a router that knows nothing else."""
+    if not isinstance(told, At | Off):
+        return told
+    for key in range(1, 200):
+        world = World(fleet)
+        world.request("x", **{what: key})
+        if (world.at["x"] == told.server) if isinstance(told, At) else (world.at["x"] != reads[told.request]):
+            return key
+    raise AssertionError(f"the hash puts no key there: {told}")
+
+
+class Table:
+    """One play: the row's steps against one router."""
+
+    def __init__(self, row: Row, seed: int) -> None:
+        self.row, self.seen = row, Seen()
+        self.world = World(row.fleet, seed=seed, router=seed, routers=SEEDS)
+        self.entries = {each.server: each for each in row.fleet}
+        for step in row.steps:
+            self._take(step)
+            self._look()
+        self.seen.entries = len(self.world.policy.homes)
+
+    def _look(self) -> None:
+        """Take down where each request is now."""
+        for name, server in self.world.at.items():
+            if (kind := self.entries[server].kind) != WRITER:
+                self.seen.reads[name] = server
+            if kind in (WRITER, MIXED):
+                self.seen.writes[name] = server
+            self.seen.sends[name] = self.world.attempts[name] + 1
+
+    def _take(self, step: Step) -> None:
+        world, name = self.world, step.name
+        match step.what:
+            case "ask":
+                fleet, reads = self.row.fleet, self.seen.reads
+                world.request(name, **{k: key_for(k, told, fleet, reads) for k, told in step.told.items()})
+                self._look()
+            case "read":
+                world.outcome(name, i.Status.READ)
+            case "ends":
+                world.first(name)
+                world.outcome(name, i.Status.OK, over=True)
+            case "serve":
+                for what in ("ask", "read", "ends"):
+                    self._take(replace(step, what=what))
+            case "cancelled":
+                world.outcome(name, i.Status.CANCELLED)
+            case "rest":
+                world.wait(step.told["ms"])
+            case _:
+                server = self.seen.reads[name[1:]] if name.startswith("@") else name  # who read that
+                entry = replace(self.entries[server], availability=LISTED[step.what])
+                world.give(i.Members(i.ListForm.CHANGES, 2, (entry,)))
+
+
+def failed(row: Row, seen: Seen) -> list[str]:
+    """The wants of a row that do not hold in a play."""
+    reads, writes = seen.reads, seen.writes
+    at_one = [{reads[one], reads[other]} for one, other in row.unless[1]]
+    half = sum(each.kind != WRITER for each in row.fleet) / 2
+    wants = {
+        "same": all(len({reads[name] for name in names}) == 1 for names in row.same),
+        "differ": all(reads[one] != reads[other] for one, other in row.differ),
+        "unless": all(len(servers) == 1 or row.unless[0] in servers for servers in at_one),
+        "few": len({reads[name] for name in row.few}) <= half,
+        "reads": all(reads[name] in servers for name, servers in row.reads.items()),
+        "writes": all(writes.get(name) in servers for name, servers in row.writes.items()),
+        "sends": all(seen.sends[name] == often for name, often in row.sends.items()),
+        "entries": row.entries in (None, seen.entries),
+    }
+    return [want for want, holds in wants.items() if not holds]
+
+
+def play(row: Row) -> set[str]:
+    """All wants of a row that fail, over some seeds and routers."""
+    plays = [Table(row, seed).seen for seed in range(SEEDS)]
+    found = {want for seen in plays for want in failed(row, seen)}
+    found |= {"agree" for name in row.agree if len({seen.reads[name] for seen in plays}) > 1}
+    drawn = {name: {seen.writes[name] for seen in plays} for name in row.all_of}
+    return found | ({"all_of"} if drawn != row.all_of else set())
--- /dev/null
+++ b/tests/conformance/test_wire.py
@@ -0,0 +1,49 @@
+"""The rows that show on the wire, against the real program with stand-in servers."""
+
+import json
+import queue
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from tests.conformance.play import Seen, Table, failed, key_for
+from tests.conformance.rows import ROWS, Row
+from tests.loopback import WAIT_S, Call, Node, StandIn, take
+
+
+def next_call(servers: list[StandIn]) -> tuple[int, Call]:
+    """The first call at any of these, and at which."""
+    for turn in range(round(100 * WAIT_S)):
+        with suppress(queue.Empty):
+            number = turn % len(servers)
+            return number, servers[number].calls.get(timeout=0.01)
+    raise AssertionError("no call came")
+
+
+def on_the_wire(row: Row, node: Node) -> Seen:
+    seen = Seen()
+    for step in row.steps:
+        told = {what: key_for(what, key, row.fleet, seen.reads) for what, key in step.told.items()}
+        prefix = f",prefix={told['prefix']:x}" if "prefix" in told else ""
+        client = node.post(
+            step.name, X_Route_Hash=f"{told['session']:x}", X_Call_Info=f"prompt_len=900{prefix}"
+        )
+        number, call = next_call(node.reader)
+        seen.reads[step.name] = f"r{number}"
+        if step.what == "serve":
+            assert not any(each.calls.qsize() for each in node.writer)
+            call.read()
+            next_call(node.writer)[1].serve("x")
+            assert take(client).status == 200
+        seen.sends[step.name] = sum(c.id == step.name for s in node.reader + node.writer for c in s.seen)
+    return seen
+
+
+@pytest.mark.parametrize("row", [row for row in ROWS if row.wire], ids=lambda row: row.id)
+def test_the_program_keeps_what_the_design_wants(row: Row, tmp_path: Path) -> None:
+    with Node(tmp_path, readers=4, writers=2, told=lambda node: json.dumps(node.listing(8))) as node:
+        seen = on_the_wire(row, node)
+        assert not failed(row, seen), row.says
+        other = Table(row, 0).seen  # a router that has met none of it
+        assert all(seen.reads[name] == other.reads[name] for name in row.agree)
