--- a/crowstand/readers.py
+++ b/crowstand/readers.py
@@ -44,7 +44,9 @@
             server = next((each for each in calm if each in order), calm[0] if calm else server)
         if not job.sent and self._fleet_filled(job) > SHORT + (1 - SHORT) * job.value:
             return None  # read now, its state would wait for memory, or push a newer answer out
-        limit_ms = min(request.expires_in_ms, aim_ms * (LATE + (1 - LATE) * job.value))
+        # All stand in one queue: a wait that only the patient class can bear makes every other one late.
+        urgent_ms = aim_ms * min(kind.aim_ms for kind in self.settings.classes) / job.kind.aim_ms
+        limit_ms = min(request.expires_in_ms, urgent_ms * (LATE + (1 - LATE) * job.value))
         if job.sent or waits[server] <= limit_ms or len(self.done[server.role]) < EARLY:
             return server  # while little is known, to turn away would keep it so
         # Shed in proportion: were all turned away at once, nothing would tell when the wait is over.
--- /dev/null
+++ b/tests/crowstand/test_shared_queue.py
@@ -0,0 +1,31 @@
+"""Readers' queues are shared: what a patient class could wait there would make an urgent one late."""
+
+from __future__ import annotations
+
+import pytest
+
+from crowstand import interface as i
+from tests.world import SAFE, World, finals
+
+PATIENT = i.RequestClass(2500, 10_000, i.Effect.UNSAFE, token_aim_ms=80)
+
+
+def refused(classes: tuple[i.RequestClass, ...], index: int, wait_ms: float, seed: int) -> bool:
+    w = World(seed=seed, classes=classes)
+    for number in range(20):
+        w.serve(f"a{number}", session=number)
+    for name in ("r0", "r1", "r2", "r3"):
+        w.policy.servers[name].delay.add(w.now_ms, 10 * wait_ms)
+        w.policy.servers[name].delay.mean = wait_ms
+    return bool(finals(w.request("q", class_index=index, session=99)))
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_patient_request_is_turned_away_where_its_wait_would_make_urgent_ones_late(seed: int) -> None:
+    assert refused((SAFE, PATIENT), 1, 2_300, seed)
+    assert not refused((SAFE, PATIENT), 1, 700, seed)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_among_patient_ones_alone_it_may_wait_as_long_as_they_can(seed: int) -> None:
+    assert not refused((PATIENT,), 0, 2_300, seed)
