Replay under leases where duties are kept, and let bookings under way end at a stop

The part offers its duty to the fleet and reads its facts. At a stop it waits for bookings under way instead of closing the file under their ends; a file that is closed refuses instead of keeping its caller waiting for ever.

--- a/benchmarks/queue_child.py
+++ b/benchmarks/queue_child.py
@@ -55,8 +55,9 @@
         """Whether nothing new comes."""
         return self.stopping and self.all_taken
 
-    def cancel(self) -> None:
-        """Nothing: the stand-in answers all the same."""
+    def cancel(self) -> bool:
+        """The stand-in answers all the same."""
+        return False
 
     async def hear(self) -> None:
         rest = b""
--- a/ringledge/lifecycle/parts/queue.py
+++ b/ringledge/lifecycle/parts/queue.py
@@ -22,7 +22,11 @@
         raise ConfigError("queue.toml: chat.toml has to be enabled, too; its clients are queued")
     chat, settings, names = config.extra(ChatConfig), config.settings, config.names
     sight = Sight(shared.conductor, shared.upstream.reach, shared.metrics)
-    queue = QueuePart(told, sight, shared.metrics.registry, Random())
+    fleet, leased = shared.fleet, "duties" in config.extras
+    facts = None if fleet is None else fleet.members.facts
+    queue = QueuePart(told, sight, shared.metrics.registry, Random(), facts, leased)
+    if fleet is not None and leased:
+        fleet.duties[queue.duty] = queue.replayer
     queue.sender = ReplaySender(chat, settings, names, shared.conductor)
     shared.queued = QueuedChat(
         queue.queue, queue.state, names.classes, settings, chat.tenant, told.expire_s, queue.figures
--- a/ringledge/members/replayer.py
+++ b/ringledge/members/replayer.py
@@ -78,9 +78,7 @@
         if self.replay is not None:
             log.info("replay_stopped", token=self._token, under_way=self.under_way)
         self.replay = None
-        for sending in list(self._out.values()):
-            sending.cancel()
-        self._out.clear()
+        self._out = {name: sending for name, sending in self._out.items() if not sending.cancel()}
 
     async def step(self, token: int, still: Still) -> float:
         """Settle what is owed, then send what it is time for; s until the next step is wanted.
--- a/ringledge/members/sending.py
+++ b/ringledge/members/sending.py
@@ -24,8 +24,8 @@
 class Sending(Protocol):
     """One entry on its way."""
 
-    def cancel(self) -> None:
-        """Give it up, save one that must not run twice: that runs on, and its end may still be taken."""
+    def cancel(self) -> bool:
+        """Give it up; False for one that must not run twice: it runs on, and its end may still be taken."""
         ...
 
 
--- a/ringledge/store/part.py
+++ b/ringledge/store/part.py
@@ -42,7 +42,7 @@
 STEP_S = 0.1  # between steps of the replay while anything waits, at most
 IDLE_S = 0.5  # while nothing does
 TELL_S = 1.0  # between looks at what waits, what expires, and what other sites say
-DRAIN_S = 2.0  # at the stop, for ends that are still to be written
+DRAIN_S = 2.5  # at the stop, for bookings under way: SIGKILL comes 3.7 s after SIGTERM
 
 
 class Looks(Protocol):
@@ -104,15 +104,17 @@
         self._tasks.start_soon(self._run)
 
     async def stop(self) -> None:
-        """Give the duty up, have what is owed written, close the file."""
+        """Give the duty up; wait for bookings under way and have their ends written.
+
+        The file stays open: clients may still ask for their entries, and a kill does it no harm.
+        """
         self._stopping = True
         if self._holder is not None:
             self._holder.end()
         with anyio.move_on_after(DRAIN_S):
-            while self.replayer.owed:
+            while self.replayer.under_way or self.replayer.owed:
                 await self.replayer.news(STEP_S)
                 await self.replayer.settle()
-        await anyio.to_thread.run_sync(self.queue.stop)
 
     async def _run(self) -> None:
         while not self._stopping:
--- a/ringledge/store/worker.py
+++ b/ringledge/store/worker.py
@@ -45,6 +45,7 @@
         self._db: sqlite3.Connection | None = None
         self._closed: StoreError | None = None
         self._look_again_s = 0.0
+        self._stopped = False
         self.commits = 0  # transactions that have written
         self._thread = threading.Thread(target=self._work, name="queue", daemon=True)
 
@@ -54,6 +55,7 @@
 
     def stop(self) -> None:
         """Have what waits done, then close the file."""
+        self._stopped = True
         self._jobs.put(None)
         self._thread.join()
 
@@ -62,6 +64,8 @@
 
         Raises StoreError, StaleError, MovedError. The step may be run more than once; its last run counts.
         """
+        if self._stopped:
+            raise StoreError(Why.CLOSED, f"{self._path}: closed, the process ends")
         job = _Job(step, writes)
         self._jobs.put(job)
         result: T = await asyncio.wrap_future(job.result)
--- a/ringledge/wire/chat/replaying.py
+++ b/ringledge/wire/chat/replaying.py
@@ -51,18 +51,20 @@
         else:
             self._told(Result(Verdict.FAILED, True))
 
-    def cancel(self) -> None:
-        """Give it up. A booking runs on: it may have run, and its end may still be taken."""
+    def cancel(self) -> bool:
+        """Give it up: the next holder sends it again."""
         record, self._left = self._mine.record, True
         if record is not None:
             self._conductor.client_gone(record)
+        return True
 
 
 class _Booking(_Run):
     """One that must not run twice."""
 
-    def cancel(self) -> None:
+    def cancel(self) -> bool:
         """It runs on: it may have run, and its end may still be taken."""
+        return False
 
 
 class ReplaySender:
--- a/tests/store/test_part.py
+++ b/tests/store/test_part.py
@@ -104,6 +104,7 @@
                 row: Backlog = msgspec.msgpack.decode(facts.own["backlog/north"], type=Backlog)
                 assert row.token == 1 and row.weight == 1.0
                 await part.stop()
+                part.queue.stop()
                 tasks.cancel_scope.cancel()
 
     anyio.run(run)
@@ -134,6 +135,8 @@
                 while await second.queue.highest() != 2:
                     await anyio.sleep(0.01)
                 await second.stop()
+                for part in parts:
+                    part.queue.stop()
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
--- a/tests/store/test_replayer.py
+++ b/tests/store/test_replayer.py
@@ -37,8 +37,9 @@
         outer = self
 
         class Out:
-            def cancel(self) -> None:
+            def cancel(self) -> bool:
                 outer.cancelled.append(entry.name)
+                return entry.asked.safe
 
         return Out()
 
@@ -227,6 +228,7 @@
         replayer.stop()
         await site.steps(replayer, 1)
         assert "late" not in site.servers.sent and "ask" in site.servers.cancelled
+        assert replayer.under_way == 1  # the booking runs on
         site.servers.end("book")  # nobody has taken over yet: its end is taken
         await site.steps(replayer, 1)
         assert (await site.entry("book")).end is End.SERVED
