--- a/ringledge/lifecycle/parts/__init__.py
+++ b/ringledge/lifecycle/parts/__init__.py
@@ -29,12 +29,12 @@
     ("doors", _file("doors")),
     ("platform", _always),
     ("operators", lambda config: bool(config.operator)),
+    ("members", _file("members")),
     ("queue", _file("queue")),
     ("chat", _file("chat")),
     ("xds", _file("xds")),
     ("prometheus", _file("prometheus")),
-    ("members", _file("members")),
-    ("duties", _file("duties")),  # the last of the fleet: those before it say which duties there are
+    ("duties", _file("duties")),  # the last: those before it say which duties there are
 )
 
 
--- a/ringledge/lifecycle/parts/queue.py
+++ b/ringledge/lifecycle/parts/queue.py
@@ -22,9 +22,17 @@
         raise ConfigError("queue.toml: chat.toml has to be enabled, too; its clients are queued")
     chat, settings, names = config.extra(ChatConfig), config.settings, config.names
     sight = Sight(shared.conductor, shared.upstream.reach, shared.metrics)
-    queue = QueuePart(told, sight, shared.metrics.registry, Random())
+    fleet, leased = shared.fleet, "duties" in config.extras
+    facts = None if fleet is None else fleet.members.facts
+    queue = QueuePart(told, sight, shared.metrics.registry, Random(), facts, leased)
     queue.sender = ReplaySender(chat, settings, names, shared.conductor)
     shared.queued = QueuedChat(
         queue.queue, queue.state, names.classes, settings, chat.tenant, told.expire_s, queue.figures
     )
-    return Part(start=lambda: queue.start(shared.tasks), ready=queue.ready, stop=queue.stop)
+
+    def start() -> None:
+        queue.start(shared.tasks)
+        if fleet is not None and leased and queue.replayer is not None:
+            fleet.duties[queue.duty] = queue.replayer
+
+    return Part(start=start, ready=queue.ready, stop=queue.stop)
--- a/tests/lifecycle/test_parts.py
+++ b/tests/lifecycle/test_parts.py
@@ -24,6 +24,7 @@
         'cluster = "test"\nkey_file = "{folder}/members.key"\n' + LISTEN,
         "ringledge.decide.membership",
     ),
+    "queue": ('path = "{folder}/queue.db"\n', "ringledge.store.queue"),
     "duties": ('voters = ["n1", "n2", "n3"]\n', "ringledge.decide.leases"),
 }
 
