Run the planner of roles in the program, fed by what each conductor sees

Need: the planner was built and played in virtual time, and no process ran it. Change: decide/measures.py makes rows of demand and paces from a conductor's own requests; the core tells an observer (none on the platform: one comparison with None a request and an attempt) of requests and attempts, streams tell their tokens; members/role_keeper.py puts the facts, hears the plan's rows and gives the policy its roles; lifecycle/parts/ratio.py offers the planner's duty. Off it is not imported, and it is refused without members and duties. Measured: tests/decide/test_measures.py and tests/lifecycle (off: not imported; on: a process with all parts starts).

--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -79,6 +79,10 @@
         self._events.appendleft(i.ByHand(server, out))
         self._work()
 
+    def roles(self, roles: i.Roles) -> None:
+        """Which servers that do both get nothing new of one role."""
+        self._tell(roles)
+
     def first(self, attempt: Attempt) -> bool:
         """An answer has started; False where nobody takes it any more."""
         return relay.begin(self.desk, attempt)
--- a/ringledge/core/desk.py
+++ b/ringledge/core/desk.py
@@ -8,6 +8,7 @@
 from crowstand import interface as i
 from ringledge.core.clock import Clock
 from ringledge.core.ledger import Ledger
+from ringledge.core.observer import Observer
 from ringledge.core.server_port import Servers
 from ringledge.memory.servers import ServerList
 from ringledge.observe.metrics import Metrics
@@ -24,3 +25,4 @@
     metrics: Metrics
     port: Servers
     tell: Callable[[i.Event], None]  # gives an event to the policy
+    observer: Observer | None = None  # told of what passes, where a part wants to know
--- a/ringledge/core/ledger.py
+++ b/ringledge/core/ledger.py
@@ -25,6 +25,8 @@
     began: bool = False  # the first token has come: the attempt is the client's
     outcome: i.Status | None = None
     took_ms: float = 0.0
+    first_ms: float = 0.0  # from its send to its first token
+    answer_tokens: int = 0  # that its stream told to have had
 
     @property
     def out(self) -> bool:
--- /dev/null
+++ b/ringledge/core/observer.py
@@ -0,0 +1,20 @@
+"""Who is told of requests and attempts beside the policy, where a part of the program wants to know."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from crowstand import interface as i
+from ringledge.core.ledger import Attempt, Record
+
+
+class Observer(Protocol):
+    """Sees what passes; it changes nothing."""
+
+    def taken(self, record: Record) -> None:
+        """A request was taken in."""
+        ...
+
+    def ended(self, attempt: Attempt, status: i.Status, note: int) -> None:
+        """An attempt has its outcome; `note`: prompt tokens found kept, after a read."""
+        ...
--- a/ringledge/core/stages/book.py
+++ b/ringledge/core/stages/book.py
@@ -34,6 +34,8 @@
         record.unseen[attempt.server] = now_ms
     desk.metrics.outcomes.labels(status.value).inc()
     latency_ms = attempt.took_ms = now_ms - attempt.sent_ms
+    if desk.observer is not None:
+        desk.observer.ended(attempt, status, note)
     if attempt.arrived:
         record.free_ms = now_ms
     desk.tell(
--- a/ringledge/core/stages/relay.py
+++ b/ringledge/core/stages/relay.py
@@ -14,7 +14,7 @@
         return False
     attempt.began = record.began = True
     record.holders.clear()  # with the first token all that is held goes by itself
-    latency_ms = desk.clock.now_ms() - attempt.sent_ms
+    latency_ms = attempt.first_ms = desk.clock.now_ms() - attempt.sent_ms
     record.first_ms = desk.clock.now_ms() - record.arrived_ms
     desk.metrics.first_token.observe(record.first_ms / 1000)
     desk.tell(i.FirstToken(record.name, attempt.number, attempt.server, latency_ms))
--- a/ringledge/core/stages/take_in.py
+++ b/ringledge/core/stages/take_in.py
@@ -20,6 +20,8 @@
     record = Record(request, payload, caller, desk.clock.now_ms())
     desk.ledger.open(record)
     desk.metrics.requests.labels(str(request.class_index)).inc()
+    if desk.observer is not None:
+        desk.observer.taken(record)
     return record
 
 
--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -57,6 +57,7 @@
     "doors": "ringledge.decide.doors_settings:DoorsConfig",
     "members": "ringledge.members.settings:MembersConfig",
     "duties": "ringledge.members.duty_settings:DutiesConfig",
+    "ratio": "ringledge.decide.ratio_settings:RatioConfig",
     "queue": "ringledge.store.settings:QueueConfig",
 }
 PEERS = ("peer_listen", "peers", "peers_all")  # what RELAY_CONFIG tells of other conductors
--- a/ringledge/lifecycle/parts/__init__.py
+++ b/ringledge/lifecycle/parts/__init__.py
@@ -34,6 +34,7 @@
     ("chat", _file("chat")),
     ("xds", _file("xds")),
     ("prometheus", _file("prometheus")),
+    ("ratio", _file("ratio")),
     ("duties", _file("duties")),  # the last of the fleet: those before it say which duties there are
 )
 
--- a/ringledge/members/planner.py
+++ b/ringledge/members/planner.py
@@ -18,6 +18,7 @@
 from ringledge.decide.roles import RoleBook
 from ringledge.observe.logging import log
 
+STEP_S = 0.5  # between steps: rows of the planner before are told anew soon
 NAME = "planner"  # of the duty
 DEMAND, SERVER = "demand/", "server/"  # keys of the facts that it reads
 
@@ -56,8 +57,15 @@
         self._ratio.begin(self._clock(), token)
         self._next_s = self._clock()
 
-    async def step(self, token: int, still: Callable[[], bool]) -> None:
-        """One look, if it is time for one; `still`, whether the lease runs, is asked before each effect."""
+    async def step(self, token: int, still: Callable[[], bool]) -> float:
+        """One look, if it is time for one; `still`, whether the lease runs, is asked before each effect.
+
+        Gives the s to wait until the next step.
+        """
+        self._step(token, still)
+        return min(STEP_S, self.settings.look_s)
+
+    def _step(self, token: int, still: Callable[[], bool]) -> None:
         if token != self._ratio.token:
             return  # of a holding that has ended
         now_s = self._clock()
--- /dev/null
+++ b/ringledge/members/role_keeper.py
@@ -0,0 +1,146 @@
+"""A conductor's side of the roles: it tells what it sees, and has the policy keep to the plan's rows."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Mapping, Sequence
+
+import anyio
+import msgspec
+
+from crowstand import interface as i
+from crowstand.view import view
+from ringledge.core.conductor import Conductor
+from ringledge.core.ledger import Attempt, Record
+from ringledge.decide.fleet import Facts, ServerSeen
+from ringledge.decide.measures import Measures
+from ringledge.decide.membership import Membership
+from ringledge.decide.ratio import Listed
+from ringledge.decide.ratio_settings import RatioConfig
+from ringledge.decide.role_rows import PREFIX, rows
+from ringledge.decide.roles import RoleBook
+from ringledge.members.planner import DEMAND, SERVER
+from ringledge.memory.names import Names
+from ringledge.observe.logging import log
+
+KIND = {i.Role.READER: "read", i.Role.WRITER: "write", i.Role.MIXED: "both"}
+NEWS = 0.1  # share by which a server's figures have to differ to be told anew: each tells all members
+
+
+class RoleKeeper:
+    """Implements the core's Observer and the planner's Fleet."""
+
+    def __init__(
+        self,
+        settings: RatioConfig,
+        facts: Facts,
+        membership: Membership,
+        conductor: Conductor,
+        names: Names,
+        book: RoleBook,
+    ) -> None:
+        self._settings, self._facts, self._membership = settings, facts, membership
+        self._conductor, self._names, self._book = conductor, names, book
+        self._desk = conductor.desk
+        self._measures = Measures()
+        self._told: dict[str, ServerSeen] = {}
+        self._roles = i.Roles()
+
+    # The core's observer.
+
+    def taken(self, record: Record) -> None:
+        """A request was taken in."""
+        request = record.request
+        tokens = request.prompt_tokens, request.max_output_tokens
+        self._measures.taken(time.monotonic(), request.class_index, *tokens)
+
+    def ended(self, attempt: Attempt, status: i.Status, note: int) -> None:
+        """An attempt has its outcome."""
+        request = attempt.record.request
+        if status == i.Status.READ:
+            unread = max(0.0, request.prompt_tokens - note)
+            self._measures.has_read(request.class_index, attempt.server, unread, attempt.took_ms / 1000)
+        elif status == i.Status.OK and attempt.answer_tokens:
+            took_s = (attempt.took_ms - attempt.first_ms) / 1000
+            kind, prompt = request.class_index, request.prompt_tokens
+            self._measures.has_written(kind, attempt.server, prompt, attempt.answer_tokens, took_s)
+
+    # The planner's fleet.
+
+    def servers(self) -> Sequence[Listed]:
+        """The servers on the list that are up, by the sites that members name."""
+        return [
+            Listed(entry.server, self._names.zones[entry.zone], f"{entry.zone}/{entry.cell}", KIND[role])
+            for entry in self._desk.servers.entries.values()
+            if entry.availability == i.Availability.UP
+            and entry.zone < len(self._names.zones)
+            and (role := self._desk.servers.role(entry.server)) is not None
+        ]
+
+    def members(self) -> Mapping[str, str]:
+        """The site of each member that is there."""
+        return {each.name: each.site for each in self._membership.alive()}
+
+    # Looking.
+
+    async def run(self) -> None:
+        """Look for ever."""
+        while True:
+            self.look(time.monotonic())
+            await anyio.sleep(self._settings.look_s)
+
+    def look(self, now_s: float) -> None:
+        """Tell what is seen, hear the rows, and hand the roles on where they have changed."""
+        listed = {each.name: each for each in self.servers()}
+        reads, streams, waiting = Counter[str](), Counter[str](), Counter[str]()
+        for record in self._desk.ledger.records.values():
+            waiting.update(record.holders)
+            for attempt in record.attempts:
+                if attempt.out:
+                    (streams if attempt.began or record.holders else reads)[attempt.server] += 1
+        self._tell(now_s, set(listed), streams, waiting)
+        self._book.listed(now_s, {name: each.kind for name, each in listed.items()})
+        for server in listed:
+            self._book.work(server, reads[server], streams[server])
+        for server, row in rows(self._facts.values(now_s, PREFIX)):
+            if self._book.hear(now_s, server, row):
+                log.info("role_asked", server=server, role=row.role, token=row.token, number=row.number)
+        for server, state in self._book.tick(now_s):
+            log.info("role_changes", server=server, state=state.value)
+        roles = i.Roles(*self._book.shut())
+        if roles != self._roles:
+            self._roles = roles
+            self._conductor.roles(roles)
+
+    def _tell(self, now_s: float, listed: set[str], streams: Counter[str], waiting: Counter[str]) -> None:
+        measures, settings = self._measures, self._desk.settings
+        for kind, demand in measures.demand(now_s).items():
+            if kind < len(self._names.classes):
+                self._facts.put(now_s, DEMAND + self._names.classes[kind], msgspec.msgpack.encode(demand))
+        measures.keep(listed)
+        for each in view(self._conductor.policy, self._conductor.clock.now_ms()):
+            if each.server not in listed:
+                continue
+            measures.streams(each.server, streams[each.server])
+            memory = settings.kinds[self._desk.servers.entries[each.server].kind].memory_tokens
+            its = (memory, settings.routers, round(each.warmth, 2), waiting[each.server])
+            seen = measures.seen(each.server, *its)
+            if _news(self._told.get(each.server), seen):
+                self._told[each.server] = seen
+                self._facts.put(now_s, SERVER + each.server, msgspec.msgpack.encode(seen))
+        for server in self._told.keys() - listed:
+            del self._told[server]
+            self._facts.drop(now_s, SERVER + server)
+
+
+def _news(told: ServerSeen | None, seen: ServerSeen) -> bool:
+    """Whether it is worth a datagram to everybody."""
+    if told is None or bool(told.waiting) != bool(seen.waiting):
+        return True
+    pairs = (
+        (told.read_pace, seen.read_pace),
+        (told.write_pace, seen.write_pace),
+        (told.warmth, seen.warmth),
+    )
+    return any(abs(now - before) > NEWS * before for before, now in pairs)
--- a/ringledge/wire/answers.py
+++ b/ringledge/wire/answers.py
@@ -45,15 +45,16 @@
     raise h11.RemoteProtocolError("the opening holds no event")
 
 
-def read_tail(tail: bytes) -> tuple[int, i.Load | None]:
-    """Cached tokens and the load report, which stand in a stream's last lines."""
-    note, load = 0, None
+def read_tail(tail: bytes) -> tuple[int, int, i.Load | None]:
+    """Cached and answer tokens and the load report, which stand in a stream's last lines."""
+    note, written, load = 0, 0, None
     for line in tail.splitlines():
         if line.startswith(b"data: {") and b'"usage"' in line:
-            note = cached_tokens(as_object(line[6:]).get("usage"))
+            told = as_object(line[6:]).get("usage")
+            note, written = cached_tokens(told), answer_tokens(told)
         elif line.lower().startswith(b": x-load-report:"):
             load = load_report(line.split(b":", 2)[2])
-    return note, load
+    return note, written, load
 
 
 def load_report(text: bytes | None) -> i.Load | None:
@@ -85,6 +86,12 @@
     return int(value) if isinstance(value, int | float) and 0 <= value < MAX_FIGURE else 0
 
 
+def answer_tokens(told: Any) -> int:
+    """Tokens of the answer, from a stream's usage."""
+    value = told.get("completion_tokens", 0) if isinstance(told, dict) else 0
+    return int(value) if isinstance(value, int | float) and 0 <= value < MAX_FIGURE else 0
+
+
 def reusable(conn: Connection) -> bool:
     """Whether the exchange is over on both sides, and no byte of a further answer would spoil the next."""
     return not conn.pending() and conn.next_cycle()
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -162,7 +162,7 @@
                 if event.chunk_end or not chunked:
                     live.silent_at = time.monotonic() + STREAM_SILENCE_S
             elif isinstance(event, h11.EndOfMessage):
-                note, load = read_tail(tail)
+                note, attempt.answer_tokens, load = read_tail(tail)
                 return End(i.Status.OK, note, load or load_report(header(head, b"x-load-report")))
             else:
                 raise h11.RemoteProtocolError("the stream ended early")
--- a/tests/lifecycle/test_parts.py
+++ b/tests/lifecycle/test_parts.py
@@ -21,10 +21,11 @@
     "overload": ("", "ringledge.core.gate"),
     "doors": ("", "ringledge.decide.doors"),
     "members": (
-        'cluster = "test"\nkey_file = "{folder}/members.key"\n' + LISTEN,
+        'cluster = "test"\nsite = "east"\nkey_file = "{folder}/members.key"\n' + LISTEN,
         "ringledge.decide.membership",
     ),
     "queue": ('path = "{folder}/queue.db"\n', "ringledge.store.queue"),
+    "ratio": ("", "ringledge.members.planner"),
     "duties": ('voters = ["n1", "n2", "n3"]\n', "ringledge.decide.leases"),
 }
 
