--- a/benchmarks/members_world.py
+++ b/benchmarks/members_world.py
@@ -15,7 +15,7 @@
 from ringledge.decide.facts_messages import MESSAGES as FACTS
 from ringledge.decide.facts_settings import FactsConfig
 from ringledge.decide.fleet import MOST_BYTES, Action, Member, Tell
-from ringledge.decide.membership import Change, Membership
+from ringledge.decide.membership import EVERYONE, Change, Membership
 from ringledge.decide.membership_settings import ProbeConfig
 
 DELAY_S = (0.001, 0.027)  # of a datagram, from what the platform states
@@ -140,7 +140,9 @@
             node.datagrams += 1
             node.bytes += size
             for _ in range(1 + (self.rng.random() < self.doubles)):
-                self._send(name, action)
+                to_all = [each for each in self.nodes if each != name]
+                for to in to_all if action.to == EVERYONE else [action.to]:
+                    self._send(name, Tell(to, action.message))
 
     def _send(self, name: str, action: Tell) -> None:
         if self.rng.random() < self.loss or self.cut(name, action.to):
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -3,7 +3,7 @@
 import pytest
 
 from benchmarks.members_world import World
-from ringledge.decide.membership import Died, Joined, Left, Restarted, Status, Superseded
+from ringledge.decide.membership import EVERYONE, Died, Joined, Left, Restarted, Status, Superseded
 from ringledge.decide.membership_messages import Ack, News, Roster
 
 SOON_S = 30.0  # in which anything here has to settle
@@ -71,6 +71,16 @@
     assert world.lost > 20 and deaths(world) == []  # the others are asked to ask
 
 
+def test_members_that_know_no_name_find_each_other_where_all_are_heard_at_once() -> None:
+    world = World(1)
+    for name in ("n0", "n1", "n2"):
+        world.start(name, [EVERYONE])
+    assert world.run(SOON_S, world.agreed) < 2.0
+    before = [node.datagrams for node in world.nodes.values()]
+    world.run(20.0)  # and nobody goes on calling all of them
+    assert all(now.datagrams - then < 20 * 6 for now, then in zip(world.nodes.values(), before, strict=True))
+
+
 def test_a_restart_supersedes_at_once_and_is_another_member() -> None:
     world = fleet(5)
     old = world.nodes["n4"].membership.me
