--- a/ringledge/decide/leases.py
+++ b/ringledge/decide/leases.py
@@ -1,8 +1,7 @@
 """Duties that one member holds at a time, by a majority of named voters; a member's whole part in it.
 
 Free of I/O and clocks: events and a time in, actions out. The time is one monotonic clock of this process
-that runs on while the process or its machine stands still (`ringledge.members.duties.now_s`); it is compared
-with nobody's.
+that runs on while the process is stopped; it is compared with nobody's.
 """
 
 from __future__ import annotations
@@ -73,6 +72,11 @@
         self._stopped = False
         self.counts: Counter[str] = Counter()  # Begin and why of End, of this process
 
+    def rise(self, start: int) -> None:
+        """Take a higher start number, as membership gives one while it joins (a clock that was set back)."""
+        if self.voter is not None:
+            self.voter.learning.rise(start)
+
     def want(self, now_s: float, duty: str) -> None:
         """Seek it from now on."""
         if not 0 < len(duty.encode()) <= MOST_NAME:
--- a/tests/simulated/test_lease_cases.py
+++ b/tests/simulated/test_lease_cases.py
@@ -96,6 +96,19 @@
     assert held.holder() != before
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_a_member_that_ends_itself_hands_all_on_and_votes_no_more(seed: int) -> None:
+    held = cases.settled(seed, FIVE)
+    before = held.holder()
+    process, leases = held.world.processes[before], held.leases[before]
+    process.run(lambda: process.act(leases.stop(process.clock_s())))
+    assert leases.voter is None
+    held.covered_within(0.2)
+    held.world.run_for(10)
+    assert held.holder() not in ("", before)
+    assert held.begins["planner"] == 2
+
+
 @pytest.mark.parametrize("how", ["kill", "stop", "cut"])
 @pytest.mark.parametrize("seed", range(10))
 def test_a_holder_that_is_gone_is_followed_within_five_seconds(seed: int, how: str) -> None:
@@ -153,3 +166,20 @@
     assert held.holder() == holder
     voter = held.leases["a"].voter
     assert voter is not None and voter.misfits > 0
+
+
+def test_without_a_majority_that_remembers_nobody_holds_until_all_voters_met_or_are_named_anew() -> None:
+    for mended_by in ("the missing one", "another list"):
+        held = cases.settled(8, TERMS, names="abcxyz")
+        before = held.tops["planner"]
+        held.world.kill("a")
+        held.world.start("b")
+        held.world.run_for(20)
+        assert held.holders("planner") == []
+        if mended_by == "the missing one":
+            held.world.start("a")
+        else:
+            held.terms = LeaseTerms(("b", "c", "x"), generation=2)
+            held.start_all(but="a")
+        held.covered_within(9)
+        assert held.tops["planner"] > before
