--- a/ringledge/decide/lease_learning.py
+++ b/ringledge/decide/lease_learning.py
@@ -33,16 +33,6 @@
         self.active = False
         self.base = 0
 
-    def rise(self, start: int) -> None:
-        """The start number turned out too low: others remember one as high of this name.
-
-        What was told so far under the old one counts no more. Meant for the time of silence, in which a
-        member joins; a voter that votes already isn't silenced again.
-        """
-        if start > self._start:
-            self._start = start
-            self._heard.clear()
-
     def hear(self, now_s: float, sender: str, message: Learn | Known, top: int) -> list[Action]:
         """Take a message between voters; `top`: the highest token that this voter took itself."""
         if now_s < self._silent_until_s or sender not in self._terms.voters:
--- a/ringledge/decide/leases.py
+++ b/ringledge/decide/leases.py
@@ -72,11 +72,6 @@
         self._stopped = False
         self.counts: Counter[str] = Counter()  # Begin and why of End, of this process
 
-    def rise(self, start: int) -> None:
-        """Take a higher start number, as membership gives one while it joins (a clock that was set back)."""
-        if self.voter is not None:
-            self.voter.learning.rise(start)
-
     def want(self, now_s: float, duty: str) -> None:
         """Seek it from now on."""
         if not 0 < len(duty.encode()) <= MOST_NAME:
--- a/tests/decide/test_leases.py
+++ b/tests/decide/test_leases.py
@@ -109,19 +109,6 @@
     assert voter.learning.base == TERMS.floor(1105) > TERMS.floor(1104) + 4000
 
 
-def test_a_start_that_rises_while_it_joins_is_the_one_that_counts() -> None:
-    voter = LeaseVoter(0.0, "a", 5, TERMS)
-    now_s = TERMS.silence_s
-    voter.hear(now_s, "b", Known(5, 100, False, 0, DIGEST))
-    voter.learning.rise(50)
-    voter.hear(now_s, "c", Known(5, 1000, False, 0, DIGEST))  # asked by the number that is over
-    assert not voter.learning.active
-    assert [each.message for each in voter.tick(now_s) if isinstance(each, Tell)] == 2 * [Learn(50, DIGEST)]
-    voter.hear(now_s, "b", Known(50, 100, False, 0, DIGEST))
-    voter.hear(now_s, "c", Known(50, 1000, False, 0, DIGEST))
-    assert voter.learning.base == TERMS.floor(1150)
-
-
 def test_locked_for_one_until_the_lock_runs_out_and_then_above_the_highest_only() -> None:
     voter = _active(0.0)
     now_s = TERMS.silence_s
