--- a/ringledge/decide/ratio_plan.py
+++ b/ringledge/decide/ratio_plan.py
@@ -14,6 +14,7 @@
 from ringledge.decide.ratio_settings import RatioConfig
 from ringledge.decide.ratio_target import Box, advantage, bears, covered, served, split
 
+DOUBT = 0.5  # deviations of the estimate that a gain must exceed: at one, ten servers follow a shift too late
 OTHER = {"read": "write", "write": "read"}
 
 
@@ -37,7 +38,7 @@
     aim = moved(boxes, roles)
     gain = served(bears(aim, "read"), bears(aim, "write"), need.spans, settings) - now
     undecided = any(box.role == "both" and box.kind == "both" for box in boxes)
-    if gain <= max(settings.least_gain, need.doubt) and not undecided:  # less may be chance
+    if gain <= max(settings.least_gain, DOUBT * need.doubt) and not undecided:  # less may be chance
         return Plan({}, len(target), "near enough")
     moves = choose(boxes, target, need)
     if not moves:
