--- a/benchmarks/ratio_ways.py
+++ b/benchmarks/ratio_ways.py
@@ -174,8 +174,8 @@
         step = planner.step(token, lambda: planner is self.planner)
         try:
             step.send(None)  # nothing in it waits
-        except StopIteration:
-            self.lab.after(0.25, self._step, planner, token)
+        except StopIteration as ended:
+            self.lab.after(ended.value, self._step, planner, token)
         else:
             raise RuntimeError("the planner's step waits for something")
 
--- a/ringledge/members/planner.py
+++ b/ringledge/members/planner.py
@@ -16,6 +16,7 @@
 from ringledge.decide.ratio_settings import RatioConfig
 from ringledge.decide.role_rows import PREFIX, encode, rows
 from ringledge.decide.roles import RoleBook
+from ringledge.members.duty import Still
 from ringledge.observe.logging import log
 
 NAME = "planner"  # of the duty
@@ -56,18 +57,18 @@
         self._ratio.begin(self._clock(), token)
         self._next_s = self._clock()
 
-    async def step(self, token: int, still: Callable[[], bool]) -> None:
-        """One look, if it is time for one; `still`, whether the lease runs, is asked before each effect."""
+    async def step(self, token: int, still: Still) -> float:
+        """One look, if it is time for one; gives s until the next. Each effect asks `still` before."""
         if token != self._ratio.token:
-            return  # of a holding that has ended
+            return self.settings.look_s  # of a holding that has ended
         now_s = self._clock()
         for server, row in rows(self._facts.values(now_s, PREFIX)):  # above all those of the planner before
             self._book.hear(now_s, server, row)
         for server, row in self._ratio.again(now_s).items():
             if not self._tell(server, row, still):
-                return
+                return self.settings.look_s
         if now_s < self._next_s:
-            return
+            return self._next_s - now_s
         self._next_s = now_s + self.settings.look_s
         demand = self._read(now_s, DEMAND, Demand)
         heard = Heard(demand, self._read(now_s, SERVER, ServerSeen), self._fleet.members())
@@ -76,16 +77,17 @@
         self._forget(now_s, {each.name for each in listed})
         for server, row in looked.rows.items():
             if not self._tell(server, row, still):
-                return
+                return self.settings.look_s
             self.changes += 1
         if looked.rows:
             log.info("plan", token=token, number=self._ratio.number, **self._counts(looked))
+        return self.settings.look_s
 
     def stop(self) -> None:
         """The duty has ended here; rows told stay where they were heard."""
         self._ratio.token = 0
 
-    def _tell(self, server: str, row: PlanRow, still: Callable[[], bool]) -> bool:
+    def _tell(self, server: str, row: PlanRow, still: Still) -> bool:
         if not still():
             return False
         now_s = self._clock()
