--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -8,7 +8,7 @@
 import threading
 import time
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 from tests.fleet.links import Links
 from tests.fleet.receiver import Receiver
@@ -58,7 +58,7 @@
         files = self._files | {"members.toml": MEMBERS.format(folder=folder, peers=peers)}
         return Node(folder, files=files, name=name, module="tests.fleet.child")
 
-    def __enter__(self) -> Fleet:
+    def __enter__(self) -> Self:
         self._each(self.names, lambda name: self._started(name, True))
         for name in self._voters:  # one that has not learned yet can't do without any other
             self.nodes[name].logged("voting")
