--- a/tests/decide/test_replay_pace.py
+++ b/tests/decide/test_replay_pace.py
@@ -6,7 +6,7 @@
 from math import inf
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ringledge.decide.fleet import Demand, ServerSeen
@@ -114,6 +114,7 @@
     assert rows({("a", "server/r"): b"\xc1 nonsense"}, ServerSeen) == {}
 
 
+@settings(deadline=None)
 @given(
     budget=st.floats(0.0, 100.0),
     claims=st.dictionaries(
