--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -11,9 +11,9 @@
 from typing import Any
 
 from tests.fleet.links import Links
-from tests.fleet.receiver import Receiver
+from tests.fleet.receiver import LONG_S, Receiver
 from tests.fleet.record import breaches
-from tests.loopback import Node
+from tests.loopback import Node, Process
 
 KEY = "5c" * 32
 MEMBERS = """enabled = true
@@ -39,13 +39,14 @@
         voters: int = 3,
         lease_s: float = 1.0,
         duties: tuple[str, ...] = ("watch",),
+        files: dict[str, str] | None = None,
         **rig: Any,
     ) -> None:
         self.names = [f"c{number + 1}" for number in range(members)]
         self.links, self.receiver = Links(self.names), Receiver()
         self._folder, self._stopped = folder, set[str]()
         self._files = {"rig.json": json.dumps({"receiver": self.receiver.address, "duties": duties} | rig)}
-        self._files["members.key"] = KEY
+        self._files |= {"members.key": KEY} | (files or {})
         self._voters = self.names[:voters]
         told = json.dumps(self._voters)
         self._files["duties.toml"] = DUTIES.format(voters=told, lease_s=lease_s)
@@ -127,8 +128,32 @@
 
         self._each(list(names), again)
 
+    def succeed(self, name: str) -> Process:
+        """Start a member again beside itself, as an upgrade does."""
+        node, successor = self.nodes[name], Process()
+        successor.module = node.module
+        node.later.append(successor)
+        successor.start(node.folder)
+        told = [line for line in successor.passed if line["event"] == "members_listen"]
+        line = told[0] if told else successor.logged("members_listen")
+        self.links.moved(name, line["address"])
+        return successor
+
     # What is seen.
 
+    def begun(self, duty: str, above: int = 0) -> tuple[str, int]:
+        """Wait until a member logs that it holds a duty under a token above that; who, and the token."""
+        until_s = time.monotonic() + LONG_S
+        while time.monotonic() < until_s:
+            for name, node in self.nodes.items():
+                while not node.lines.empty():
+                    line = node.lines.get_nowait()
+                    mine = line["event"] == "duty" and (line["duty"], line["what"]) == (duty, "begun")
+                    if mine and line["token"] > above:
+                        return name, line["token"]
+            time.sleep(0.01)
+        raise AssertionError(f"nobody holds {duty}")
+
     def records(self) -> list[Path]:
         return [node.folder / "record.jsonl" for node in self.nodes.values()]
 
--- a/tests/fleet/test_handed_on.py
+++ b/tests/fleet/test_handed_on.py
@@ -75,3 +75,18 @@
         second = fleet.receiver.next("watch", above=first.token)
         assert second.token > max(each.token for each in fleet.receiver.accepted if each.at_s < second.at_s)
         fleet.check()
+
+
+def test_a_successor_takes_the_members_place_and_its_duty_is_handed_on(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        first = fleet.receiver.next("watch")
+        successor = fleet.succeed(first.member)
+        second = fleet.receiver.next("watch", above=first.token)
+        assert second.pid != first.pid
+        successor.logged("voting")
+        fleet.signal(first.member, signal.SIGTERM)
+        fleet.nodes[first.member].process.wait(COVERED_S)
+        seen = len(fleet.receiver.accepted)
+        fleet.receiver.until(lambda: len(fleet.receiver.accepted) >= seen + 30)
+        assert first.pid not in {each.pid for each in fleet.receiver.accepted[seen:]}
+        fleet.check()
