--- a/ringledge/lifecycle/parts/queue.py
+++ b/ringledge/lifecycle/parts/queue.py
@@ -25,14 +25,10 @@
     fleet, leased = shared.fleet, "duties" in config.extras
     facts = None if fleet is None else fleet.members.facts
     queue = QueuePart(told, sight, shared.metrics.registry, Random(), facts, leased)
+    if fleet is not None and leased:
+        fleet.duties[queue.duty] = queue.replayer
     queue.sender = ReplaySender(chat, settings, names, shared.conductor)
     shared.queued = QueuedChat(
         queue.queue, queue.state, names.classes, settings, chat.tenant, told.expire_s, queue.figures
     )
-
-    def start() -> None:
-        queue.start(shared.tasks)
-        if fleet is not None and leased and queue.replayer is not None:
-            fleet.duties[queue.duty] = queue.replayer
-
-    return Part(start=start, ready=queue.ready, stop=queue.stop)
+    return Part(start=lambda: queue.start(shared.tasks), ready=queue.ready, stop=queue.stop)
