--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -45,6 +45,7 @@
         self.names = [f"c{number + 1}" for number in range(members)]
         self.links, self.receiver = Links(self.names), Receiver()
         self._folder, self._stopped = folder, set[str]()
+        self._passed = list[tuple[str, dict[str, Any]]]()  # lines read while another was waited for
         self._files = {"rig.json": json.dumps({"receiver": self.receiver.address, "duties": duties} | rig)}
         self._files |= {"members.key": KEY} | (files or {})
         self._voters = self.names[:voters]
@@ -63,6 +64,7 @@
         self._each(self.names, lambda name: self._started(name, True))
         for name in self._voters:  # one that has not learned yet can't do without any other
             self.nodes[name].logged("voting")
+            self._passed += [(name, line) for line in self.nodes[name].passed]
         return self
 
     def _each(self, names: list[str], do: Any) -> None:
@@ -145,12 +147,15 @@
         """Wait until a member logs that it holds a duty under a token above that; who, and the token."""
         until_s = time.monotonic() + LONG_S
         while time.monotonic() < until_s:
+            lines, self._passed = self._passed, []  # it may have begun before it said that it votes
             for name, node in self.nodes.items():
                 while not node.lines.empty():
-                    line = node.lines.get_nowait()
-                    mine = line["event"] == "duty" and (line["duty"], line["what"]) == (duty, "begun")
-                    if mine and line["token"] > above:
-                        return name, line["token"]
+                    lines.append((name, node.lines.get_nowait()))
+            for at, (name, line) in enumerate(lines):
+                mine = line["event"] == "duty" and (line["duty"], line["what"]) == (duty, "begun")
+                if mine and line["token"] > above:
+                    self._passed = lines[at + 1 :]
+                    return name, line["token"]
             time.sleep(0.01)
         raise AssertionError(f"nobody holds {duty}")
 
