--- a/ringledge/decide/lease_learning.py
+++ b/ringledge/decide/lease_learning.py
@@ -43,6 +43,10 @@
             self._start = start
             self._heard.clear()
 
+    def silent(self, now_s: float) -> None:
+        """Begin the silence now: only from here on nobody else can vote under this name."""
+        self._silent_until_s = self._ask_s = now_s + self._terms.silence_s
+
     def hear(self, now_s: float, sender: str, message: Learn | Known, top: int) -> list[Action]:
         """Take a message between voters; `top`: the highest token that this voter took itself."""
         if now_s < self._silent_until_s or sender not in self._terms.voters:
--- a/ringledge/lifecycle/parts/duties.py
+++ b/ringledge/lifecycle/parts/duties.py
@@ -36,9 +36,13 @@
 
     def changed(change: Change) -> None:
         leases.alive(each.name for each in members.membership.alive())
-        if isinstance(change, Restarted) and members.service is not None:
-            # Our wall clock had stepped back: under so low a start no vote may be given and no duty held.
-            members.service.act(leases.stop(now_s()))
+        if isinstance(change, Restarted):
+            leases.rise(change.member.start)
+
+    def bound() -> None:
+        # A predecessor that hands over votes until it lets the address go; what it locked has to run out.
+        if leases.voter is not None:
+            leases.voter.learning.silent(now_s())
 
     def ready() -> None:
         for duty in fleet.duties:
@@ -59,6 +63,7 @@
     members.add("leases", OnClock(leases, now_s, time.monotonic), MESSAGES)
     members.hooks.duties.append(duties.apply)
     members.hooks.changes.append(changed)
+    members.hooks.bound.append(bound)
     return Part(start=start, ready=ready, stop=stop)
 
 
--- a/ringledge/members/part.py
+++ b/ringledge/members/part.py
@@ -102,6 +102,8 @@
     async def _run(self) -> None:
         with self._scope:
             datagrams = await self._bind()
+            for hook in self.hooks.bound:
+                hook()
             try:
                 settings = self._settings
                 peers = settings.peers | ({EVERYONE: settings.everyone} if settings.everyone else {})
--- a/ringledge/members/service.py
+++ b/ringledge/members/service.py
@@ -48,6 +48,7 @@
 
     duties: list[Callable[[Begin | End], None]] = field(default_factory=list)
     changes: list[Callable[[Change], None]] = field(default_factory=list)
+    bound: list[Callable[[], None]] = field(default_factory=list)  # the address is ours from now on
 
 
 class Service:
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -19,7 +19,7 @@
 MEMBERS = """enabled = true
 cluster = "rig"
 key_file = "{folder}/members.key"
-listen = "127.0.0.1:0"
+listen = "{listen}"
 [peers]
 {peers}
 [probe]
@@ -40,6 +40,7 @@
         lease_s: float = 1.0,
         duties: tuple[str, ...] = ("watch",),
         files: dict[str, str] | None = None,
+        listen: dict[str, str] | None = None,  # by name; else a port that the system chooses
         **rig: Any,
     ) -> None:
         self.names = [f"c{number + 1}" for number in range(members)]
@@ -50,21 +51,30 @@
         self._voters = self.names[:voters]
         told = json.dumps(self._voters)
         self._files["duties.toml"] = DUTIES.format(voters=told, lease_s=lease_s)
+        self._listen = listen or {}
         self.nodes = {name: self._node(name) for name in self.names}
 
     def _node(self, name: str) -> Node:
         folder = self._folder / name
         folder.mkdir(parents=True)
         peers = "\n".join(f'{other} = "{address}"' for other, address in self.links.peers(name).items())
-        files = self._files | {"members.toml": MEMBERS.format(folder=folder, peers=peers)}
+        files = self._files | {
+            "members.toml": MEMBERS.format(
+                folder=folder, peers=peers, listen=self._listen.get(name, "127.0.0.1:0")
+            )
+        }
         return Node(folder, files=files, name=name, module="tests.fleet.child")
 
     def __enter__(self) -> Fleet:
-        self._each(self.names, lambda name: self._started(name, True))
+        self.start(*self.names)
         for name in self._voters:  # one that has not learned yet can't do without any other
             self.nodes[name].logged("voting")
         return self
 
+    def start(self, *names: str) -> None:
+        """Start them for the first time."""
+        self._each(list(names), lambda name: self._started(name, True))
+
     def _each(self, names: list[str], do: Any) -> None:
         """For all at the same time: a start takes a second or more."""
         failed = list[BaseException]()
