--- a/ringledge/decide/lease_learning.py
+++ b/ringledge/decide/lease_learning.py
@@ -33,16 +33,6 @@
         self.active = False
         self.base = 0
 
-    def rise(self, start: int) -> None:
-        """The start number turned out too low: others remember one as high of this name.
-
-        What was told so far under the old one counts no more. Meant for the time of silence, in which a
-        member joins; a voter that votes already isn't silenced again.
-        """
-        if start > self._start:
-            self._start = start
-            self._heard.clear()
-
     def silent(self, now_s: float) -> None:
         """Begin the silence now: only from here on nobody else can vote under this name."""
         self._silent_until_s = self._ask_s = now_s + self._terms.silence_s
--- a/ringledge/lifecycle/parts/duties.py
+++ b/ringledge/lifecycle/parts/duties.py
@@ -36,8 +36,9 @@
 
     def changed(change: Change) -> None:
         leases.alive(each.name for each in members.membership.alive())
-        if isinstance(change, Restarted):
-            leases.rise(change.member.start)
+        if isinstance(change, Restarted) and members.service is not None:
+            # Our wall clock had stepped back: under so low a start no vote may be given and no duty held.
+            members.service.act(leases.stop(now_s()))
 
     def bound() -> None:
         # A predecessor that hands over votes until it lets the address go; what it locked has to run out.
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -8,7 +8,7 @@
 import threading
 import time
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 from tests.fleet.links import Links
 from tests.fleet.receiver import LONG_S, Receiver
@@ -65,7 +65,7 @@
         }
         return Node(folder, files=files, name=name, module="tests.fleet.child")
 
-    def __enter__(self) -> Fleet:
+    def __enter__(self) -> Self:
         self.start(*self.names)
         for name in self._voters:  # one that has not learned yet can't do without any other
             self.nodes[name].logged("voting")
