--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -50,6 +50,7 @@
             tier = max(1, settings.routers)
             first_s, most_s = min(FIRST_AT_MOST_S, FIRST_RETRY_S * tier), MOST_RETRY_S * tier
         self._backoff = Backoff(first_s, most_s, rng)
+        self._silence_s = SILENCE_S  # that is waited for just now
         self.last_heard = time.monotonic()
         self.heard = anyio.Event()  # what it has to tell is known
         self._watching = anyio.CancelScope()
@@ -93,7 +94,7 @@
                 log.info("watch_ended", again_s=round(wait_s, 3))
             except TimeoutError:
                 wait_s = self._backoff.next_s()
-                log.warning("watch_silent", seconds=SILENCE_S, again_s=round(wait_s, 3))
+                log.warning("watch_silent", seconds=self._silence_s, again_s=round(wait_s, 3))
             except PEER_ERRORS as error:
                 wait_s = self._backoff.next_s()
                 log.warning("watch_broken", error=str(error), again_s=round(wait_s, 3))
@@ -109,7 +110,8 @@
         return ANSWER_S if self._pushed else SILENCE_S
 
     async def _ask(self, path: str) -> tuple[Connection, h11.Response]:
-        conn = await connect(self.address, SILENCE_S)
+        self._silence_s = self._answer_s
+        conn = await connect(self.address, self._silence_s)
         try:
             request = h11.Request(method="GET", target=path, headers=[("Host", self.address)])
             with anyio.fail_after(self._answer_s):
@@ -126,11 +128,11 @@
         version = self._conductor.desk.servers.version
         conn, _ = await self._ask(f"/v1/endpoints?watch=1&after={version}")
         try:
-            objects, silence_s = Objects(MOST_LIST), self._answer_s
+            objects = Objects(MOST_LIST)
             while True:
-                with anyio.fail_after(silence_s):
+                with anyio.fail_after(self._silence_s):
                     event = await conn.next_event()
-                self.last_heard, silence_s = time.monotonic(), SILENCE_S
+                self.last_heard, self._silence_s = time.monotonic(), SILENCE_S
                 if not isinstance(event, h11.Data):
                     return
                 for told in objects.feed(bytes(event.data)):
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -155,17 +155,20 @@
 
     def begun(self, duty: str, above: int = 0) -> tuple[str, int]:
         """Wait until a member logs that it holds a duty under a token above that; who, and the token."""
+        def token(line: dict[str, Any]) -> int | None:
+            mine = line["event"] == "duty" and (line["duty"], line["what"]) == (duty, "begun")
+            return line["token"] if mine and line["token"] > above else None
+
         until_s = time.monotonic() + LONG_S
         while time.monotonic() < until_s:
-            lines, self._passed = self._passed, []  # it may have begun before it said that it votes
+            while self._passed:  # it may have begun before it said that it votes
+                name, line = self._passed.pop(0)
+                if (its := token(line)) is not None:
+                    return name, its
             for name, node in self.nodes.items():
                 while not node.lines.empty():
-                    lines.append((name, node.lines.get_nowait()))
-            for at, (name, line) in enumerate(lines):
-                mine = line["event"] == "duty" and (line["duty"], line["what"]) == (duty, "begun")
-                if mine and line["token"] > above:
-                    self._passed = lines[at + 1 :]
-                    return name, line["token"]
+                    if (its := token(node.lines.get_nowait())) is not None:
+                        return name, its
             time.sleep(0.01)
         raise AssertionError(f"nobody holds {duty}")
 
