--- a/ringledge/members/role_keeper.py
+++ b/ringledge/members/role_keeper.py
@@ -13,7 +13,7 @@
 from crowstand.view import view
 from ringledge.core.conductor import Conductor
 from ringledge.core.ledger import Attempt, Record
-from ringledge.decide.fleet import Facts, ServerSeen
+from ringledge.decide.fleet import Facts, PlanRow, ServerSeen
 from ringledge.decide.measures import Measures
 from ringledge.decide.membership import Membership
 from ringledge.decide.ratio import Listed
@@ -45,6 +45,7 @@
         self._desk = conductor.desk
         self._measures = Measures()
         self._told: dict[str, ServerSeen] = {}
+        self._asked: dict[str, PlanRow] = {}  # rows that the log has
         self._roles = i.Roles()
 
     # The core's observer.
@@ -104,7 +105,10 @@
         for server in listed:
             self._book.work(server, reads[server], streams[server])
         for server, row in rows(self._facts.values(now_s, PREFIX)):
-            if self._book.hear(now_s, server, row):
+            self._book.hear(now_s, server, row)
+        for server, row in self._book.rows.items():  # where the planner is here, it has told the book before
+            if self._asked.get(server) != row:
+                self._asked[server] = row
                 log.info("role_asked", server=server, role=row.role, token=row.token, number=row.number)
         for server, state in self._book.tick(now_s):
             log.info("role_changes", server=server, state=state.value)
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -7,19 +7,21 @@
 import signal
 import threading
 import time
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
 from tests.fleet.links import Links
 from tests.fleet.receiver import Receiver
 from tests.fleet.record import breaches
-from tests.loopback import Node
+from tests.loopback import Node, StandIn
 
 KEY = "5c" * 32
 MEMBERS = """enabled = true
 cluster = "rig"
 key_file = "{folder}/members.key"
 listen = "127.0.0.1:0"
+site = "east"
 [peers]
 {peers}
 [probe]
@@ -30,7 +32,10 @@
 
 
 class Fleet:
-    """Members c1, c2, ...; each is a real process with stand-in servers of its own."""
+    """Members c1, c2, ...; each is a real process with stand-in servers of its own.
+
+    Where `mixed` are told all share these, and have no others. `files`: further ones of deploy/, by name.
+    """
 
     def __init__(
         self,
@@ -39,13 +44,16 @@
         voters: int = 3,
         lease_s: float = 1.0,
         duties: tuple[str, ...] = ("watch",),
+        mixed: tuple[StandIn, ...] = (),
+        files: Mapping[str, str] | None = None,
         **rig: Any,
     ) -> None:
         self.names = [f"c{number + 1}" for number in range(members)]
         self.links, self.receiver = Links(self.names), Receiver()
         self._folder, self._stopped = folder, set[str]()
         self._files = {"rig.json": json.dumps({"receiver": self.receiver.address, "duties": duties} | rig)}
-        self._files["members.key"] = KEY
+        self._files |= {"members.key": KEY} | dict(files or {})
+        self._mixed = mixed
         self._voters = self.names[:voters]
         told = json.dumps(self._voters)
         self._files["duties.toml"] = DUTIES.format(voters=told, lease_s=lease_s)
@@ -56,7 +64,9 @@
         folder.mkdir(parents=True)
         peers = "\n".join(f'{other} = "{address}"' for other, address in self.links.peers(name).items())
         files = self._files | {"members.toml": MEMBERS.format(folder=folder, peers=peers)}
-        return Node(folder, files=files, name=name, module="tests.fleet.child")
+        own = 0 if self._mixed else 1
+        its: dict[str, Any] = {"readers": own, "writers": own, "mixed": self._mixed}
+        return Node(folder, files=files, name=name, module="tests.fleet.child", **its)
 
     def __enter__(self) -> Fleet:
         self._each(self.names, lambda name: self._started(name, True))
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -117,6 +117,7 @@
     readers: int = 1
     writers: int = 1
     hung: int = 0  # further writers that no connection reaches
+    mixed: tuple[StandIn, ...] = ()  # servers that do both, of whoever made them: each in a rack of its own
     sockets: int = 256
     memory_mb: float = 192
     files: dict[str, str] = field(default_factory=dict)  # deploy files by name
@@ -196,6 +197,9 @@
              "status": status.get(name, "active"), "weight": 1.0, "since_ms": 0}
             for name, kind, each in fleet
         ]  # fmt: skip
+        for n, each in enumerate(self.mixed):
+            its = {"name": f"m{n}", "address": each.address, "type": "mixed", "group": n + 1}
+            entries.append({"zone": "east", "status": "active", "weight": 1.0, "since_ms": 0} | its)
         return {"index": index, "snapshot": True, "endpoints": entries}
 
     def post(self, name: str, body: bytes | None = None, **headers: str) -> http.client.HTTPConnection:
