--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -228,3 +228,10 @@
     """The whole answer."""
     answer = client.getresponse()
     return Answer(answer.status, {k.lower(): v for k, v in answer.getheaders()}, answer.read())
+
+
+def read(node: Node, name: str = "a1", **headers: Any) -> tuple[http.client.HTTPConnection, Call]:
+    """Send a request and have it read; give the client and the call at the writer."""
+    client = node.post(name, **headers)
+    node.reader[0].next().read()
+    return client, node.writer[0].next()
