Limit a router's unread tokens at all readers while reads jam

Cause: a router of forty hears of each reader too seldom; it takes those it knows nothing of for idle.

Change: `crowstand/jam.py`, additive up, multiplicative down, on the unread tokens out at all readers; no limit while nothing waits, none for one slow reader while another reads soon, and never under what all readers bear without a jam, divided among the routers. What finds no room is refused at once, dear reads of little worth first.

--- a/crowstand/readers.py
+++ b/crowstand/readers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from hashlib import blake2b
+from math import inf
 
 from crowstand import interface as i
-from crowstand.evidence import EARLY, Job, Server
+from crowstand.evidence import EARLY, READ_START_TOKENS, Job, Server
+from crowstand.jam import WAITED, Jam
 from crowstand.usable import Usable
 
 # Tuned values: unit, and why.
@@ -21,6 +23,24 @@
 class Readers(Usable):
     """The session's home, the shared hash, and who is turned away before a read."""
 
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.jam = Jam()
+
+    def _learn(self, job: Job, server: Server, outcome: i.Outcome) -> None:
+        super()._learn(job, server, outcome)
+        if server.role == i.Role.READER and outcome.status in (i.Status.READ, i.Status.CANCELLED):
+            aim_ms = job.kind.aim_ms
+            wait = (outcome.latency_ms - job.ahead * self.read_pace) / aim_ms
+            if self.jam.waited(self.now_ms, wait, job.sent_ms):
+                warm = sum(self.warmth(each) for each in self.readers if each.role == i.Role.READER)
+                least = warm * WAITED * aim_ms / max(self.read_pace, 1e-3) / self.settings.routers
+                self.jam.cut(self.now_ms, job.tokens + READ_START_TOKENS + self._reads_out(), least)
+
+    def _reads_out(self) -> float:
+        """Unread tokens of this router at all readers."""
+        return sum(s.tokens + READ_START_TOKENS * len(s.out) for s in self.readers if s.role == i.Role.READER)
+
     def _reader(self, job: Job) -> Server | None:
         """The session's home, else the first in rank that is not behind; failing that the next calm one."""
         request = job.request
@@ -41,6 +61,10 @@
         if waits[server] > LATE * aim_ms:
             calm = [each for each in ready if waits[each] < CLEARLY_LESS * waits[server]]
             server = next((each for each in calm if each in order), calm[0] if calm else server)
+        if self.jam.most < inf and not job.sent:
+            need = self._unread(request, server) + READ_START_TOKENS
+            if not self.jam.room(self._reads_out(), need, job.value, self.rng.random()):
+                return None
         limit_ms = min(request.expires_in_ms, aim_ms * (LATE + (1 - LATE) * job.value))
         if job.sent or waits[server] <= limit_ms or len(self.done[server.role]) < EARLY:
             return server  # while little is known, to turn away would keep it so
--- /dev/null
+++ b/tests/benchmarks/test_collapse.py
@@ -0,0 +1,17 @@
+"""The lab falls into the collapse without the limit on reads, and much less far with it."""
+
+from __future__ import annotations
+
+from benchmarks.collapse import told, without_limit
+from benchmarks.collapse_fleet import Lab
+
+
+def test_the_fleet_falls_over_without_the_limit_and_gets_up_sooner_with_it() -> None:
+    fallen, limited = told(Lab(4, without_limit).run()), told(Lab(4).run())
+    assert fallen["before"] > 0.98 and limited["before"] > 0.98
+    later = fallen["seconds"][25:29]  # the burst is over, all readers listed
+    assert all(second["queued"] > 300_000 for second in later)  # over 2 s of all that they read
+    assert sum(s.get("late", 0) for s in later) > 10 * sum(s.get("in time", 0) for s in later)
+    assert limited["after"] > fallen["after"] + 0.05
+    most = [max(s.get("queued", 0) for s in day["seconds"]) for day in (limited, fallen)]
+    assert most[0] < 0.7 * most[1]
