--- a/ringledge/cli/serve.py
+++ b/ringledge/cli/serve.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import sys
+from typing import NoReturn
 
 import anyio
 import click
 
 from ringledge import __version__
+from ringledge.cli.lazy import Lazy
 from ringledge.lifecycle import config as configuration
 from ringledge.lifecycle import serve as serving
 from ringledge.lifecycle import signals
 from ringledge.observe.logging import LEVELS, log
 
 
-@click.group(invoke_without_command=True)
+@click.group(cls=Lazy, invoke_without_command=True)
 @click.pass_context
 def main(context: click.Context) -> None:
     """A conductor between clients and the readers and writers of a language model."""
@@ -36,18 +38,15 @@
 def check_config() -> None:
     """Read the configuration, say what it holds, and exit."""
     config = _load()
+    try:
+        configuration.extras(check_all=True)
+    except configuration.ConfigError as error:
+        _unusable(error)
     known = len(config.known["endpoints"])
     click.echo(f"{config.name}: listens at {config.listen}, discovery at {config.discovery}")
     click.echo(f"operators call at {config.operator or 'no address'}")
     click.echo(f"classes {', '.join(config.names.classes)}; {known} servers known")
-    extras = (
-        ("chat", config.chat),
-        ("xds", config.xds),
-        ("prometheus", config.prometheus),
-        ("overload", config.overload),
-        ("doors", config.doors),
-    )
-    click.echo(f"beside it: {', '.join(name for name, told in extras if told) or 'nothing'}")
+    click.echo(f"beside it: {', '.join(config.extras) or 'nothing'}")
 
 
 @main.command()
@@ -60,5 +59,9 @@
     try:
         return configuration.load()
     except configuration.ConfigError as error:
-        click.echo(f"configuration: {error}", err=True)
-        sys.exit(2)
+        _unusable(error)
+
+
+def _unusable(error: Exception) -> NoReturn:
+    click.echo(f"configuration: {error}", err=True)
+    sys.exit(2)
