--- a/crowstand/readers.py
+++ b/crowstand/readers.py
@@ -33,7 +33,8 @@
         if server.role == i.Role.READER and outcome.status in (i.Status.READ, i.Status.CANCELLED):
             aim_ms = job.kind.aim_ms
             wait = (outcome.latency_ms - job.ahead * self.read_pace) / aim_ms
-            if self.jam.waited(self.now_ms, wait, job.sent_ms):
+            told = outcome.status == i.Status.READ or wait > WAITED  # given up at once it tells nothing
+            if told and self.jam.waited(self.now_ms, wait, job.sent_ms):
                 warm = sum(self.warmth(each) for each in self.readers if each.role == i.Role.READER)
                 least = warm * WAITED * aim_ms / max(self.read_pace, 1e-3) / self.settings.routers
                 self.jam.cut(self.now_ms, job.tokens + READ_START_TOKENS + self._reads_out(), least)
--- a/tests/decide/test_jam.py
+++ b/tests/decide/test_jam.py
@@ -100,3 +100,13 @@
 def test_nobody_is_turned_away_where_one_reader_reads_soon() -> None:
     assert refused(slow_ms=450, quick=True)[0] < refused(slow_ms=450, quick=False)[0]
     assert refused(slow_ms=50, quick=False)[0] == 0
+
+
+def test_a_read_given_up_at_once_is_no_sign_of_calm() -> None:
+    world = World(FLEET, routers=40)
+    world.serve("a")
+    world.wait(2 * LATELY_MS)
+    soon_ms = world.policy.jam.soon_ms
+    world.request("b", session=1)
+    world.end("b")
+    assert world.policy.jam.soon_ms == soon_ms
