--- a/ringledge/lifecycle/parts/duties.py
+++ b/ringledge/lifecycle/parts/duties.py
@@ -40,6 +40,11 @@
             # Our wall clock had stepped back: under so low a start no vote may be given and no duty held.
             members.service.act(leases.stop(now_s()))
 
+    def bound() -> None:
+        # A predecessor that hands over votes until it lets the address go; what it locked has to run out.
+        if leases.voter is not None:
+            leases.voter.learning.silent(now_s())
+
     def ready() -> None:
         for duty in fleet.duties:
             leases.want(now_s(), duty)
@@ -59,6 +64,7 @@
     members.add("leases", OnClock(leases, now_s, time.monotonic), MESSAGES)
     members.hooks.duties.append(duties.apply)
     members.hooks.changes.append(changed)
+    members.hooks.bound.append(bound)
     return Part(start=start, ready=ready, stop=stop)
 
 
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -19,7 +19,7 @@
 MEMBERS = """enabled = true
 cluster = "rig"
 key_file = "{folder}/members.key"
-listen = "127.0.0.1:0"
+listen = "{listen}"
 [peers]
 {peers}
 [probe]
@@ -40,31 +40,43 @@
         lease_s: float = 1.0,
         duties: tuple[str, ...] = ("watch",),
         files: dict[str, str] | None = None,
+        listen: dict[str, str] | None = None,  # by name; else a port that the system chooses
         **rig: Any,
     ) -> None:
         self.names = [f"c{number + 1}" for number in range(members)]
         self.links, self.receiver = Links(self.names), Receiver()
         self._folder, self._stopped = folder, set[str]()
+        self._passed = list[tuple[str, dict[str, Any]]]()  # lines read while another was waited for
         self._files = {"rig.json": json.dumps({"receiver": self.receiver.address, "duties": duties} | rig)}
         self._files |= {"members.key": KEY} | (files or {})
         self._voters = self.names[:voters]
         told = json.dumps(self._voters)
         self._files["duties.toml"] = DUTIES.format(voters=told, lease_s=lease_s)
+        self._listen = listen or {}
         self.nodes = {name: self._node(name) for name in self.names}
 
     def _node(self, name: str) -> Node:
         folder = self._folder / name
         folder.mkdir(parents=True)
         peers = "\n".join(f'{other} = "{address}"' for other, address in self.links.peers(name).items())
-        files = self._files | {"members.toml": MEMBERS.format(folder=folder, peers=peers)}
+        files = self._files | {
+            "members.toml": MEMBERS.format(
+                folder=folder, peers=peers, listen=self._listen.get(name, "127.0.0.1:0")
+            )
+        }
         return Node(folder, files=files, name=name, module="tests.fleet.child")
 
     def __enter__(self) -> Self:
-        self._each(self.names, lambda name: self._started(name, True))
+        self.start(*self.names)
         for name in self._voters:  # one that has not learned yet can't do without any other
             self.nodes[name].logged("voting")
+            self._passed += [(name, line) for line in self.nodes[name].passed]
         return self
 
+    def start(self, *names: str) -> None:
+        """Start them for the first time."""
+        self._each(list(names), lambda name: self._started(name, True))
+
     def _each(self, names: list[str], do: Any) -> None:
         """For all at the same time: a start takes a second or more."""
         failed = list[BaseException]()
@@ -145,12 +157,15 @@
         """Wait until a member logs that it holds a duty under a token above that; who, and the token."""
         until_s = time.monotonic() + LONG_S
         while time.monotonic() < until_s:
+            lines, self._passed = self._passed, []  # it may have begun before it said that it votes
             for name, node in self.nodes.items():
                 while not node.lines.empty():
-                    line = node.lines.get_nowait()
-                    mine = line["event"] == "duty" and (line["duty"], line["what"]) == (duty, "begun")
-                    if mine and line["token"] > above:
-                        return name, line["token"]
+                    lines.append((name, node.lines.get_nowait()))
+            for at, (name, line) in enumerate(lines):
+                mine = line["event"] == "duty" and (line["duty"], line["what"]) == (duty, "begun")
+                if mine and line["token"] > above:
+                    self._passed = lines[at + 1 :]
+                    return name, line["token"]
             time.sleep(0.01)
         raise AssertionError(f"nobody holds {duty}")
 
