--- a/crowstand/readers.py
+++ b/crowstand/readers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from hashlib import blake2b
+from math import inf
 
 from crowstand import interface as i
-from crowstand.evidence import EARLY, Job, Server
+from crowstand.evidence import EARLY, READ_START_TOKENS, Job, Server
+from crowstand.jam import WAITED, Jam
 from crowstand.usable import Usable
 
 # Tuned values: unit, and why.
@@ -22,6 +24,25 @@
 class Readers(Usable):
     """The session's home, the shared hash, and who is turned away before a read."""
 
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.jam = Jam()
+
+    def _learn(self, job: Job, server: Server, outcome: i.Outcome) -> None:
+        super()._learn(job, server, outcome)
+        if server.role == i.Role.READER and outcome.status in (i.Status.READ, i.Status.CANCELLED):
+            aim_ms = job.kind.aim_ms
+            wait = (outcome.latency_ms - job.ahead * self.read_pace) / aim_ms
+            told = outcome.status == i.Status.READ or wait > WAITED  # given up at once it tells nothing
+            if told and self.jam.waited(self.now_ms, wait, job.sent_ms):
+                warm = sum(self.warmth(each) for each in self.readers if each.role == i.Role.READER)
+                least = warm * WAITED * aim_ms / max(self.read_pace, 1e-3) / self.settings.routers
+                self.jam.cut(self.now_ms, job.tokens + READ_START_TOKENS + self._reads_out(), least)
+
+    def _reads_out(self) -> float:
+        """Unread tokens of this router at all readers."""
+        return sum(s.tokens + READ_START_TOKENS * len(s.out) for s in self.readers if s.role == i.Role.READER)
+
     def _reader(self, job: Job) -> Server | None:
         """The session's home, else the first in rank that is not behind; failing that the next calm one."""
         request = job.request
@@ -44,6 +65,10 @@
             server = next((each for each in calm if each in order), calm[0] if calm else server)
         if not job.sent and self._fleet_filled(job) > SHORT + (1 - SHORT) * job.value:
             return None  # read now, its state would wait for memory, or push a newer answer out
+        if self.jam.most < inf and not job.sent:
+            need = self._unread(request, server) + READ_START_TOKENS
+            if not self.jam.room(self._reads_out(), need, job.value, self.rng.random()):
+                return None
         # All stand in one queue: a wait that only the patient class can bear makes every other one late.
         urgent_ms = aim_ms * min(kind.aim_ms for kind in self.settings.classes) / job.kind.aim_ms
         limit_ms = min(request.expires_in_ms, urgent_ms * (LATE + (1 - LATE) * job.value))
