--- a/benchmarks/ratio_lab.py
+++ b/benchmarks/ratio_lab.py
@@ -8,15 +8,15 @@
 
 import heapq
 import random
-from collections import Counter, defaultdict, deque
+from collections import Counter, defaultdict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from itertools import count
 from typing import Any
 
 import msgspec
 
 from benchmarks.ratio_facts import Kept, Store
+from benchmarks.ratio_servers import Job, Server
 from ringledge.decide.fleet import Demand, ServerSeen
 from ringledge.decide.ratio import Listed
 from ringledge.decide.ratio_settings import RatioConfig
@@ -32,39 +32,6 @@
 BOOKINGS = 0.1  # of all requests: sent to a writer once and never again
 
 
-@dataclass(slots=True, eq=False)
-class Job:
-    """One request."""
-
-    at_s: float
-    prompt: float
-    answer: float
-    kind: str  # its class, as members tell it
-    booking: bool
-    home: Conductor
-    reader: Server | None = None
-    sends: int = 0  # to a writer
-    end: str = ""  # in time, late, gone
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """One server; it does whatever it is sent."""
-
-    name: str
-    site: str
-    rack: str
-    read_pace: float
-    write_pace: float
-    queue: deque[Job] = field(default_factory=deque)  # unread
-    unwritten: deque[Job] = field(default_factory=deque)  # sent, and no place free yet
-    reading: bool = False
-    unread: float = 0.0  # tokens
-    streams: int = 0
-    states: int = 0  # that wait to be fetched
-    cold_s: float = -1e9  # since when it reads
-
-
 class Conductor:
     """One member: sends by its own book, and tells what it sees."""
 
