Let half requests that came in one turn with a whole one give way to it

Whether a connection is past the limit was settled as it was accepted; half requests that came in the same turn still had their bytes unread then, so none could give way (front._admit, _quiet), and the whole call was turned away for ever. Change: it is asked again once the whole request is here; by then the half ones are known as such. Measured: tests/wire/test_front_room.py fails without it.

--- a/ringledge/wire/front.py
+++ b/ringledge/wire/front.py
@@ -155,9 +155,21 @@
             self.parked.park(new, IDLE_S)
         self._gauge.set(self.open)
 
-    def _make_room(self) -> None:
-        """Have one connection that is owed no answer give way; of each sort the longest so is asked about."""
-        half = (conn for conn in self.reading if conn.h11.their_state is not h11.DONE)
+    def _full(self, come: Connection) -> bool:
+        """Whether a connection that came past the limit has no place yet, now that its request is here.
+
+        Half requests that came in the same turn had unread bytes then, so none of them could give way.
+        """
+        if self.open > self.limit:
+            self._make_room(come)
+        return self.open > self.limit
+
+    def _make_room(self, come: Connection | None = None) -> None:
+        """Have one connection that is owed no answer give way; of each sort the longest so is asked about.
+
+        Not `come`, whose head has been read, though its body may not have.
+        """
+        half = (each for each in self.reading if each is not come and each.h11.their_state is not h11.DONE)
         live = [*islice(filter(_quiet, self.resting), 1), *islice(filter(_quiet, half), 1)]
         parked = self.parked.firsts()
         guests = [Guest(each.since, each.asked, False) for each in parked]
@@ -227,7 +239,7 @@
             head = await self._head(conn)
             if head is None:
                 return False
-            if crowded and not (self._keeps is not None and self._keeps(head)):
+            if crowded and not (self._keeps is not None and self._keeps(head)) and self._full(conn):
                 await read_body(conn, head)  # half a request is none, and may have to make room itself
                 log.often("connections_exhausted", front=self.name, open=self.open)
                 raise HttpError(503, "too many connections", "overloaded", headers=[(b"Retry-After", b"1")])
--- /dev/null
+++ b/tests/wire/test_front_room.py
@@ -0,0 +1,49 @@
+"""A whole request that comes past the limit, in one turn with half ones."""
+
+from __future__ import annotations
+
+import socket
+
+import anyio
+import anyio.to_thread
+import h11
+import pytest
+
+from ringledge.observe.metrics import Metrics
+from ringledge.wire.front import Front
+from ringledge.wire.http import Budget, Connection, HttpError, listen, read_body, respond
+
+LIMIT = 4
+WHOLE = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+async def handle(conn: Connection, head: h11.Request) -> None:
+    await read_body(conn, head)
+    await respond(conn, 200, b"served")
+
+
+def error(told: HttpError) -> bytes:
+    return told.reason.encode()
+
+
+@pytest.mark.parametrize("ahead", [b"GET / HT", b""])
+def test_half_requests_that_came_in_the_same_turn_give_way_to_a_whole_one(ahead: bytes) -> None:
+    """All lie in the backlog as the front begins: none of them could give way while its bytes were unread."""
+
+    async def run() -> bytes:
+        listener = listen("127.0.0.1:0")
+        address = listener.getsockname()
+        socks = [socket.create_connection(address, 10) for _ in range(LIMIT + 1)]
+        for sock in socks[:-1]:
+            sock.sendall(ahead)
+        socks[-1].sendall(WHOLE)
+        front = Front("test", LIMIT, Budget(1e6), handle, error, Metrics())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(front.serve, listener, tasks)
+            answer = await anyio.to_thread.run_sync(socks[-1].recv, 4096)
+            tasks.cancel_scope.cancel()
+        for sock in [*socks, listener]:
+            sock.close()
+        return answer
+
+    assert anyio.run(run).startswith(b"HTTP/1.1 200")
