--- a/ringledge/decide/measures.py
+++ b/ringledge/decide/measures.py
@@ -15,6 +15,7 @@
 NEW = 0.1  # weight of a new sample of a mean: some ten requests of a class tell it
 LEAST_READ = 64.0  # unread tokens from which the time of a read tells a pace: shorter ones tell the way there
 LEAST_WRITE = 8.0  # answer tokens from which the time of a stream does
+LEAST_S = 1e-3  # that work takes: what says less is a clock's step
 MOST_TOKENS = 1e7  # of one request: more is nonsense
 
 
@@ -72,7 +73,7 @@
         if not _sane(unread):
             return
         self._kinds.setdefault(kind, Kind()).read.add(unread)
-        if unread >= LEAST_READ and took_s > 0:
+        if unread >= LEAST_READ and took_s > LEAST_S:
             self._box(server).read.add(unread / took_s)
 
     def has_written(self, kind: int, server: str, prompt: float, answer: float, took_s: float) -> None:
@@ -80,7 +81,7 @@
         if not (_sane(prompt) and _sane(answer)):
             return
         self._kinds.setdefault(kind, Kind()).write.add(answer)
-        if answer >= LEAST_WRITE and took_s > 0:
+        if answer >= LEAST_WRITE and took_s > LEAST_S:
             box = self._box(server)
             box.write.add(answer / took_s)
             box.held.add(prompt + answer / 2)
--- a/tests/decide/test_measures.py
+++ b/tests/decide/test_measures.py
@@ -5,7 +5,7 @@
 from math import inf, nan
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from ringledge.decide.measures import MOST_TOKENS, WINDOW_S, Measures
@@ -79,6 +79,7 @@
 figures = st.sampled_from([0.0, -1.0, nan, inf, 1e300, MOST_TOKENS]) | st.floats(0, 1e4)
 
 
+@example([(1, 1000.0, 0.0, 5e-324), (2, 100.0, 100.0, 5e-324)])
 @given(st.lists(st.tuples(st.integers(0, 3), figures, figures, figures), max_size=20))
 def test_nonsense_never_becomes_a_row_that_is_not_sane(events: list[tuple[int, float, float, float]]) -> None:
     measures = Measures()
