--- a/ringledge/wire/chat/front.py
+++ b/ringledge/wire/chat/front.py
@@ -24,8 +24,9 @@
 from ringledge.wire.chat.question import prompt_of, read_question, to_request, told_header
 from ringledge.wire.chat.replies import Replies
 from ringledge.wire.chat_settings import ChatConfig
+from ringledge.wire.client import converse
 from ringledge.wire.http import MAX_BODY, Connection, HttpError, header, only, read_body, respond
-from ringledge.wire.platform import converse, shed
+from ringledge.wire.platform import shed
 
 if TYPE_CHECKING:
     from ringledge.core.gate import Gate
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -13,9 +13,7 @@
 from ringledge.core.port import Payload
 from ringledge.core.stages.take_in import DuplicateError
 from ringledge.lifecycle.config import Names
-from ringledge.wire.client import STREAM_HEAD as STREAM_HEAD
-from ringledge.wire.client import Exchange
-from ringledge.wire.client import converse as converse
+from ringledge.wire.client import STREAM_HEAD, Exchange, converse
 from ringledge.wire.http import (
     MAX_BODY,
     Connection,
