--- a/benchmarks/collapse.py
+++ b/benchmarks/collapse.py
@@ -15,22 +15,22 @@
 
 from benchmarks.collapse_fleet import BURST_MS, TROUBLE_MS, Lab
 from crowstand import interface as i
-from crowstand.jam import Jam
+from crowstand.concurrency_limit import ConcurrencyLimit
 from crowstand.policy import Policy
 
 
-class Unlimited(Jam):
-    """Never finds a jam: the policy without its limit on reads."""
+class Unlimited(ConcurrencyLimit):
+    """Never finds congestion: the policy without its limit on prefills."""
 
-    def waited(self, now_ms: float, wait: float, sent_ms: float) -> bool:
-        """Whatever a read waits, no cut."""
+    def observe_wait(self, now_ms: float, wait_share: float, sent_ms: float) -> bool:
+        """Whatever a prefill waits, no decrease."""
         return False
 
 
 def without_limit(settings: i.Settings, seed: int) -> Policy:
-    """A policy that sends reads however long they wait."""
+    """A policy that sends prefills however long they wait."""
     policy = Policy(settings, seed)
-    policy.jam = Unlimited()
+    policy.concurrency_limit = Unlimited()
     return policy
 
 
--- a/benchmarks/collapse_fleet.py
+++ b/benchmarks/collapse_fleet.py
@@ -55,7 +55,7 @@
             i.ServerEntry(f"w{n}", 0, 1, 0, i.Availability.UP) for n in range(WRITERS)
         ]
         for router in range(ROUTERS):
-            self.give(router, i.Members(i.ListForm.KEPT, 1, tuple(entries)))
+            self.give(router, i.Members(i.ListForm.PERSISTED, 1, tuple(entries)))
         self.prefixes = [self.rng.uniform(2700, 4900) for _ in range(20)]
         self.at_ms(START_MS, self._arrive)
         self.at_ms(START_MS + 1000, self._second)
@@ -162,7 +162,7 @@
     def _come(self, router: int, send: i.Send, attempt: int) -> None:
         name, client = send.request, self.clients.get(send.request)
         if client is None:
-            return self._tell(router, name, attempt, i.Status.MOOT)
+            return self._tell(router, name, attempt, i.Status.NOT_SENT)
         if send.server[0] == "w":
             since_ms = self.now_ms - LINK_MS
             done_ms = self.now_ms + first_ms(self.rng)
@@ -193,7 +193,8 @@
         if read is not None and not read.gone:
             self.reads.pop((read.request, read.attempt), None)
             took_ms, kept = self.now_ms - read.sent_ms + 2 * LINK_MS, int(read.tokens - read.unread)
-            self._tell(read.router, read.request, read.attempt, i.Status.READ, latency_ms=took_ms, note=kept)
+            done = i.Status.PREFILLED
+            self._tell(read.router, read.request, read.attempt, done, latency_ms=took_ms, note=kept)
 
     def _start(self, router: int, send: i.Send, attempt: int, since_ms: float) -> None:
         client = self.clients.get(send.request)
@@ -201,7 +202,7 @@
             return self._tell(router, send.request, attempt, i.Status.CANCELLED)
         client.ended, kind = True, CLASSES[client.kind]
         self.give(router, i.FirstToken(send.request, attempt, send.server, self.now_ms - since_ms))
-        aim_ms = kind.aim_ms + kind.aim_per_1000_tokens_ms * client.tokens / 1000
+        aim_ms = kind.target_ms + kind.target_per_1000_tokens_ms * client.tokens / 1000
         good = self.now_ms - client.since_ms <= aim_ms
         self.seconds[-1]["in time" if good else "late"] += 1
         self.seconds[-1]["worth"] += kind.worth * (1 if good else kind.late_worth)
--- a/benchmarks/collapse_servers.py
+++ b/benchmarks/collapse_servers.py
@@ -19,14 +19,14 @@
 START_MS = (20.0, 60.0)  # until a writer has written its first token
 
 CLASSES = (
-    i.RequestClass(1200, 5000, i.Effect.SAFE, 2, 0.1, token_aim_ms=50, aim_per_1000_tokens_ms=60),
-    i.RequestClass(2500, 12000, i.Effect.UNSAFE, 6, 0.3, token_aim_ms=80, aim_per_1000_tokens_ms=120),
+    i.RequestClass(1200, 5000, i.Effect.SAFE, 2, 0.1, target_token_ms=50, target_per_1000_tokens_ms=60),
+    i.RequestClass(2500, 12000, i.Effect.UNSAFE, 6, 0.3, target_token_ms=80, target_per_1000_tokens_ms=120),
 )
 SETTINGS = i.Settings(
-    classes=CLASSES, kinds=(i.ServerKind(i.Role.READER), i.ServerKind(i.Role.WRITER)), routers=ROUTERS,
+    classes=CLASSES, kinds=(i.ServerKind(i.Role.PREFILL), i.ServerKind(i.Role.DECODE)), routers=ROUTERS,
     may_cancel=True, max_retry_after_ms=1000, max_attempts=6, tick_ms=2, ask_every_ms=10_000,
     drain_grace_ms=250, cold_share=0.35, warm_after_ms=9_000, fall_multiple=3, overload_for_ms=3_000,
-    let_go_by_ms=500, writers_read=False, over_share_worth=0.05,
+    release_within_ms=500, decode_may_prefill=False, over_share_worth=0.05,
 )
 
 
--- a/crowstand/__init__.py
+++ b/crowstand/__init__.py
@@ -1,1 +1,1 @@
-"""crowstand: routing decisions in front of separate readers and writers of a language model."""
+"""crowstand: routing decisions in front of separate prefill and decode servers of a language model."""
--- a/crowstand/actions.py
+++ b/crowstand/actions.py
@@ -1,19 +1,28 @@
-"""What the decisions ask for; all times are milliseconds."""
+"""What the decisions ask for; all times are milliseconds (``_ms``)."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Send the request to a server; a time-out of None lasts until the client's time is up."""
+    """Send the request to a server; a timeout of None lasts until the client's deadline."""
 
     request: str
     server: str
     timeout_ms: float | None = None
 
 
+class TimerName(StrEnum):
+    """What a timer of the decisions is for: its token begins with the name."""
+
+    WATCH = "look"  # check on a request: followed by a colon and its id
+    MEMBERS = "members"  # ask for the list of servers again
+    EXPIRE = "reap"  # drop what is old
+
+
 @dataclass(slots=True, frozen=True)
 class SetTimer:
     """Ask for a `Timer` event at a clock reading."""
@@ -24,10 +33,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Refuse:
-    """Final answer: no, and a repeat does no harm. Tells when to come back, where a time is given."""
+    """Final answer: refused, and a retry does no harm; where a time is told, it is for after that."""
 
     request: str
-    come_back_ms: float | None = None
+    retry_after_ms: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -47,7 +56,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Release:
-    """Let go of every state and place held for the request."""
+    """Release every KV cache entry and reservation held for the request."""
 
     request: str
 
--- /dev/null
+++ b/crowstand/eligibility.py
@@ -0,0 +1,56 @@
+"""Which servers a request may be sent to at all; the types are in ``crowstand/interface.py``."""
+
+from __future__ import annotations
+
+from crowstand.estimates import PREFILL_OVERHEAD_TOKENS, Estimates
+from crowstand.records import Job, Server
+from crowstand.settings import DedupScope, Effect, Role
+
+# Tuned values: unit, and why.
+COLD_ATTEMPTS = 0.75  # of what overloads a cold server, were the usual all that a warm one can do
+COLD_WORK = 0.5  # of the prefills that overload a cold server: the rest is for busy routers, and for chance
+
+
+class Eligibility(Estimates):
+    """The guards before every choice: no effect twice, no cold server overloaded, none that fails."""
+
+    def _eligible(self, job: Job, servers: list[Server]) -> list[Server]:
+        """Those it may be sent to, without those that chance leaves out by their failures, unless all are."""
+        allowed = [each for each in servers if self._repeatable(job, each) and self._slow_start(job, each)]
+        fresh = [server for server in allowed if server not in job.failed_servers] or allowed
+        fresh = [server for server in fresh if server.entry.server not in self.unreachable] or fresh
+        if job.request_class.effect == Effect.SAFE:  # a readmitted one is next, once, whatever the chance
+            fresh = [server for server in fresh if server.entry.server in self.readmitted] or fresh
+        risk = self._failure_probability
+        return [s for s in fresh if not s.failures or self.rng.random() >= risk(job, s)] or fresh
+
+    def _repeatable(self, job: Job, server: Server) -> bool:
+        """No effect twice: what may have run goes again only where the repeat is dropped."""
+        if job.request_class.effect == Effect.SAFE or not job.possible_runs:
+            return True
+        entry, scope = server.entry, job.request_class.dedup_scope
+        return job.request_class.effect == Effect.KEYED and all(
+            self.now_ms < run.sent_ms + job.request_class.dedup_window_ms
+            and (scope != DedupScope.ZONE or run.server.entry.zone == entry.zone)
+            and (scope != DedupScope.CELL or run.server.entry.cell == entry.cell)
+            for run in job.possible_runs
+        )
+
+    def _slow_start(self, job: Job, server: Server) -> bool:
+        """Room in what would overload a cold server, by what a warm one here is known to do."""
+        warmth = self.warmth(server)
+        if warmth == 1.0:
+            return True
+        window_ms, completions = self.settings.overload_for_ms, self.completions[server.role]
+        known_ms = self.now_ms - completions[0] if completions else 0.0
+        span_ms = max(window_ms, self.settings.warm_after_ms, known_ms)
+        usual = len(completions) * window_ms / span_ms / self.peak_servers[server.role]
+        floor = self.settings.fall_multiple * self.settings.cold_share / self.settings.routers
+        if server.role == Role.PREFILL and self.prefill_ms_per_token:
+            prefill_ms = self.prefill_ms_per_token * (job.request.prompt_tokens + PREFILL_OVERHEAD_TOKENS)
+            floor *= max(1.0, COLD_WORK * window_ms / prefill_ms)
+        rate = max(COLD_ATTEMPTS * self.settings.fall_multiple * warmth * usual, floor)
+        gained = rate * (self.now_ms - server.start_credit_ms) / max(1.0, window_ms)
+        server.start_credit = min(max(1.0, rate), server.start_credit + gained)
+        server.start_credit_ms = self.now_ms
+        return server.start_credit >= 1.0
--- /dev/null
+++ b/crowstand/fleet.py
@@ -0,0 +1,62 @@
+"""The list of servers, and how the decisions see each of them; all times are milliseconds (``_ms``)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from crowstand.settings import Role
+
+
+class ListForm(Enum):
+    """What a membership event holds: changes, the whole list, the persisted list, or a failure."""
+
+    CHANGES = "changes"
+    FULL = "full"
+    PERSISTED = "kept"
+    FAILED = "failed"
+
+
+class Availability(Enum):
+    """State of a server in the list."""
+
+    UP = "up"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(slots=True, frozen=True)
+class ServerEntry:
+    """One server in the list."""
+
+    server: str
+    zone: int
+    kind: int
+    cell: int
+    availability: Availability
+    weight: float = 1.0
+    started_ms: float = 0.0  # clock reading; 0: long ago
+
+
+@dataclass(slots=True, frozen=True)
+class Members:
+    """News about the list of servers."""
+
+    form: ListForm
+    version: int = 0
+    entries: tuple[ServerEntry, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class ServerView:
+    """One server as the decisions see it at a moment."""
+
+    server: str
+    role: Role
+    zone: int
+    cell: int
+    availability: Availability
+    weight: float
+    warmth: float  # 1: warm; less: the part of its capacity that it is trusted with
+    failure_probability: float  # how likely it fails what it is sent
+    avoided: bool  # it gets nothing new, or hardly
--- a/crowstand/settings.py
+++ b/crowstand/settings.py
@@ -7,10 +7,10 @@
 
 
 class Role(Enum):
-    """What a kind of server does: read prompts (prefill), write answers (decode), or both."""
+    """What a kind of server does: prefill prompts, decode answers, or both."""
 
-    READER = "reader"
-    WRITER = "writer"
+    PREFILL = "reader"
+    DECODE = "writer"
     MIXED = "mixed"
 
 
@@ -22,22 +22,22 @@
     UNSAFE = "unsafe"
 
 
-class Group(Enum):
-    """The servers that drop a keyed request's repeats."""
+class DedupScope(Enum):
+    """The servers among which a keyed request's repeats are dropped."""
 
     ALL = "all"
     ZONE = "zone"
     CELL = "cell"
 
 
-class Membership(Enum):
+class MembershipMode(Enum):
     """How the list of servers comes: by itself, or only when asked or subscribed to."""
 
     PUSH = "push"
     ASK = "ask"
 
 
-class Reports(Enum):
+class LoadReports(Enum):
     """How load reports come: with outcomes, with probes only, or never."""
 
     ANSWERS = "answers"
@@ -49,16 +49,16 @@
 class RequestClass:
     """One class of request."""
 
-    aim_ms: float
+    target_ms: float
     deadline_ms: float
     effect: Effect
     worth: float = 1.0
     late_worth: float = 0.0
-    group: Group = Group.ALL
-    window_ms: float = 0.0
+    dedup_scope: DedupScope = DedupScope.ALL
+    dedup_window_ms: float = 0.0
     streamed: bool = True
-    aim_per_1000_tokens_ms: float = 0.0
-    token_aim_ms: float = 0.0
+    target_per_1000_tokens_ms: float = 0.0
+    target_token_ms: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -87,8 +87,8 @@
     zone: int = 0
     router: int = 0
     routers: int = 1
-    membership: Membership = Membership.PUSH
-    reports: Reports = Reports.NONE
+    membership: MembershipMode = MembershipMode.PUSH
+    reports: LoadReports = LoadReports.NONE
     may_probe: bool = False
     may_cancel: bool = False
     second_copies: bool = False
@@ -103,6 +103,6 @@
     warm_after_ms: float = 0.0
     fall_multiple: float = 1.0
     overload_for_ms: float = 0.0
-    let_go_by_ms: float = 0.0
-    writers_read: bool = False
+    release_within_ms: float = 0.0
+    decode_may_prefill: bool = False
     over_share_worth: float = 1.0
--- a/crowstand/view.py
+++ b/crowstand/view.py
@@ -1,30 +1,30 @@
-"""What a policy thinks of each server at a moment, for those who ask from outside; it decides nothing."""
+"""How a policy sees each server at a moment, for those who ask from outside; it decides nothing."""
 
 from __future__ import annotations
 
-from crowstand import interface as i
-from crowstand.evidence import Fading
+from crowstand.fleet import Availability, ServerView
 from crowstand.policy import AVOIDED, Policy
+from crowstand.records import ANY_REQUEST, DecayingMean
 
 
-def view(policy: Policy, now_ms: float) -> list[i.View]:
+def server_views(policy: Policy, now_ms: float) -> list[ServerView]:
     """Every listed server, by name."""
     policy.now_ms = now_ms
-    up, seen = i.Availability.UP, []
+    views = []
     for name, server in sorted(policy.servers.items()):
-        state, entry = policy.availability(server), server.entry
-        doubt = 1.0 if name in policy.silent else server.blame.get("all", Fading()).now(now_ms)
-        seen.append(
-            i.View(
-                name,
-                server.role,
-                entry.zone,
-                entry.cell,
-                state,
-                entry.weight,
-                policy.warmth(server),
-                doubt,
-                doubt >= AVOIDED or state != up,
-            )
+        availability, entry = policy.availability(server), server.entry
+        failures = server.failures.get(ANY_REQUEST, DecayingMean())
+        failure_probability = 1.0 if name in policy.unreachable else failures.value(now_ms)
+        view = ServerView(
+            name,
+            server.role,
+            entry.zone,
+            entry.cell,
+            availability,
+            entry.weight,
+            policy.warmth(server),
+            failure_probability,
+            avoided=failure_probability >= AVOIDED or availability != Availability.UP,
         )
-    return seen
+        views.append(view)
+    return views
--- a/crowstand/wirehost.py
+++ b/crowstand/wirehost.py
@@ -1,6 +1,6 @@
-"""Plays the decision module on the simulator's wire: lines in, lines out, one policy for each instance.
+"""Serves the decision module on the simulator's protocol: lines in, lines out, one policy for each instance.
 
-Only translates between the wire's words and ``interface.py``; every decision is the policy's.
+Only translates between the protocol and ``interface.py``; every decision is the policy's.
 """
 
 from __future__ import annotations
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Iterator
 from typing import TextIO
 
-from crowstand import interface as i
+from crowstand.interface import Event, Members, ServerEntry
 from crowstand.policy import Policy
 from crowstand.wirewords import (
     ENTRY_FIELDS,
@@ -29,7 +29,7 @@
 
 
 class Host:
-    """Reads batches line by line and gives each instance's events to its policy."""
+    """Reads batches line by line and delivers each instance's events to its policy."""
 
     def __init__(self) -> None:
         self.policies: dict[int, Policy] = {}
@@ -38,10 +38,10 @@
         self.replies: dict[int, list[str]] = {}
         self.list_fields: Fields = {}
         self.list_left = 0
-        self.entries: list[i.ServerEntry] = []
+        self.entries: list[ServerEntry] = []
 
-    def line(self, text: str) -> list[str] | None:
-        """Take one line; give the reply's lines when it ends a batch."""
+    def handle_line(self, text: str) -> list[str] | None:
+        """Handle one line; return the reply's lines when it ends a batch."""
         if not text:
             return None
         name, *parts = text.split(" ")
@@ -56,44 +56,44 @@
         if (name == "M") != (self.list_left > 0):
             raise MalformedError(f"{name} where the server list holds {self.list_left} more entries")
         if name == "M":
-            self.entries.append(i.ServerEntry(**pick(fields, ENTRY_FIELDS)))
+            self.entries.append(ServerEntry(**pick(fields, ENTRY_FIELDS)))
             self.list_left -= 1
-            self.members_when_whole()
+            self.deliver_complete_list()
         elif name == "EOB":
             self.now_ms = None
             return [*self.reply_lines(), "NEXT"]
         elif name == "AT":
             self.instance = int(fields["dispatcher"])
         elif name == "CONFIGURE":
-            self.policies[self.here()] = Policy(settings(fields), int(fields["rng_seed"]))
+            self.policies[self.current_instance()] = Policy(settings(fields), int(fields["rng_seed"]))
         elif name == "RETIRE":
-            self.policies.pop(self.here(), None)
-            self.replies.pop(self.here(), None)
+            self.policies.pop(self.current_instance(), None)
+            self.replies.pop(self.current_instance(), None)
         elif name == "ROSTER_CHANGE":
             self.list_fields, self.entries = fields, []
             self.list_left = int(fields.get("rows", 0))
-            self.members_when_whole()
+            self.deliver_complete_list()
         elif name in EVENTS:
-            self.give(EVENTS[name](fields))
+            self.deliver(EVENTS[name](fields))
         elif name not in UNUSED_EVENTS:
             raise MalformedError(f"unknown message {name}")
         return None
 
-    def here(self) -> int:
+    def current_instance(self) -> int:
         """The instance that the last AT line named."""
         if self.instance is None:
             raise MalformedError("no AT line names the instance")
         return self.instance
 
-    def members_when_whole(self) -> None:
-        """Hand over the server list once all its entries have come."""
+    def deliver_complete_list(self) -> None:
+        """Deliver the server list once all its entries have come."""
         if self.list_left == 0:
             form, version = FORMS[self.list_fields["form"]], int(self.list_fields.get("epoch", 0))
-            self.give(i.Members(form, version, tuple(self.entries)))
+            self.deliver(Members(form, version, tuple(self.entries)))
 
-    def give(self, event: i.Event) -> None:
-        """Give an event to the instance's policy and keep its actions for the reply."""
-        instance = self.here()
+    def deliver(self, event: Event) -> None:
+        """Deliver an event to the instance's policy and keep its actions for the reply."""
+        instance = self.current_instance()
         if instance not in self.policies:
             raise MalformedError(f"instance {instance} has not been configured")
         assert self.now_ms is not None
@@ -114,11 +114,11 @@
 
 
 def serve(lines: Iterable[bytes], out: TextIO, err: TextIO) -> int:
-    """Answer batches until the input ends; give the process's exit code."""
+    """Answer batches until the input ends; return the process's exit code."""
     host = Host()
     for number, line in enumerate(lines, 1):
         try:
-            reply = host.line(line.decode("utf-8").rstrip("\r\n"))
+            reply = host.handle_line(line.decode("utf-8").rstrip("\r\n"))
         except (MalformedError, KeyError, ValueError, TypeError) as error:
             reason = f"missing or unknown {error}" if isinstance(error, KeyError) else error
             print(f"line {number}: malformed: {reason}", file=err)
--- a/crowstand/wirewords.py
+++ b/crowstand/wirewords.py
@@ -1,37 +1,69 @@
-"""The simulator's words: its lines read as ``interface.py``'s types, actions written as its lines."""
+"""Translates between the simulator's messages and ``interface.py``'s events, settings and actions."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from crowstand import interface as i
+from crowstand.interface import (
+    Action,
+    AskMembers,
+    Availability,
+    Cancel,
+    ClientGone,
+    DedupScope,
+    Effect,
+    Event,
+    Fail,
+    FirstToken,
+    ListForm,
+    Load,
+    LoadReports,
+    Log,
+    MembershipMode,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    Release,
+    Request,
+    RequestClass,
+    Role,
+    Send,
+    ServerKind,
+    SetTimer,
+    Settings,
+    Status,
+    Subscribe,
+    Tenant,
+    Timer,
+)
 
 Fields = dict[str, str]
 
 FORMS = {
-    "Partial": i.ListForm.CHANGES,
-    "Complete": i.ListForm.FULL,
-    "Persisted": i.ListForm.KEPT,
-    "Error": i.ListForm.FAILED,
+    "Partial": ListForm.CHANGES,
+    "Complete": ListForm.FULL,
+    "Persisted": ListForm.PERSISTED,
+    "Error": ListForm.FAILED,
 }
-AVAILABILITY = {"on": i.Availability.UP, "fading": i.Availability.DRAINING, "off": i.Availability.GONE}
+AVAILABILITY = {"on": Availability.UP, "fading": Availability.DRAINING, "off": Availability.GONE}
 STATUS = {
-    "1": i.Status.OK,
-    "0": i.Status.ERROR,
-    "2": i.Status.FULL,
-    "3": i.Status.TIMEOUT,
-    "4": i.Status.CONNECT_FAILED,
-    "5": i.Status.RESET,
-    "6": i.Status.CANCELLED,
-    "7": i.Status.MOOT,
-    "100": i.Status.READ,
+    "1": Status.OK,
+    "0": Status.ERROR,
+    "2": Status.FULL,
+    "3": Status.TIMEOUT,
+    "4": Status.CONNECT_FAILED,
+    "5": Status.RESET,
+    "6": Status.CANCELLED,
+    "7": Status.NOT_SENT,
+    "100": Status.PREFILLED,
 }
-ROLES = {"read": i.Role.READER, "write": i.Role.WRITER, "both": i.Role.MIXED}
-EFFECTS = {"retryable": i.Effect.SAFE, "dedup": i.Effect.KEYED, "fragile": i.Effect.UNSAFE}
-GROUPS = {"all": i.Group.ALL, "zone": i.Group.ZONE, "cell": i.Group.CELL}
-MEMBERSHIP = {"automatic": i.Membership.PUSH, "subscribe": i.Membership.ASK}
-REPORTS = {"piggyback": i.Reports.ANSWERS, "pull": i.Reports.PROBES, "silent": i.Reports.NONE}
+ROLES = {"read": Role.PREFILL, "write": Role.DECODE, "both": Role.MIXED}
+EFFECTS = {"retryable": Effect.SAFE, "dedup": Effect.KEYED, "fragile": Effect.UNSAFE}
+DEDUP_SCOPES = {"all": DedupScope.ALL, "zone": DedupScope.ZONE, "cell": DedupScope.CELL}
+MEMBERSHIP = {"automatic": MembershipMode.PUSH, "subscribe": MembershipMode.ASK}
+REPORTS = {"piggyback": LoadReports.ANSWERS, "pull": LoadReports.PROBES, "silent": LoadReports.NONE}
 LOAD = {
     "busy_reqs": "in_flight",
     "pending": "queued",
@@ -68,13 +100,13 @@
 
 
 CLASS_FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
-    "aim_ms": ("goal_time_ms", float),
+    "target_ms": ("goal_time_ms", float),
     "deadline_ms": ("deadline_ms", float),
     "effect": ("effect", EFFECTS.__getitem__),
     "worth": ("worth", float),
     "late_worth": ("late_worth", float),
-    "group": ("group", GROUPS.__getitem__),
-    "window_ms": ("window_ms", float),
+    "dedup_scope": ("group", DEDUP_SCOPES.__getitem__),
+    "dedup_window_ms": ("window_ms", float),
     "streamed": ("stream", flag),
 }
 TENANT_FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
@@ -101,8 +133,8 @@
     "warm_after_ms": ("safety.warm_after_ms", float),
     "fall_multiple": ("safety.fall_multiple", float),
     "overload_for_ms": ("safety.overload_for_ms", float),
-    "let_go_by_ms": ("specifics.let_go_by_ms", float),
-    "writers_read": ("specifics.read_in_place", flag),
+    "release_within_ms": ("specifics.let_go_by_ms", float),
+    "decode_may_prefill": ("specifics.read_in_place", flag),
     "over_share_worth": ("over_share_worth", float),
 }
 REQUEST_FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
@@ -130,7 +162,7 @@
 }
 
 
-def settings(fields: Fields) -> i.Settings:
+def settings(fields: Fields) -> Settings:
     """Translate the settings that an instance starts with."""
     aims = [float(us) / 1000 for us in comma_list(fields.get("specifics.aim_us_per_1000_prompt_tokens", ""))]
     paces = [float(ms) for ms in comma_list(fields.get("specifics.token_aim_ms", ""))]
@@ -138,29 +170,29 @@
     for index, entry in enumerate(numbered(fields, "classes")):
         told = pick(entry, CLASS_FIELDS)
         if index < len(aims):
-            told["aim_per_1000_tokens_ms"] = aims[index]
+            told["target_per_1000_tokens_ms"] = aims[index]
         if index < len(paces):
-            told["token_aim_ms"] = paces[index]
-        classes.append(i.RequestClass(**told))
+            told["target_token_ms"] = paces[index]
+        classes.append(RequestClass(**told))
     memory = [float(tokens) for tokens in comma_list(fields.get("specifics.kind_memory_tokens", ""))]
     kinds = []
     for index, role in enumerate(comma_list(fields.get("specifics.role_by_kind", ""))):
-        kinds.append(i.ServerKind(ROLES[role], memory[index] if index < len(memory) else None))
-    tenants = [i.Tenant(**pick(entry, TENANT_FIELDS)) for entry in numbered(fields, "tenants")]
-    return i.Settings(tuple(classes), tuple(kinds), tuple(tenants), **pick(fields, SETTINGS_FIELDS))
+        kinds.append(ServerKind(ROLES[role], memory[index] if index < len(memory) else None))
+    tenants = [Tenant(**pick(entry, TENANT_FIELDS)) for entry in numbered(fields, "tenants")]
+    return Settings(tuple(classes), tuple(kinds), tuple(tenants), **pick(fields, SETTINGS_FIELDS))
 
 
-def load(fields: Fields) -> i.Load | None:
+def load(fields: Fields) -> Load | None:
     """Translate a load report, where one came along."""
     if "server_stats" not in fields:
         return None
     pairs = [pair.split(":") for pair in comma_list(fields["server_stats"])]
-    return i.Load(**{LOAD[name]: float(value) for name, value in pairs if name in LOAD})
+    return Load(**{LOAD[name]: float(value) for name, value in pairs if name in LOAD})
 
 
-def outcome(fields: Fields) -> i.Outcome:
+def outcome(fields: Fields) -> Outcome:
     """Translate the end of an attempt."""
-    return i.Outcome(
+    return Outcome(
         fields["op_id"],
         int(fields["shot"]),
         fields["host"],
@@ -172,53 +204,53 @@
     )
 
 
-def first_token(fields: Fields) -> i.FirstToken:
+def first_token(fields: Fields) -> FirstToken:
     """Translate the start of an answer."""
     latency_ms = float(fields.get("cost_time_ms", 0))
-    return i.FirstToken(fields["op_id"], int(fields["shot"]), fields["host"], latency_ms)
+    return FirstToken(fields["op_id"], int(fields["shot"]), fields["host"], latency_ms)
 
 
-def probed(fields: Fields) -> i.Probed:
+def probed(fields: Fields) -> Probed:
     """Translate the result of a probe."""
     latency_ms = float(fields.get("cost_time_ms", 0))
-    return i.Probed(fields["host"], STATUS[fields["outcome"]], latency_ms, load(fields))
+    return Probed(fields["host"], STATUS[fields["outcome"]], latency_ms, load(fields))
 
 
-EVENTS: dict[str, Callable[[Fields], i.Event]] = {
-    "NEW_REQUEST": lambda fields: i.Request(**pick(fields, REQUEST_FIELDS)),
+EVENTS: dict[str, Callable[[Fields], Event]] = {
+    "NEW_REQUEST": lambda fields: Request(**pick(fields, REQUEST_FIELDS)),
     "RESOLVED": outcome,
     "STARTED": first_token,
-    "CLIENT_GONE": lambda fields: i.ClientGone(fields["op_id"]),
+    "CLIENT_GONE": lambda fields: ClientGone(fields["op_id"]),
     "PING_RESULT": probed,
-    "RING": lambda fields: i.Timer(fields["cookie"]),
+    "RING": lambda fields: Timer(fields["cookie"]),
 }
 UNUSED_EVENTS = ("MEMO", "SEAT_NEWS")  # answers to actions that no policy here takes
 
 
-def action_line(action: i.Action) -> str:
+def action_line(action: Action) -> str:
     """Write one action in the wire's words."""
     match action:
-        case i.Send(request, server, None):
+        case Send(request, server, None):
             return f"DISPATCH op_id={request} host={server}"
-        case i.Send(request, server, timeout_ms):
+        case Send(request, server, timeout_ms):
             return f"DISPATCH op_id={request} host={server} try_for_ms={timeout_ms:.3f}"
-        case i.SetTimer(at_ms, token):
+        case SetTimer(at_ms, token):
             return f"SET_TIMER fire_at_ms={at_ms:.3f} cookie={token}"
-        case i.Refuse(request, None):
+        case Refuse(request, None):
             return f"OVERLOAD_REPLY op_id={request}"
-        case i.Refuse(request, come_back_ms):
-            return f"OVERLOAD_REPLY op_id={request} come_back_ms={come_back_ms:.3f}"
-        case i.Fail(request):
+        case Refuse(request, retry_after_ms):
+            return f"OVERLOAD_REPLY op_id={request} come_back_ms={retry_after_ms:.3f}"
+        case Fail(request):
             return f"FAIL op_id={request}"
-        case i.Cancel(request, attempt):
+        case Cancel(request, attempt):
             return f"ABORT_ATTEMPT op_id={request} shot={attempt}"
-        case i.Release(request):
+        case Release(request):
             return f"UNHOLD op_id={request}"
-        case i.Probe(server):
+        case Probe(server):
             return f"ASK_LOAD host={server}"
-        case i.AskMembers():
+        case AskMembers():
             return "QUERY_ALL"
-        case i.Subscribe(active):
+        case Subscribe(active):
             return f"WATCH active={int(active)}"
-        case i.Log(text):
+        case Log(text):
             return f"EMIT msg={text}"
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -13,9 +13,9 @@
 import anyio
 
 from crowstand import interface as i
-from crowstand import learned
+from crowstand import snapshot
 from crowstand.policy import Policy
-from crowstand.view import view
+from crowstand.view import server_views
 from ringledge.core.clock import Clock
 from ringledge.core.desk import Desk
 from ringledge.core.ledger import Attempt, Ledger, Record
@@ -76,10 +76,10 @@
 
     def by_hand(self, server: str, out: bool) -> None:
         """Operators have left a server out or called it back; like a drain, it is never overtaken."""
-        self._events.appendleft(i.ByHand(server, out))
+        self._events.appendleft(i.OperatorOverride(server, out))
         self._work()
 
-    def roles(self, roles: i.Roles) -> None:
+    def roles(self, roles: i.RolePlan) -> None:
         """Which servers that do both get nothing new of one role."""
         self._tell(roles)
 
@@ -103,18 +103,18 @@
 
     def learned(self) -> Iterator[dict[str, Any]]:
         """What the policy has learned, in parts."""
-        return learned.tell(self.policy)
+        return snapshot.dump(self.policy)
 
     def learn(self, part: dict[str, Any]) -> None:
         """Take over what a predecessor's policy has learned."""
         try:
-            learned.take(self.policy, part)
+            snapshot.load(self.policy, part)
         except (ValueError, TypeError, KeyError) as error:  # of another version: we learn it anew
             log.warning("learned_unreadable", error=repr(error))
 
     def last_call(self) -> None:
         """Have all that has not begun given up: the process is about to end."""
-        self._tell(i.LastCall())
+        self._tell(i.Shutdown())
 
     # Time.
 
@@ -143,7 +143,7 @@
 
     def avoided(self) -> int:
         """How many servers of the list the policy avoids now."""
-        return sum(each.avoided for each in view(self.policy, self.clock.now_ms()))
+        return sum(each.avoided for each in server_views(self.policy, self.clock.now_ms()))
 
     # Events to the policy, actions to the stages.
 
@@ -162,7 +162,7 @@
                 silent = self.desk.port.silences()
                 if silent != self._silent:  # the policy knows it before it decides anything more
                     self._silent = silent
-                    self.policy.handle(self.clock.now_ms(), i.Silent(silent))
+                    self.policy.handle(self.clock.now_ms(), i.Unreachable(silent))
                 for action in self.policy.handle(self.clock.now_ms(), event):
                     self._carry_out(action)
                 if (ran_s := time.perf_counter() - began_s) > stalls.longest_s:
--- a/ringledge/core/ledger.py
+++ b/ringledge/core/ledger.py
@@ -69,7 +69,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether an attempt was written to a server that answers, and is not proved never to have run."""
-        never = (i.Status.READ, i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.MOOT)
+        never = (i.Status.PREFILLED, i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.NOT_SENT)
         return any(a.written and not a.reads and a.outcome not in never for a in self.attempts)
 
 
--- a/ringledge/core/stages/admit.py
+++ b/ringledge/core/stages/admit.py
@@ -17,7 +17,7 @@
     """Answer at once that a repeat does no harm."""
     record = _close(desk, action.request, "refused")
     if record is not None:
-        record.caller.refuse(action.come_back_ms)
+        record.caller.refuse(action.retry_after_ms)
 
 
 def fail(desk: Desk, action: i.Fail) -> None:
--- a/ringledge/core/stages/book.py
+++ b/ringledge/core/stages/book.py
@@ -24,7 +24,7 @@
         whole = status == i.Status.OK
         end(desk, record, "served" if whole else "broken")
         (record.caller.finish if whole else record.caller.break_off)()
-    if status == i.Status.READ:
+    if status == i.Status.PREFILLED:
         record.holders.add(attempt.server)
     elif status == i.Status.FULL and note == 1:
         # Gone from its reader; a writer that was given up before may have fetched it.
--- a/ringledge/core/stages/route.py
+++ b/ringledge/core/stages/route.py
@@ -16,7 +16,7 @@
     timeout_ms = record.deadline_ms - now_ms
     if action.timeout_ms:
         timeout_ms = min(timeout_ms, action.timeout_ms)
-    reads = desk.servers.role(action.server) == i.Role.READER
+    reads = desk.servers.role(action.server) == i.Role.PREFILL
     repeatable = desk.settings.classes[record.request.class_index].effect is i.Effect.SAFE
     once = not reads and not repeatable
     attempt = Attempt(record, len(record.attempts), action.server, reads, once, now_ms, now_ms + timeout_ms)
@@ -29,7 +29,7 @@
     may_go = may_go and timeout_ms > 0 and attempt.number < desk.settings.max_attempts
     if may_go and desk.servers.address(action.server) is not None:
         return attempt
-    attempt.outcome = i.Status.MOOT
-    desk.metrics.outcomes.labels(i.Status.MOOT.value).inc()
-    desk.tell(i.Outcome(record.name, attempt.number, action.server, i.Status.MOOT, 0.0, record.over))
+    attempt.outcome = i.Status.NOT_SENT
+    desk.metrics.outcomes.labels(i.Status.NOT_SENT.value).inc()
+    desk.tell(i.Outcome(record.name, attempt.number, action.server, i.Status.NOT_SENT, 0.0, record.over))
     return None
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -57,14 +57,14 @@
         settings, names = config.settings, config.names
         metrics, clock, servers = Metrics(), Clock(), ServerList(settings.kinds)
         fronts = Fronts(config, metrics, inherited)
-        let_go_ms, zone = settings.let_go_by_ms, settings.zone
+        let_go_ms, zone = settings.release_within_ms, settings.zone
         upstream = Upstream(tasks, servers, names, fronts.sockets, let_go_ms, zone, clock, metrics)
         conductor = Conductor(settings, config.seed, clock, servers, metrics, upstream)
         upstream.conductor = conductor
         by_hand = ByHand(config.folder, config.name, conductor.by_hand)
         by_hand.look()  # before the first send
         discovery = Discovery(config.discovery, names, conductor, random.Random(config.seed))
-        discovery.apply(config.known, i.ListForm.KEPT)
+        discovery.apply(config.known, i.ListForm.PERSISTED)
         return Shared(
             config, tasks, metrics, servers, upstream, conductor, by_hand, discovery, fronts, self.can_serve
         )
--- a/ringledge/members/role_keeper.py
+++ b/ringledge/members/role_keeper.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from crowstand import interface as i
-from crowstand.view import view
+from crowstand.view import server_views
 from ringledge.core.conductor import Conductor
 from ringledge.core.ledger import Attempt, Record
 from ringledge.decide.fleet import Facts, PlanRow, ServerSeen
@@ -24,7 +24,7 @@
 from ringledge.memory.names import Names
 from ringledge.observe.logging import log
 
-KIND = {i.Role.READER: "read", i.Role.WRITER: "write", i.Role.MIXED: "both"}
+KIND = {i.Role.PREFILL: "read", i.Role.DECODE: "write", i.Role.MIXED: "both"}
 NEWS = 0.1  # share by which a server's figures have to differ to be told anew: each tells all members
 
 
@@ -46,7 +46,7 @@
         self._measures = Measures()
         self._told: dict[str, ServerSeen] = {}
         self._asked: dict[str, PlanRow] = {}  # rows that the log has
-        self._roles = i.Roles()
+        self._roles = i.RolePlan()
 
     # The core's observer.
 
@@ -59,7 +59,7 @@
     def ended(self, attempt: Attempt, status: i.Status, note: int) -> None:
         """An attempt has its outcome."""
         request = attempt.record.request
-        if status == i.Status.READ:
+        if status == i.Status.PREFILLED:
             unread = max(0.0, request.prompt_tokens - note)
             self._measures.has_read(request.class_index, attempt.server, unread, attempt.took_ms / 1000)
         elif status == i.Status.OK and attempt.answer_tokens:
@@ -112,7 +112,7 @@
                 log.info("role_asked", server=server, role=row.role, token=row.token, number=row.number)
         for server, state in self._book.tick(now_s):
             log.info("role_changes", server=server, state=state.value)
-        roles = i.Roles(*self._book.shut())
+        roles = i.RolePlan(*self._book.shut())
         if roles != self._roles:
             self._roles = roles
             self._conductor.roles(roles)
@@ -123,7 +123,7 @@
             if kind < len(self._names.classes):
                 self._facts.put(now_s, DEMAND + self._names.classes[kind], msgspec.msgpack.encode(demand))
         measures.keep(listed)
-        for each in view(self._conductor.policy, self._conductor.clock.now_ms()):
+        for each in server_views(self._conductor.policy, self._conductor.clock.now_ms()):
             if each.server not in listed:
                 continue
             measures.streams(each.server, streams[each.server])
--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -44,7 +44,7 @@
     def __init__(self, address: str, names: Names, conductor: Conductor, rng: random.Random) -> None:
         self.address, self._names, self._conductor = address, names, conductor
         settings = conductor.desk.settings
-        self._pushed = settings.membership == i.Membership.PUSH
+        self._pushed = settings.membership == i.MembershipMode.PUSH
         first_s, most_s = PUSHED_FIRST_S, PUSHED_MOST_S
         if not self._pushed:
             tier = max(1, settings.routers)
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -124,7 +124,7 @@
         load = load_report(header(head, b"x-load-report"))
         rejected = header(head, b"x-rejected") == b"1"
         if head.status_code == 202:
-            return End(i.Status.READ, cached_tokens(as_object(body)), load)
+            return End(i.Status.PREFILLED, cached_tokens(as_object(body)), load)
         if rejected and head.status_code == 410:
             return End(i.Status.FULL, 1, load)
         if rejected and head.status_code in (503, 504):
--- a/ringledge/wire/sight.py
+++ b/ringledge/wire/sight.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from crowstand import interface as i
-from crowstand.view import view
+from crowstand.view import server_views
 from ringledge.core.conductor import Conductor
 from ringledge.decide.cut_off import Seen
 from ringledge.decide.reach import Reach
@@ -25,13 +25,13 @@
         silent, up = self._reach.silences(now_ms), i.Availability.UP
         return [
             Seen(
-                each.role is not i.Role.WRITER,
-                each.role is not i.Role.READER,
+                each.role is not i.Role.DECODE,
+                each.role is not i.Role.PREFILL,
                 each.availability is up and each.server not in silent,
                 not each.avoided,
                 self._reach.heard_ms(each.server) / 1000 + offset_s,
             )
-            for each in view(self._conductor.policy, now_ms)
+            for each in server_views(self._conductor.policy, now_ms)
         ]
 
     def answers(self) -> tuple[float, float]:
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -125,7 +125,7 @@
         try:
             with live.scope:
                 if address is None:
-                    end = End(i.Status.MOOT)
+                    end = End(i.Status.NOT_SENT)
                 else:
                     end = await self._exchanges.run(attempt, live, address)
                     again = live.conn is not None and reusable(live.conn)
--- a/ringledge/wire/xds.py
+++ b/ringledge/wire/xds.py
@@ -16,7 +16,7 @@
 import orjson
 
 from crowstand import interface as i
-from crowstand.view import view as views
+from crowstand.view import server_views
 from ringledge.core.conductor import Conductor
 from ringledge.memory.names import Names
 from ringledge.observe.logging import log
@@ -25,7 +25,7 @@
 from ringledge.wire.http import Connection, HttpError, only, read_body, respond
 from ringledge.wire.xds_settings import XdsConfig
 
-CLUSTERS = {i.Role.READER: "readers", i.Role.WRITER: "writers", i.Role.MIXED: "mixed"}
+CLUSTERS = {i.Role.PREFILL: "readers", i.Role.DECODE: "writers", i.Role.MIXED: "mixed"}
 TYPE = "type.googleapis.com/envoy.config."
 ENDPOINTS, CLUSTER = TYPE + "endpoint.v3.ClusterLoadAssignment", TYPE + "cluster.v3.Cluster"
 PATHS = {b"/v3/discovery:endpoints": ENDPOINTS, b"/v3/discovery:clusters": CLUSTER}
@@ -107,14 +107,14 @@
         """The servers of a role by hall and rack, with the module's weights."""
         places: dict[tuple[int, int], list[dict[str, Any]]] = {}
         servers = self._conductor.desk.servers
-        for view in views(self._conductor.policy, self._conductor.clock.now_ms()):
+        for view in server_views(self._conductor.policy, self._conductor.clock.now_ms()):
             address = servers.address(view.server)
             if view.role is not role or address is None:
                 continue
             host, _, port = address.rpartition(":")
             up = view.availability is i.Availability.UP
             # Steps of a tenth keep the version from changing with every breath of the evidence.
-            warmth, doubt = round(view.warmth, 1), round(view.doubt, 1)
+            warmth, doubt = round(view.warmth, 1), round(view.failure_probability, 1)
             weight = round(100 * view.weight * warmth * (1 - doubt))
             state = {"server": view.server, "warmth": warmth, "doubt": doubt}
             endpoint = {
--- a/tests/conformance/play.py
+++ b/tests/conformance/play.py
@@ -44,7 +44,7 @@
         for step in row.steps:
             self._take(step)
             self._look()
-        self.seen.entries = len(self.world.policy.homes)
+        self.seen.entries = len(self.world.policy.affinities)
 
     def _look(self) -> None:
         """Take down where each request is now."""
@@ -63,7 +63,7 @@
                 world.request(name, **{k: key_for(k, told, fleet, reads) for k, told in step.told.items()})
                 self._look()
             case "read":
-                world.outcome(name, i.Status.READ)
+                world.outcome(name, i.Status.PREFILLED)
             case "ends":
                 world.first(name)
                 world.outcome(name, i.Status.OK, over=True)
--- a/tests/conformance/rows.py
+++ b/tests/conformance/rows.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from crowstand import interface as i
-from crowstand.listing import HOME_TTL_MS, REAP_MS
+from crowstand.membership import AFFINITY_TTL_MS, EXPIRY_CHECK_MS
 from tests.world import FLEET, MIXED, READER, WRITER, entry
 
 
@@ -63,8 +63,8 @@
 read, ends, cancelled = partial(step, "read"), partial(step, "ends"), partial(step, "cancelled")
 leaves, drains, up = partial(step, "leaves"), partial(step, "drains"), partial(step, "up")
 
-IDLE = step("rest", ms=HOME_TTL_MS + 2 * REAP_MS)
-NEARLY = step("rest", ms=0.7 * HOME_TTL_MS)
+IDLE = step("rest", ms=AFFINITY_TTL_MS + 2 * EXPIRY_CHECK_MS)
+NEARLY = step("rest", ms=0.7 * AFFINITY_TTL_MS)
 KNOWN = tuple(serve(f"k{n}", session=5000 + n) for n in range(8))  # from here on the pace of reads is known
 READERS = {"r0", "r1", "r2", "r3"}
 KEYS = range(1, 31)
--- a/tests/core/test_route.py
+++ b/tests/core/test_route.py
@@ -15,15 +15,15 @@
 
 
 def desk(effect: i.Effect, second_copies: bool) -> Any:
-    kind = i.RequestClass(aim_ms=1200, deadline_ms=5000, effect=effect)
+    kind = i.RequestClass(target_ms=1200, deadline_ms=5000, effect=effect)
     settings = i.Settings(
         classes=(kind,),
-        kinds=(i.ServerKind(i.Role.READER),),
+        kinds=(i.ServerKind(i.Role.PREFILL),),
         max_attempts=4,
         may_cancel=True,
         second_copies=second_copies,
     )
-    servers = SimpleNamespace(role=lambda _: i.Role.READER, address=lambda _: "127.0.0.1:1")
+    servers = SimpleNamespace(role=lambda _: i.Role.PREFILL, address=lambda _: "127.0.0.1:1")
     ledger = Ledger()
     told = list[i.Event]()
     clock = SimpleNamespace(now_ms=lambda: 10.0)
@@ -44,4 +44,4 @@
     at.ledger.open(record)
     gone = route(at, i.Send("a", "r1"))
     assert (gone is not None) == (second_copies and effect is i.Effect.SAFE)
-    assert len(record.attempts) == 2 and (gone is None) == (record.attempts[1].outcome is i.Status.MOOT)
+    assert len(record.attempts) == 2 and (gone is None) == (record.attempts[1].outcome is i.Status.NOT_SENT)
--- a/tests/crowstand/test_hard_cases.py
+++ b/tests/crowstand/test_hard_cases.py
@@ -11,8 +11,8 @@
 from crowstand import interface as i
 from tests.world import FLEET, SAFE, World, entry, sends
 
-KINDS = (i.ServerKind(i.Role.READER, 200_000.0), i.ServerKind(i.Role.WRITER, 200_000.0))
-ONCE = i.RequestClass(2500, 10_000, i.Effect.UNSAFE, worth=3, token_aim_ms=80)
+KINDS = (i.ServerKind(i.Role.PREFILL, 200_000.0), i.ServerKind(i.Role.DECODE, 200_000.0))
+ONCE = i.RequestClass(2500, 10_000, i.Effect.UNSAFE, worth=3, target_token_ms=80)
 
 
 def world(seed: int = 1, fleet: tuple[i.ServerEntry, ...] = FLEET) -> World:
@@ -22,7 +22,7 @@
 def outcome(w: World, name: str, rng: random.Random) -> bool:
     """End the attempt that is out in any of the ways that its server may; say whether it may have run."""
     reads = w.at[name].startswith("r")
-    ways = [i.Status.READ] * 4 if reads else [i.Status.OK] * 2
+    ways = [i.Status.PREFILLED] * 4 if reads else [i.Status.OK] * 2
     status = rng.choice([*ways, i.Status.ERROR, i.Status.FULL, i.Status.TIMEOUT, i.Status.RESET])
     w.outcome(name, status, over=status == i.Status.OK, latency_ms=rng.uniform(10, 900))
     return not reads and status != i.Status.FULL
@@ -64,7 +64,7 @@
         server = w.at[f"q{number}"]
         went[server] += number >= 120
         w.now_ms += 100
-        w.outcome(f"q{number}", i.Status.READ, latency_ms=500 if server == slow else 100)
+        w.outcome(f"q{number}", i.Status.PREFILLED, latency_ms=500 if server == slow else 100)
         w.first(f"q{number}")
         w.outcome(f"q{number}", i.Status.OK, over=True)
     assert went[slow] < 0.6 * went.total() / 4
@@ -82,7 +82,7 @@
             if server in gone:
                 w.outcome(name, i.Status.CONNECT_FAILED, latency_ms=4)
             elif server.startswith("r"):
-                w.outcome(name, i.Status.READ)
+                w.outcome(name, i.Status.PREFILLED)
             else:
                 w.first(name)
                 w.outcome(name, i.Status.OK, over=True)
--- a/tests/crowstand/test_shared_queue.py
+++ b/tests/crowstand/test_shared_queue.py
@@ -7,7 +7,7 @@
 from crowstand import interface as i
 from tests.world import SAFE, World, finals
 
-PATIENT = i.RequestClass(2500, 10_000, i.Effect.UNSAFE, token_aim_ms=80)
+PATIENT = i.RequestClass(2500, 10_000, i.Effect.UNSAFE, target_token_ms=80)
 
 
 def refused(classes: tuple[i.RequestClass, ...], index: int, wait_ms: float, seed: int) -> bool:
--- a/tests/test_learned.py
+++ b/tests/crowstand/test_snapshot.py
@@ -6,8 +6,8 @@
 import pytest
 
 from crowstand import interface as i
-from crowstand import learned
-from crowstand.view import view
+from crowstand import snapshot
+from crowstand.view import server_views
 from tests.world import FLEET, World
 
 
@@ -15,22 +15,22 @@
     """A fresh router that was told what the old one knows."""
     new = World(tuple(each.entry for each in old.policy.servers.values()), seed=2, **settings)
     new.now_ms = old.now_ms
-    for part in learned.tell(old.policy):
+    for part in snapshot.dump(old.policy):
         new.policy.now_ms = new.now_ms
-        learned.take(new.policy, orjson.loads(orjson.dumps(part)))
+        snapshot.load(new.policy, orjson.loads(orjson.dumps(part)))
     return new
 
 
 def test_homes_pace_and_doubt_are_taken_over() -> None:
     old = World()
     homes = {session: old.serve(f"a{session}", session=session, prefix=2**200) for session in range(20)}
-    old.give(i.ByHand("w0", True))
-    old.give(i.ByHand("w0", False))
+    old.give(i.OperatorOverride("w0", True))
+    old.give(i.OperatorOverride("w0", False))
     old.read("b1")
     old.outcome("b1", i.Status.RESET)
     new = taken_over(old)
-    assert new.policy.read_pace == old.policy.read_pace > 0
-    assert view(new.policy, new.now_ms) == view(old.policy, old.now_ms)
+    assert new.policy.prefill_ms_per_token == old.policy.prefill_ms_per_token > 0
+    assert server_views(new.policy, new.now_ms) == server_views(old.policy, old.now_ms)
     assert {new.read(f"c{session}", session=session) == home for session, home in homes.items()} == {True}
 
 
@@ -62,6 +62,6 @@
 )  # fmt: skip
 def test_what_is_not_known_here_changes_nothing(part: dict[str, list[list[object]]]) -> None:
     world = World()
-    before = view(world.policy, world.now_ms)
-    learned.take(world.policy, part)
-    assert view(world.policy, world.now_ms) == before and not world.policy.homes
+    before = server_views(world.policy, world.now_ms)
+    snapshot.load(world.policy, part)
+    assert server_views(world.policy, world.now_ms) == before and not world.policy.affinities
--- a/tests/crowstand/test_writers_memory.py
+++ b/tests/crowstand/test_writers_memory.py
@@ -11,8 +11,8 @@
 from tests.world import FLEET, SAFE, World, entry, finals, sends
 
 MEMORY = 100_000.0
-KINDS = (i.ServerKind(i.Role.READER, MEMORY), i.ServerKind(i.Role.WRITER, MEMORY))
-WORTHY = i.RequestClass(1000, 5000, i.Effect.UNSAFE, worth=3, token_aim_ms=50)
+KINDS = (i.ServerKind(i.Role.PREFILL, MEMORY), i.ServerKind(i.Role.DECODE, MEMORY))
+WORTHY = i.RequestClass(1000, 5000, i.Effect.UNSAFE, worth=3, target_token_ms=50)
 LOPSIDED = (entry("r0", 0, 0), entry("w0", 1, 0), *(entry(f"w{n}", 1, 1) for n in range(1, 5)))
 BIG = {"prompt_tokens": 9_000, "max_output_tokens": 2_000}  # 10,000 tokens under way at its writer
 
@@ -38,9 +38,9 @@
     w.request("q", **BIG, class_index=1)
     for n in range(4):
         near = w.policy.servers[f"w{n}"].entry.cell == w.policy.servers[w.at["q"]].entry.cell
-        w.policy.servers[f"w{n}"].tokens = (1.1 if near else 0.8) * MEMORY
+        w.policy.servers[f"w{n}"].pending_tokens = (1.1 if near else 0.8) * MEMORY
     reader = w.policy.servers[w.at["q"]]
-    w.outcome("q", i.Status.READ)
+    w.outcome("q", i.Status.PREFILLED)
     assert w.policy.servers[w.at["q"]].entry.cell != reader.entry.cell
 
 
@@ -48,8 +48,8 @@
     w = world()
     w.request("q", **BIG, class_index=1)
     for n in range(4):
-        w.policy.servers[f"w{n}"].tokens = 2 * MEMORY
-    assert sends(w.outcome("q", i.Status.READ))
+        w.policy.servers[f"w{n}"].pending_tokens = 2 * MEMORY
+    assert sends(w.outcome("q", i.Status.PREFILLED))
 
 
 def test_the_less_worthy_are_turned_away_first_when_writers_are_short_of_memory() -> None:
@@ -58,21 +58,21 @@
     held: dict[int, int] = {}
     for share in range(80, 121, 2):
         for n in range(4):
-            w.policy.servers[f"w{n}"].tokens = share / 100 * MEMORY
+            w.policy.servers[f"w{n}"].pending_tokens = share / 100 * MEMORY
         for index in (0, 1):
             if finals(w.request(f"{share}.{index}", class_index=index)):
                 held.setdefault(index, share)
             w.give(i.ClientGone(f"{share}.{index}"))
             w.policy.jobs.clear()
             for server in w.policy.servers.values():
-                server.out.clear()
+                server.in_flight.clear()
     assert 90 <= held[0] < held[1] <= 110
 
 
 def test_nobody_is_turned_away_for_a_memory_that_is_not_told() -> None:
     w = World(classes=(SAFE, WORTHY), routers=1)
     for n in range(4):
-        w.policy.servers[f"w{n}"].tokens = 100 * MEMORY
+        w.policy.servers[f"w{n}"].pending_tokens = 100 * MEMORY
     assert sends(w.request("q", **BIG))
 
 
@@ -96,7 +96,7 @@
 def test_a_cell_whose_writer_is_behind_is_left() -> None:
     w = World(LOPSIDED, kinds=KINDS, classes=(SAFE, WORTHY), routers=1)
     w.policy.servers["w0"].delay.add(w.now_ms, 3_000)
-    w.policy.servers["w0"].tokens = 20_000
+    w.policy.servers["w0"].pending_tokens = 20_000
     assert {streaming(w, f"q{n}") for n in range(6)} & {"w1", "w2", "w3", "w4"}
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -100,4 +100,4 @@
 def test_every_module_that_chooses_is_named_among_the_decisions() -> None:
     named = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
     loaded = {f"crowstand/{cls.__module__.split('.')[-1]}.py" for cls in Policy.__mro__ if cls is not object}
-    assert loaded - {"crowstand/evidence.py"} == set(named)  # what is learned is no choice
+    assert loaded - {"crowstand/estimates.py"} == set(named)  # what is learned is no choice
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -18,7 +18,7 @@
     assert world.at["b"] == home and cancelled(world.wait(1500))
     other = sends(world.outcome("b", i.Status.CANCELLED))[0]
     assert other != home
-    world.outcome("b", i.Status.READ)
+    world.outcome("b", i.Status.PREFILLED)
     assert world.serve("c", session=1) == other
 
 
@@ -56,7 +56,7 @@
         world.end(f"b{number}")
         world.request(f"c{number}", session=1000, prefix=5, class_index=1)
         assert world.at[f"c{number}"] == home
-        world.outcome(f"c{number}", i.Status.READ)
+        world.outcome(f"c{number}", i.Status.PREFILLED)
         world.end(f"c{number}")
     refused = used(world, "d", 30, prefix=5, class_index=0).count(home)
     others = used(world, "e", 30, prefix=5, class_index=1).count(home)
@@ -82,7 +82,7 @@
     for number in range(4):  # the other tenant's answers tell that it isn't the server
         world.request(f"b{number}", session=1000, prefix=5, tenant=1)
         if world.at[f"b{number}"] == home:
-            world.outcome(f"b{number}", i.Status.READ, latency_ms=0)
+            world.outcome(f"b{number}", i.Status.PREFILLED, latency_ms=0)
         world.end(f"b{number}")
         world.request(f"c{number}", session=1000, prefix=5, tenant=0)
         if world.at[f"c{number}"] == home:
@@ -106,11 +106,11 @@
     before = used(world, "a", 60, prefix=5)
     home = before[0]
     world.request("b", session=1000, prefix=5)
-    world.outcome("b", i.Status.READ, latency_ms=50)
+    world.outcome("b", i.Status.PREFILLED, latency_ms=50)
     for name in ("c", "d"):
         world.request(name, session=1000, prefix=5)
         if world.at[name] == home:
-            world.outcome(name, i.Status.READ, latency_ms=600)
+            world.outcome(name, i.Status.PREFILLED, latency_ms=600)
     after = used(world, "e", 60, prefix=5)
     assert after.count(home) < before.count(home) / 2
 
@@ -146,7 +146,7 @@
     for number in range(60):  # every read takes 600 ms, more than the least patience
         world.request(f"a{number}", session=number % 8)
         world.now_ms += 600
-        world.outcome(f"a{number}", i.Status.READ, latency_ms=600)
+        world.outcome(f"a{number}", i.Status.PREFILLED, latency_ms=600)
         world.first(f"a{number}")
         world.outcome(f"a{number}", i.Status.OK, over=True)
     world.request("z", session=3)
@@ -184,7 +184,7 @@
     for number in range(40):
         world.request(f"jam{number}", session=1000 + number)
         if f"jam{number}" in world.at:
-            world.outcome(f"jam{number}", i.Status.READ, latency_ms=50 if number < 8 else 3000)
+            world.outcome(f"jam{number}", i.Status.PREFILLED, latency_ms=50 if number < 8 else 3000)
             world.end(f"jam{number}")
 
 
@@ -203,7 +203,7 @@
     world.serve("warm-up", session=1, tenant=1)
     for number in range(3):  # a wait of about 700 ms where 1000 are wanted
         world.request(f"slow{number}", session=1, tenant=1)
-        world.outcome(f"slow{number}", i.Status.READ, latency_ms=760)
+        world.outcome(f"slow{number}", i.Status.PREFILLED, latency_ms=760)
         world.end(f"slow{number}")
     assert sends(world.request("dear", session=2, tenant=1))
     assert finals(world.request("cheap", session=3, tenant=1, class_index=1))
@@ -253,10 +253,10 @@
     world = World()
     for number, latency_ms in enumerate((2000, 60, 60)):  # the first one met a queue
         world.request(f"a{number}", session=number, prefix=5)
-        world.outcome(f"a{number}", i.Status.READ, latency_ms=latency_ms)
+        world.outcome(f"a{number}", i.Status.PREFILLED, latency_ms=latency_ms)
         world.first(f"a{number}")
         world.outcome(f"a{number}", i.Status.OK, over=True)
-    assert world.policy.read_pace < 0.1
+    assert world.policy.prefill_ms_per_token < 0.1
 
 
 def test_a_tenant_keeps_its_part_of_what_comes_while_peers_are_down() -> None:
@@ -279,12 +279,12 @@
     world = World()
     for number in range(8):
         world.serve(f"a{number}", session=number)
-    before = world.policy.read_pace
+    before = world.policy.prefill_ms_per_token
     for number in range(10):
         world.request(f"b{number}", session=100 + number)
-        world.outcome(f"b{number}", i.Status.READ, latency_ms=1000, note=1000)  # nothing was left to read
+        world.outcome(f"b{number}", i.Status.PREFILLED, latency_ms=1000, note=1000)  # all was cached
         world.end(f"b{number}")
-    assert world.policy.read_pace < 1.5 * before
+    assert world.policy.prefill_ms_per_token < 1.5 * before
 
 
 def test_a_slow_link_out_of_a_cell_says_nothing_of_fetches_within_it() -> None:
@@ -311,9 +311,9 @@
             world.serve(f"a{day}-{number}", session=100 * day + number, prefix=1000 * day + number)
         world.wait(70_000)
         policy = world.policy
-        kept = len(policy.servers) + len(policy.homes) + len(policy.jobs) + len(policy.rankings)
-        kept += len(policy.fetch_delays) + len(policy.leave)
-        sizes.append(kept + sum(len(each.prefixes) for each in policy.servers.values()))
+        kept = len(policy.servers) + len(policy.affinities) + len(policy.jobs) + len(policy.rankings)
+        kept += len(policy.fetch_delays) + len(policy.spill_chance)
+        sizes.append(kept + sum(len(each.cached_prefixes) for each in policy.servers.values()))
     assert max(sizes) < 1.5 * sizes[0]
 
 
@@ -387,11 +387,11 @@
 
 def test_servers_that_no_connection_reaches_get_nothing_unless_there_are_no_others() -> None:
     world = World()
-    world.give(i.Silent(frozenset({"r0", "r1", "w0", "w1"})))
+    world.give(i.Unreachable(frozenset({"r0", "r1", "w0", "w1"})))
     for number in range(20):
         assert world.read(f"a{number}", session=number) in ("r2", "r3")
         assert world.at[f"a{number}"] in ("w2", "w3")
-    world.give(i.Silent(frozenset({"r0", "r1", "r2", "r3"})))
+    world.give(i.Unreachable(frozenset({"r0", "r1", "r2", "r3"})))
     assert world.read("b", session=99) in ("r0", "r1", "r2", "r3")
-    world.give(i.Silent(frozenset()))
+    world.give(i.Unreachable(frozenset()))
     assert {world.read(f"c{number}", session=100 + number) for number in range(20)} > {"r2"}
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -24,7 +24,7 @@
     home = world.serve("a", session=7)
     other = next(key for key in range(1, 100) if World().serve("x", session=1, prefix=key) != home)
     world.wait(67_000)
-    assert not world.policy.homes  # the reaper has been
+    assert not world.policy.affinities  # the reaper has been
     assert world.serve("b", session=7, prefix=other) != home
 
 
@@ -70,7 +70,7 @@
         world = World(seed=seed)
         assert len(sends(world.request("a", session=1))) == 1
         reader = world.at["a"]
-        world.outcome("a", i.Status.READ)
+        world.outcome("a", i.Status.PREFILLED)
         near += world.at["a"] in (("w0", "w1") if reader in ("r0", "r1") else ("w2", "w3"))
     assert near == 50  # nobody is loaded, so the far writer is never clearly lighter
 
@@ -92,12 +92,12 @@
     world = World(fleet)
     for name, hint_ms in (("a", None), ("b", 500.0)):
         world.read(name, session=1, hint_ms=hint_ms)
-    assert world.policy.servers["w"].tokens == (1000 + 200) + (1000 + 10)
+    assert world.policy.servers["w"].pending_tokens == (1000 + 200) + (1000 + 10)
     world.first("a")
     world.outcome("a", i.Status.OK, over=True)
     world.give(i.ClientGone("b"))
     world.outcome("b", i.Status.CANCELLED)
-    assert all(server.tokens == 0 for server in world.policy.servers.values())
+    assert all(server.pending_tokens == 0 for server in world.policy.servers.values())
     assert not world.policy.jobs
 
 
@@ -130,7 +130,7 @@
 
 def test_a_writer_that_reads_serves_where_there_is_no_reader() -> None:
     alone = (entry("w", WRITER),)
-    assert sends(World(alone, writers_read=True).request("a", session=1)) == ["w"]
+    assert sends(World(alone, decode_may_prefill=True).request("a", session=1)) == ["w"]
     assert isinstance(World(alone).request("a", session=1)[0], i.Refuse)
 
 
@@ -145,7 +145,7 @@
     chosen = []
     for seed in range(400):
         world = World(fleet, seed=seed)
-        world.policy.servers["w1"].credit = 1.0  # it has room, as far as the rule goes
+        world.policy.servers["w1"].start_credit = 1.0  # it has room, as far as the rule goes
         world.read("a", session=1)
         chosen.append(world.at["a"])
     share = chosen.count("w1") / len(chosen)
@@ -157,9 +157,9 @@
     start = 1_000_000.0 - 1
     fleet = tuple(replace(each, zone=0, started_ms=start * (each.server in fresh)) for each in FLEET)
     world = World(fleet)
-    leave = world.policy.leave
+    leave = world.policy.spill_chance
     assert leave["cell 0"] > 0.3 and leave["cell 1"] < 0  # 0.6 of 2.6 of the writing, half of the reading
     world.wait(5_000)
-    assert 0.1 < world.policy.leave["cell 0"] < leave["cell 0"]  # they warm
+    assert 0.1 < world.policy.spill_chance["cell 0"] < leave["cell 0"]  # they warm
     world.wait(6_000)
-    assert abs(world.policy.leave["cell 0"]) < 0.01
+    assert abs(world.policy.spill_chance["cell 0"]) < 0.01
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,15 +6,15 @@
 import pytest
 
 from crowstand import interface as i
-from crowstand.view import view
+from crowstand.view import server_views
 from tests.world import FLEET, MIXED, READER, SAFE, WRITER, World, cancelled, entry, finals, released, sends
 
 UNSAFE = replace(SAFE, effect=i.Effect.UNSAFE)
 MAY_HAVE_RUN = (i.Status.ERROR, i.Status.TIMEOUT, i.Status.RESET, i.Status.CANCELLED)
 
 
-def keyed(group: i.Group) -> i.RequestClass:
-    return replace(SAFE, effect=i.Effect.KEYED, group=group, window_ms=2000)
+def keyed(group: i.DedupScope) -> i.RequestClass:
+    return replace(SAFE, effect=i.Effect.KEYED, dedup_scope=group, dedup_window_ms=2000)
 
 
 # 1. Exactly one final answer, in time.
@@ -91,8 +91,8 @@
     assert len(sends(world.outcome("a", i.Status.ERROR))) == 1
 
 
-@pytest.mark.parametrize("group", [i.Group.ZONE, i.Group.CELL])
-def test_keyed_repeat_stays_in_its_group(group: i.Group) -> None:
+@pytest.mark.parametrize("group", [i.DedupScope.ZONE, i.DedupScope.CELL])
+def test_keyed_repeat_stays_in_its_group(group: i.DedupScope) -> None:
     fleet = (entry("m0", MIXED, 0), entry("m1", MIXED, 0), entry("m2", MIXED, 1), entry("m3", MIXED, 1))
     for session in range(20):
         world = World(fleet, classes=(keyed(group),))
@@ -102,7 +102,7 @@
 
 
 def test_keyed_repeat_ends_with_the_window_and_refusal_only_for_group_all() -> None:
-    for group, answer in ((i.Group.ALL, i.Refuse("a", 250)), (i.Group.ZONE, i.Fail("a"))):
+    for group, answer in ((i.DedupScope.ALL, i.Refuse("a", 250)), (i.DedupScope.ZONE, i.Fail("a"))):
         world = World((entry("m0", MIXED), entry("m1", MIXED)), classes=(keyed(group),))
         world.request("a", session=1)
         world.now_ms += 2000
@@ -147,7 +147,7 @@
 
 
 def test_asked_list_is_subscribed_at_start_and_again_after_a_failure() -> None:
-    world = World(membership=i.Membership.ASK)
+    world = World(membership=i.MembershipMode.ASK)
     assert i.Subscribe() in world.last
     world.give(i.Members(i.ListForm.FAILED))
     assert i.Subscribe() in world.wait(2500)
@@ -247,13 +247,13 @@
     world = World()
     world.request("a", session=1)
     world.give(i.ClientGone("a"))
-    assert released(world.outcome("a", i.Status.READ, over=True))
+    assert released(world.outcome("a", i.Status.PREFILLED, over=True))
 
 
 def test_state_is_released_when_no_writer_is_left() -> None:
     world = World((entry("r", READER), entry("w", WRITER, availability=i.Availability.DRAINING)))
     world.request("a", session=1)
-    done = world.outcome("a", i.Status.READ)
+    done = world.outcome("a", i.Status.PREFILLED)
     assert released(done) and len(finals(done)) == 1
 
 
@@ -273,7 +273,7 @@
     world = World()
     world.read("a", session=1)
     assert sends(world.outcome("a", i.Status.FULL, note=1))[0].startswith("r")
-    world.outcome("a", i.Status.READ)
+    world.outcome("a", i.Status.PREFILLED)
     world.first("a")
     assert not released(world.outcome("a", i.Status.OK, over=True))
 
@@ -324,14 +324,14 @@
 @pytest.mark.parametrize("form", [i.ListForm.CHANGES, i.ListForm.FULL])
 def test_no_list_lifts_what_was_left_out_by_hand(form: i.ListForm) -> None:
     world = World()
-    world.give(i.ByHand("w0", True))
+    world.give(i.OperatorOverride("w0", True))
     world.give(i.Members(form, 2, FLEET))
     restarted = tuple(replace(each, started_ms=world.now_ms) for each in FLEET if each.server == "w0")
     world.give(i.Members(i.ListForm.CHANGES, 3, restarted))
     for number in range(40):
         world.read(f"a{number}", session=number)
         assert world.at[f"a{number}"] != "w0"
-    seen = {each.server: each for each in view(world.policy, world.now_ms)}
+    seen = {each.server: each for each in server_views(world.policy, world.now_ms)}
     assert seen["w0"].avoided and seen["w0"].availability == i.Availability.DRAINING
 
 
@@ -342,11 +342,11 @@
         world.read(f"a{number}", session=number)
         if world.at[f"a{number}"] == "w0":
             world.outcome(f"a{number}", i.Status.RESET)
-    world.give(i.ByHand(server, True))
+    world.give(i.OperatorOverride(server, True))
     world.wait(500)
-    world.give(i.ByHand(server, False))
-    seen = {each.server: each for each in view(world.policy, world.now_ms)}[server]
-    assert (seen.doubt, seen.avoided) == (0.0, False) and seen.warmth == pytest.approx(0.3)
+    world.give(i.OperatorOverride(server, False))
+    seen = {each.server: each for each in server_views(world.policy, world.now_ms)}[server]
+    assert (seen.failure_probability, seen.avoided) == (0.0, False) and seen.warmth == pytest.approx(0.3)
     used = []
     for number in range(10):
         reader = world.read(f"b{number}", session=100 + number)
@@ -363,10 +363,10 @@
     world.first("begun")
     world.request("reading")
     world.read("writing", class_index=1)
-    last = world.give(i.LastCall())
+    last = world.give(i.Shutdown())
     refused = [action for action in last if isinstance(action, i.Refuse)]
-    assert [each.request for each in refused] == ["reading"] and refused[0].come_back_ms
+    assert [each.request for each in refused] == ["reading"] and refused[0].retry_after_ms
     assert [action.request for action in last if isinstance(action, i.Fail)] == ["writing"]  # it may have run
-    world.outcome("reading", i.Status.READ, over=True)
+    world.outcome("reading", i.Status.PREFILLED, over=True)
     assert released(world.last)
-    assert world.give(i.LastCall()) == []
+    assert world.give(i.Shutdown()) == []
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -19,10 +19,10 @@
         if world.at[name] in gone:
             refused += 1
             reach.refused(world.at[name], world.now_ms)
-            world.give(i.Silent(reach.silences(world.now_ms)))
+            world.give(i.Unreachable(reach.silences(world.now_ms)))
             world.outcome(name, i.Status.CONNECT_FAILED, latency_ms=1)
         elif world.at[name][0] == "r":
-            world.outcome(name, i.Status.READ)
+            world.outcome(name, i.Status.PREFILLED)
         else:
             world.first(name)
             world.outcome(name, i.Status.OK, over=True)
@@ -41,7 +41,7 @@
         reach.listed((each.server, each.zone) for each in listed)
         for number in range(40):
             world.wait(500)
-            world.give(i.Silent(reach.silences(world.now_ms)))
+            world.give(i.Unreachable(reach.silences(world.now_ms)))
             world.request(f"a{number}", session=number)
             refused = refusals(world, reach, f"a{number}", names)
             later += refused * (number >= 20)
@@ -72,7 +72,7 @@
                 sent[world.at[name], number // 2] += 1
                 bad = world.at[name] == "n3"
                 failed += bad and number >= 20
-                world.outcome(name, i.Status.ERROR if bad else i.Status.READ)
+                world.outcome(name, i.Status.ERROR if bad else i.Status.PREFILLED)
             if not finals(world.last):
                 world.first(name)
                 world.outcome(name, i.Status.OK, over=True)
--- a/tests/wire/queued.py
+++ b/tests/wire/queued.py
@@ -32,7 +32,7 @@
 
 SETTINGS = i.Settings(
     classes=(i.RequestClass(1200, 5000, i.Effect.SAFE), i.RequestClass(2500, 5000, i.Effect.UNSAFE)),
-    kinds=(i.ServerKind(i.Role.READER), i.ServerKind(i.Role.WRITER)),
+    kinds=(i.ServerKind(i.Role.PREFILL), i.ServerKind(i.Role.DECODE)),
     max_attempts=3,
     may_cancel=True,
 )
@@ -78,7 +78,7 @@
         self.port, metrics, servers = Port(), Metrics(), ServerList(SETTINGS.kinds)
         self.conductor = Conductor(SETTINGS, 1, Clock(), servers, metrics, self.port)
         fleet = (i.ServerEntry("r", 0, 0, 0, UP), i.ServerEntry("w", 0, 1, 0, UP))
-        self.conductor.members(i.Members(i.ListForm.KEPT, 1, fleet), {"r": "a:1", "w": "a:2"})
+        self.conductor.members(i.Members(i.ListForm.PERSISTED, 1, fleet), {"r": "a:1", "w": "a:2"})
         self.queue = Queue(QueueConfig(**{"path": str(file)} | told))
         self.queue.start()
         self.state, self.figures = State.CUT_OFF, Figures(CollectorRegistry())
@@ -133,7 +133,7 @@
     async def serve(self, attempt: Attempt, *texts: str) -> None:
         """The stand-ins: read at the reader, answered by the writer."""
         if attempt.reads:
-            self.conductor.outcome(attempt, i.Status.READ)
+            self.conductor.outcome(attempt, i.Status.PREFILLED)
             attempt = self.port.sent[-1]
         assert self.conductor.first(attempt)
         for text in texts:
--- a/tests/wire/test_abandoned.py
+++ b/tests/wire/test_abandoned.py
@@ -32,7 +32,7 @@
 
     def __init__(self, tasks: Any) -> None:
         clock, metrics = Clock(), Metrics()
-        servers = ServerList((i.ServerKind(i.Role.WRITER),))
+        servers = ServerList((i.ServerKind(i.Role.DECODE),))
         entry = i.ServerEntry(SERVER, 0, 0, 0, i.Availability.UP)
         servers.apply(i.Members(i.ListForm.FULL, 1, (entry,)), {SERVER: ADDRESS})
         self.upstream = Upstream(tasks, servers, NAMES, 8, 500.0, 0, clock, metrics)
--- a/tests/wire/test_chat_queue.py
+++ b/tests/wire/test_chat_queue.py
@@ -141,7 +141,7 @@
         await process.queue.adopt(1)
         _, _, told = await process.post("book", **ASYNC)
         ends = await process.replay(told["id"], 1)
-        process.conductor.outcome(process.port.sent[0], i.Status.READ)
+        process.conductor.outcome(process.port.sent[0], i.Status.PREFILLED)
         process.conductor.outcome(process.port.sent[1], i.Status.RESET)  # written to the writer, then nothing
         assert [end.ran for end in ends] == [True]
         _, _, told = await process.post("book", **ASYNC)
--- a/tests/wire/test_discovery.py
+++ b/tests/wire/test_discovery.py
@@ -30,7 +30,7 @@
 class Told:
     """A conductor that keeps what it is told of the list."""
 
-    def __init__(self, membership: i.Membership) -> None:
+    def __init__(self, membership: i.MembershipMode) -> None:
         settings = SimpleNamespace(membership=membership, routers=TIER)
         self.desk = SimpleNamespace(settings=settings, servers=SimpleNamespace(version=7))
         self.news, self.lists = anyio.Event(), list[i.Members]()
@@ -60,7 +60,7 @@
 
 
 @asynccontextmanager
-async def watched(agent: StandIn, membership: i.Membership) -> AsyncIterator[Told]:
+async def watched(agent: StandIn, membership: i.MembershipMode) -> AsyncIterator[Told]:
     told = Told(membership)
     discovery = Discovery(agent.address, NAMES, told, random.Random(5))  # type: ignore[arg-type]
     async with anyio.create_task_group() as tasks:
@@ -75,7 +75,7 @@
     """Each line was taken for an object: an indented list was malformed, and asked for anew for ever."""
 
     async def run() -> None:
-        async with watched(agent, i.Membership.PUSH) as told:
+        async with watched(agent, i.MembershipMode.PUSH) as told:
             call = (await next_call(agent)).begin()
             for index, status in ((8, "active"), (9, "leaving")):
                 text = json.dumps(listing(index, status), indent=indent) + "\n\n"
@@ -99,7 +99,7 @@
     monkeypatch.setattr(log, "warning", lambda _, **told: waits.append(told["again_s"]))
 
     async def run() -> None:
-        async with watched(agent, i.Membership.PUSH) as told:
+        async with watched(agent, i.MembershipMode.PUSH) as told:
             silent = [await next_call(agent) for _ in range(6)]  # accepted, and never spoken on
             call = (await next_call(agent)).begin().chunk(json.dumps(listing(8, "leaving")) + "\n")
             await told.has(8)
@@ -131,7 +131,7 @@
     monkeypatch.setattr(log, "info", noted)
 
     async def run() -> None:
-        async with watched(agent, i.Membership.ASK) as told:
+        async with watched(agent, i.MembershipMode.ASK) as told:
             for _ in range(5):
                 (await next_call(agent)).answer(503)
             watch = (await next_call(agent)).begin().chunk(json.dumps(listing(9)) + "\n")
--- a/tests/world.py
+++ b/tests/world.py
@@ -9,10 +9,10 @@
 from crowstand.policy import Policy
 
 READER, WRITER, MIXED = 0, 1, 2
-SAFE = i.RequestClass(1000, 5000, i.Effect.SAFE, token_aim_ms=50)
+SAFE = i.RequestClass(1000, 5000, i.Effect.SAFE, target_token_ms=50)
 SETTINGS = i.Settings(
     classes=(SAFE,),
-    kinds=(i.ServerKind(i.Role.READER), i.ServerKind(i.Role.WRITER), i.ServerKind(i.Role.MIXED)),
+    kinds=(i.ServerKind(i.Role.PREFILL), i.ServerKind(i.Role.DECODE), i.ServerKind(i.Role.MIXED)),
     routers=2,
     may_cancel=True,
     retry_after=True,
@@ -26,7 +26,7 @@
     warm_after_ms=10_000,
     fall_multiple=4,
     overload_for_ms=1000,
-    let_go_by_ms=300,
+    release_within_ms=300,
     over_share_worth=0.1,
 )
 
@@ -52,7 +52,7 @@
         self.at: dict[str, str] = {}
         self.timers: list[i.SetTimer] = []
         self.last: list[i.Action] = []
-        self.give(i.Members(i.ListForm.KEPT, 1, fleet))
+        self.give(i.Members(i.ListForm.PERSISTED, 1, fleet))
 
     def give(self, event: i.Event) -> list[i.Action]:
         self.last = self.policy.handle(self.now_ms, event)
@@ -79,7 +79,7 @@
         """Let a request be read, so that it goes to a writer; give the reader's name."""
         self.request(name, **fields)
         reader = self.at[name]
-        self.outcome(name, i.Status.READ)
+        self.outcome(name, i.Status.PREFILLED)
         return reader
 
     def serve(self, name: str, **fields: Any) -> str:
