--- a/ringledge/decide/watch_clock.py
+++ b/ringledge/decide/watch_clock.py
@@ -57,7 +57,7 @@
         """The watch is given up at its deadline; whether under a line that still came in pieces."""
         slow = self._line_begun and now_s - self._byte_s < self._silence_s
         if slow:
-            pass
+            self._slow_lines += 1
         return slow
 
     def moved(self) -> None:
