--- a/tests/wire/test_discovery.py
+++ b/tests/wire/test_discovery.py
@@ -169,8 +169,10 @@
         over = threading.Event()
         async with watched(agent, i.Membership.PUSH) as told, anyio.create_task_group() as tasks:
             tasks.start_soon(anyio.to_thread.run_sync, play, over)
-            await told.has(8)
-            over.set()
+            try:
+                await told.has(8)
+            finally:
+                over.set()
 
     anyio.run(run)
     for call in calls:
