Split the front and the HTTP module by concern, without a change of behaviour

Now: front.py admits connections, open_connections.py keeps them (at work, at rest, which gives way, how they are closed), request_loop.py reads and answers requests, closing.py closes one whose peer may still send; connection.py (h11 on a socket) stands on socket_reader.py (the reading half), with errors, headers, messages, sockets and budget beside it.

--- a/ringledge/decide/watch_clock.py
+++ b/ringledge/decide/watch_clock.py
@@ -63,5 +63,3 @@
     def moved(self) -> None:
         """Discovery is elsewhere: what was slow there says nothing of it."""
         self._slow_lines = 0
-
-
--- a/ringledge/lifecycle/fronts.py
+++ b/ringledge/lifecycle/fronts.py
@@ -13,8 +13,11 @@
 from ringledge.lifecycle.config import Config
 from ringledge.observe.metrics import Metrics
 from ringledge.wire import operator
-from ringledge.wire.front import ErrorBody, Front, Handler, Refused
-from ringledge.wire.http import Budget, Connection, listen
+from ringledge.wire.budget import Budget
+from ringledge.wire.connection import Connection
+from ringledge.wire.front import Front
+from ringledge.wire.request_loop import ErrorBody, Handler, Refused
+from ringledge.wire.sockets import listen
 
 if TYPE_CHECKING:
     from ringledge.decide.doors import Doors
@@ -87,7 +90,7 @@
             request_s=operator.CALL_S,
             at_once=1,  # each is read before the next comes: half calls are known and make room
         )
-        front.end_with_answers(True)  # one call to a connection
+        front.connections.end_with_answers(True)  # one call to a connection
         self.operators.append((front, self._listen(address)))
 
     def _listen(self, address: str) -> socket.socket:
@@ -117,7 +120,7 @@
     def drain(self) -> None:
         """Close what rests, and read no further request behind an answer."""
         for front, _ in self.clients:
-            front.drain()
+            front.connections.drain()
 
     def listening(self) -> dict[str, str]:
         """The address of each front by its name."""
@@ -128,7 +131,7 @@
         """Divide the limits among the processes that there are of this conductor."""
         self._budget.limit = self._bodies / processes
         for front in self._crowds:
-            front.shrink(self._for_clients(processes))
+            front.connections.shrink(self._for_clients(processes))
 
     def leave(self, addresses: set[str]) -> None:
         """A successor serves at those."""
--- a/ringledge/wire/answers.py
+++ b/ringledge/wire/answers.py
@@ -10,7 +10,7 @@
 
 from crowstand import interface as i
 from crowstand.wirehost import LOAD
-from ringledge.wire.http import Connection
+from ringledge.wire.connection import Connection
 
 MAX_CHUNK = 64 * 1024  # bytes of a chunk, and of an opening without an event: events are far shorter
 MAX_INTERIM = 8  # answers of 1xx taken before the real one
--- /dev/null
+++ b/ringledge/wire/budget.py
@@ -0,0 +1,10 @@
+"""The memory that bodies of requests may take."""
+
+from __future__ import annotations
+
+
+class Budget:
+    """Bytes of requests that all fronts may hold at once."""
+
+    def __init__(self, limit: float) -> None:
+        self.limit, self.used = limit, 0
--- a/ringledge/wire/chat/answer.py
+++ b/ringledge/wire/chat/answer.py
@@ -9,7 +9,7 @@
 
 from ringledge.memory.sessions import End, Session
 from ringledge.observe.logging import log
-from ringledge.wire.http import MAX_BODY
+from ringledge.wire.messages import MAX_BODY
 
 MOST_ANSWER = 4 * MAX_BODY  # bytes kept of a question and its answer: twice what the protocol lets them have
 
--- a/ringledge/wire/chat/front.py
+++ b/ringledge/wire/chat/front.py
@@ -25,7 +25,10 @@
 from ringledge.wire.chat.replies import Replies
 from ringledge.wire.chat_settings import ChatConfig
 from ringledge.wire.client import converse
-from ringledge.wire.http import MAX_BODY, Connection, HttpError, header, only, read_body, respond
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError
+from ringledge.wire.headers import header
+from ringledge.wire.messages import MAX_BODY, only, read_body, respond
 from ringledge.wire.platform import shed
 
 if TYPE_CHECKING:
--- a/ringledge/wire/chat/question.py
+++ b/ringledge/wire/chat/question.py
@@ -12,7 +12,8 @@
 from crowstand import interface as i
 from ringledge.memory.names import Names
 from ringledge.wire.chat_settings import ChatConfig
-from ringledge.wire.http import HttpError, header
+from ringledge.wire.errors import HttpError
+from ringledge.wire.headers import header
 
 
 def read_question(body: bytes) -> dict[str, Any]:
--- a/ringledge/wire/chat/queued.py
+++ b/ringledge/wire/chat/queued.py
@@ -22,7 +22,10 @@
 from ringledge.store.entry import State as Stands
 from ringledge.store.figures import Figures
 from ringledge.store.queue import Queue
-from ringledge.wire.http import Connection, Headers, HttpError, header, read_body, respond
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError
+from ringledge.wire.headers import Headers, header
+from ringledge.wire.messages import read_body, respond
 
 PLACE = b"/v1/queue/"
 LOOK_AGAIN = (b"Retry-After", b"2")  # s: for who looks whether the answer is there
--- a/ringledge/wire/chat/replaying.py
+++ b/ringledge/wire/chat/replaying.py
@@ -22,7 +22,7 @@
 from ringledge.wire.chat.question import class_and_request
 from ringledge.wire.chat.replies import whole_answer
 from ringledge.wire.chat_settings import ChatConfig
-from ringledge.wire.http import HttpError
+from ringledge.wire.errors import HttpError
 
 
 class _Run(Answer):
--- a/ringledge/wire/chat/replies.py
+++ b/ringledge/wire/chat/replies.py
@@ -12,7 +12,9 @@
 from ringledge.memory.names import Names
 from ringledge.memory.sessions import End, Session
 from ringledge.wire.client import STREAM_HEAD
-from ringledge.wire.http import Connection, HttpError, respond
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError
+from ringledge.wire.messages import respond
 from ringledge.wire.platform import retry_after
 
 RESUMES = 2  # times that a broken answer goes on by itself for a client that waits for the whole
--- a/ringledge/wire/client.py
+++ b/ringledge/wire/client.py
@@ -8,7 +8,7 @@
 import anyio
 import h11
 
-from ringledge.wire.http import Connection
+from ringledge.wire.connection import Connection
 
 if TYPE_CHECKING:
     from ringledge.memory.held import Held
--- /dev/null
+++ b/ringledge/wire/connection.py
@@ -0,0 +1,137 @@
+"""HTTP/1.1 on one plain socket: h11 parses, the socket is awaited through anyio."""
+
+from __future__ import annotations
+
+import math
+import socket
+from typing import TYPE_CHECKING
+
+import anyio
+import h11
+
+from ringledge.wire.budget import Budget
+from ringledge.wire.errors import HttpError
+from ringledge.wire.headers import Headers, closing, keeping
+from ringledge.wire.socket_reader import SocketReader
+
+if TYPE_CHECKING:
+    from ringledge.decide.doors import Entry
+
+MAX_HEAD = 32 * 1024  # bytes of a head that h11 may collect
+STALL_S = 20.0  # a peer that takes nothing for so long has gone
+
+
+class Connection(SocketReader):
+    """One socket, its buffer and its h11 state."""
+
+    def __init__(self, sock: socket.socket, our_role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
+        super().__init__(sock)
+        self.h11 = h11.Connection(our_role, max_incomplete_event_size=MAX_HEAD)
+        self.read_by = math.inf  # when what it is sending now must have come
+        self.idle_since = 0.0  # the pool's note
+        self.kept = False  # the pool's: it has carried an exchange before
+        self.entry: Entry | None = None  # the front's: what the doors said of it
+        self.keep_alive = b""  # the front's: what answers tell of how long it may rest
+        self.asked = False  # the front's: it has brought a request
+        self.let_in = False  # the front's: the gate has let in the request that is read now
+        self.last = False  # the front's: it ends with its next answer, and the answer says so
+        self.paused = False  # the front's: nothing is read from it for a while
+        self.budget: Budget | None = None  # the front's: what bodies may take of the memory
+        self._held = 0
+        self._stuck = False  # somebody waits until the peer takes more
+
+    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+        """The next thing that the peer says; ConnectionClosed and protocol errors are h11's."""
+        while True:
+            event = self.h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            if self.h11.they_are_waiting_for_100_continue:
+                await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+            if len(self.buffer) or await self.fill():
+                self.h11.receive_data(self.buffer.take())
+            else:
+                self.ended = True
+                self.h11.receive_data(b"")
+
+    def event_now(self) -> h11.Event | type[h11.PAUSED] | None:
+        """The next thing that the peer has said already, if its end has come: no scope, no wait."""
+        event = self.h11.next_event()
+        if event is h11.NEED_DATA and len(self.buffer):
+            self.h11.receive_data(self.buffer.take())
+            event = self.h11.next_event()
+        return None if event is h11.NEED_DATA else event  # type: ignore[return-value]
+
+    def pending(self) -> bool:
+        """Whether bytes have been read that belong to no message yet."""
+        return len(self.buffer) > 0 or len(self.h11.trailing_data[0]) > 0
+
+    def rest(self) -> None:
+        """Have whoever waits on a connection without anything begun put it to rest."""
+        if self._waiter is not None and not self._waiter.done() and not self.pending():
+            self._resting = True
+            self._waiter.set_result(None)
+
+    async def send(self, *events: h11.Event) -> None:
+        """Say something, to its last byte."""
+        await self.write(self.say(*events))
+
+    def say(self, *events: h11.Event) -> bytes:
+        """The bytes of what is to be said."""
+        if self.last:
+            events = tuple(map(closing, events))
+        elif self.keep_alive:
+            events = tuple(keeping(event, self.keep_alive) for event in events)
+        return b"".join([self.h11.send(event) or b"" for event in events])
+
+    def write_some(self, data: bytes) -> int:
+        """Write what the system takes at once; how much that was."""
+        try:
+            return self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+
+    async def write(self, data: bytes) -> None:
+        """Write all of it; returns only when the system has taken the last byte."""
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self.sock.send(view) :]
+            except (BlockingIOError, InterruptedError):
+                self._stuck = True
+                with anyio.fail_after(STALL_S):
+                    await anyio.wait_writable(self.sock)
+                self._stuck = False
+
+    def hold(self, size: int) -> None:
+        """Count more of a body against the budget; HttpError where it is used up."""
+        if self.budget is not None:
+            self._held += size
+            self.budget.used += size
+            if self.budget.used > self.budget.limit:
+                after: Headers = [(b"Retry-After", b"1")]
+                raise HttpError(503, "no memory for one more request", "overloaded", headers=after)
+
+    def release(self) -> None:
+        """Its request is over: what it held is free."""
+        if self.budget is not None:
+            self.budget.used -= self._held
+            self._held = 0
+
+    def next_cycle(self) -> bool:
+        """Make ready for another exchange, where both sides are through with this one."""
+        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
+            self.h11.start_next_cycle()
+            return True
+        return False
+
+    def close(self) -> None:
+        """Close the socket now."""
+        if not self.closed:
+            self.closed = True
+            self.deafen()
+            if self._waiter is not None and not self._waiter.done():
+                self._waiter.set_result(None)
+            if self._stuck:
+                anyio.notify_closing(self.sock)
+            self.sock.close()
--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -16,8 +16,11 @@
 from ringledge.decide.watch_clock import WatchClock
 from ringledge.lifecycle.config import Names
 from ringledge.observe.logging import log
-from ringledge.wire.http import PEER_ERRORS, Connection, connect, read_body
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import PEER_ERRORS
+from ringledge.wire.messages import read_body
 from ringledge.wire.objects import Objects
+from ringledge.wire.sockets import connect
 from ringledge.wire.upstream import Upstream
 
 AVAILABILITY = {"active": i.Availability.UP, "leaving": i.Availability.DRAINING, "left": i.Availability.GONE}
--- /dev/null
+++ b/ringledge/wire/errors.py
@@ -0,0 +1,36 @@
+"""What ends an exchange on a connection, and what a peer is told of it."""
+
+from __future__ import annotations
+
+import anyio
+import h11
+
+from ringledge.wire.headers import Headers
+
+
+class HttpError(Exception):
+    """Input that is answered with a plain status and costs nothing else."""
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        code: str = "invalid_request",
+        param: str | None = None,
+        headers: Headers | None = None,
+    ) -> None:
+        super().__init__(reason)
+        self.status, self.reason, self.code, self.param = status, reason, code, param
+        self.headers: Headers = headers or []
+
+
+class ParkingError(Exception):
+    """Nobody spoke on a connection for a while: it is put to rest."""
+
+
+class ShedError(HttpError):
+    """A request that the gate turned away, before its body was read; its connection may go on."""
+
+
+# What ends an exchange with a peer: its socket, its HTTP, or an answer past all bounds.
+PEER_ERRORS = (OSError, h11.RemoteProtocolError, anyio.ClosedResourceError, HttpError)
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -27,8 +27,11 @@
     opening_event,
     read_tail,
 )
-from ringledge.wire.http import PEER_ERRORS, Connection, header, read_body
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import PEER_ERRORS
+from ringledge.wire.headers import header
 from ringledge.wire.lines import Lines
+from ringledge.wire.messages import read_body
 from ringledge.wire.releases import Releaser
 
 STREAM_SILENCE_S = 3.0  # a begun stream without a further whole chunk for so long is broken off: it vanished
--- /dev/null
+++ b/ringledge/wire/headers.py
@@ -0,0 +1,39 @@
+"""Headers of messages: what they say, and what an answer says of its connection."""
+
+from __future__ import annotations
+
+import h11
+
+Headers = list[tuple[bytes, bytes]]
+
+
+def fields(head: h11.Request | h11.Response) -> dict[bytes, bytes]:
+    """All headers by name (in lower case), the first of each; one walk costs less than several look-ups."""
+    told: dict[bytes, bytes] = {}
+    for key, value in head.headers:
+        told.setdefault(key, value)
+    return told
+
+
+def header(head: h11.Request | h11.Response, name: bytes) -> bytes | None:
+    """The first header of that name (in lower case)."""
+    for key, value in head.headers:
+        if key == name:
+            return bytes(value)
+    return None
+
+
+def keeping(event: h11.Event, told: bytes) -> h11.Event:
+    """The head of an answer with what it tells of how long the connection may rest."""
+    if not isinstance(event, h11.Response) or header(event, b"connection"):
+        return event
+    headers = [*event.headers, (b"Keep-Alive", told)]
+    return h11.Response(status_code=event.status_code, headers=headers, reason=event.reason)
+
+
+def closing(event: h11.Event) -> h11.Event:
+    """The head of an answer as the connection's last one."""
+    if not isinstance(event, h11.Response) or header(event, b"connection"):
+        return event
+    headers = [*event.headers, (b"Connection", b"close")]
+    return h11.Response(status_code=event.status_code, headers=headers, reason=event.reason)
--- a/ringledge/wire/lines.py
+++ b/ringledge/wire/lines.py
@@ -16,7 +16,11 @@
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.answers import answer_head, load_report, reusable
-from ringledge.wire.http import PEER_ERRORS, Connection, Headers, connect, header, read_body
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import PEER_ERRORS
+from ringledge.wire.headers import Headers, header
+from ringledge.wire.messages import read_body
+from ringledge.wire.sockets import connect
 
 PROBE_S = 1.0  # a probe that takes longer tells no more than that
 
--- /dev/null
+++ b/ringledge/wire/open_connections.py
@@ -0,0 +1,158 @@
+"""The open connections of a front: at work or at rest, which of them gives way, and how they are closed."""
+
+from __future__ import annotations
+
+from itertools import islice
+from typing import TYPE_CHECKING
+
+import anyio
+import anyio.lowlevel
+import h11
+
+from ringledge.decide.room import Guest, gives_way
+from ringledge.observe.metrics import Metrics
+from ringledge.wire.connection import Connection
+from ringledge.wire.parking import Parked, Parking, Wake
+
+if TYPE_CHECKING:
+    from ringledge.decide.doors import Doors, Entry
+
+IDLE_S = 2.0  # a client's connection without an open request is closed then
+PARK_S = 0.5  # between requests until a connection is parked: a busy one keeps its task and parser
+DRAIN_AT_ONCE = 1000  # connections at rest closed at a time in a drain: some 7 ms
+LOOK_S = 0.2  # how often idle connections are looked for
+
+
+class OpenConnections:
+    """All connections of one front."""
+
+    def __init__(self, name: str, limit: int, wake: Wake, metrics: Metrics, doors: Doors | None) -> None:
+        """`wake`: called with each connection at rest on which something has come."""
+        self.name, self.limit, self._doors = name, limit, doors
+        self.parked: Parking = Parking(wake, self._rest_ended)
+        self._closed = {how: metrics.closed.labels(name, how) for how in ("idle", "other")}
+        self._gauge = metrics.client_sockets.labels(name)
+        self.active: set[Connection] = set()
+        self.resting: dict[Connection, float] = {}  # between requests and since when, longest first
+        self.reading: dict[Connection, None] = {}  # in an exchange, longest first; some lack half a request
+        self.closing = False  # each connection ends with its next answer
+        self.draining = False  # what rests is closed, and no further request read behind an answer
+        for state, count in (("active", lambda: len(self.active)), ("parked", lambda: len(self.parked))):
+            metrics.connections.labels(name, state).set_function(count)
+        metrics.woken.labels(name).set_function(lambda: self.parked.woken)
+        metrics.wheel_lag.labels(name).set_function(lambda: self.parked.lag_s)
+
+    @property
+    def open(self) -> int:
+        """How many connections there are, at rest or not."""
+        return len(self.active) + len(self.parked)
+
+    def counted(self) -> None:
+        """Their number has changed."""
+        self._gauge.set(self.open)
+
+    def full(self, come: Connection) -> bool:
+        """Whether a connection that came past the limit has no place yet, now that its request is here.
+
+        Half requests that came in the same turn had unread bytes then, so none of them could give way.
+        """
+        if self.open > self.limit:
+            self.make_room(come)
+        return self.open > self.limit
+
+    def make_room(self, come: Connection | None = None) -> None:
+        """Have one connection that is owed no answer give way; of each sort the longest so is asked about.
+
+        Not `come`, whose head has been read, though its body may not have.
+        """
+        half = (each for each in self.reading if each is not come and each.h11.their_state is not h11.DONE)
+        live = [*islice(filter(quiet, self.resting), 1), *islice(filter(quiet, half), 1)]
+        parked = self.parked.firsts()
+        guests = [Guest(each.since, each.asked, False) for each in parked]
+        guests += [Guest(self.resting.get(conn, 0.0), conn.asked, conn in self.reading) for conn in live]
+        place = gives_way(guests)
+        if place is None:
+            return
+        if place < len(parked):
+            self.parked.end(parked[place])
+        else:
+            self.close(live[place - len(parked)])
+
+    def park(self, conn: Connection, crowded: bool) -> None:
+        """Its task ends, its parser and buffer go; the socket stays."""
+        conn.deafen()
+        self._forget(conn)
+        keep_s = IDLE_S if conn.entry is None else conn.entry.keep_s
+        parked = Parked(conn.sock, anyio.current_time(), conn.asked, crowded, conn.entry)
+        self.parked.park(parked, max(0.0, keep_s - PARK_S))
+
+    def drain(self) -> None:
+        """Close what rests, and let every other connection end with its answer."""
+        self.draining = True
+        self.end_with_answers(True)
+        self.close_resting()
+
+    def end_with_answers(self, closing: bool) -> None:
+        """Whether each connection ends with its next answer."""
+        self.closing = closing
+        for conn in self.active:
+            conn.last = closing
+
+    def shrink(self, limit: int) -> None:
+        """Let fewer connections in; of those that rest, the longest resting go."""
+        self.limit = limit
+        self.parked.close(max(0, self.open - limit))
+        for conn in [conn for conn in self.resting if quiet(conn)][: max(0, self.open - limit)]:
+            self.close(conn)
+        self.counted()
+
+    def close_resting(self) -> None:
+        """Close connections between requests, of those at rest so many at a time."""
+        for conn in list(self.resting):
+            if quiet(conn):
+                self.close(conn)
+        self.parked.close(DRAIN_AT_ONCE)
+        self.counted()
+
+    async def close_idle(self) -> None:
+        """For ever: have what has not spoken for a while rest, and close what has rested for its time."""
+        while True:
+            await anyio.sleep(LOOK_S)
+            until = anyio.current_time() - PARK_S
+            for conn, since in list(self.resting.items()):
+                if since > until:
+                    break
+                if not conn.paused:
+                    conn.rest()
+            while self.parked.sweep():
+                self.counted()
+                await anyio.lowlevel.checkpoint()
+            self.counted()
+
+    def _forget(self, conn: Connection) -> None:
+        conn.release()
+        self.active.discard(conn)
+        self.resting.pop(conn, None)
+        self.reading.pop(conn, None)
+
+    def close(self, conn: Connection) -> None:
+        """Close one now."""
+        conn.close()
+        self._forget(conn)
+        self.left(conn.entry, conn.asked)
+        self._closed["other"].inc()
+        self.counted()
+
+    def _rest_ended(self, parked: Parked) -> None:
+        self.left(parked.entry, parked.asked)
+        self._closed["idle"].inc()
+
+    def left(self, entry: Entry | None, asked: bool) -> None:
+        """A client's connection is gone: the doors count it off."""
+        if entry is not None and self._doors is not None:
+            self._doors.gone(entry, asked)
+
+
+def quiet(conn: Connection) -> bool:
+    """Whether no request may be waiting unread: that one would be owed an answer."""
+    return conn.paused or not conn.readable()
--- a/ringledge/wire/parking.py
+++ b/ringledge/wire/parking.py
@@ -43,10 +43,13 @@
     watched: bool = False  # by the loop itself
 
 
+Wake = Callable[[Parked], None]
+
+
 class Parking:
     """The connections of one front that rest."""
 
-    def __init__(self, wake: Callable[[Parked], None], ended: Callable[[Parked], None]) -> None:
+    def __init__(self, wake: Wake, ended: Callable[[Parked], None]) -> None:
         self._wake, self._ended = wake, ended
         self._loop: asyncio.AbstractEventLoop | None = None
         self._epoll: select.epoll | None = None
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -14,18 +14,10 @@
 from ringledge.core.stages.take_in import DuplicateError
 from ringledge.lifecycle.config import Names
 from ringledge.wire.client import STREAM_HEAD, Exchange, converse
-from ringledge.wire.http import (
-    MAX_BODY,
-    Connection,
-    Headers,
-    HttpError,
-    ShedError,
-    fields,
-    header,
-    only,
-    read_body,
-    respond,
-)
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError, ShedError
+from ringledge.wire.headers import Headers, fields, header
+from ringledge.wire.messages import MAX_BODY, only, read_body, respond
 from ringledge.wire.platform_request import read_request
 
 if TYPE_CHECKING:
--- a/ringledge/wire/platform_request.py
+++ b/ringledge/wire/platform_request.py
@@ -9,7 +9,8 @@
 
 from crowstand import interface as i
 from ringledge.lifecycle.config import Names
-from ringledge.wire.http import HttpError, fields
+from ringledge.wire.errors import HttpError
+from ringledge.wire.headers import fields
 
 MOST_HINT_MS = 3_600_000.0  # an estimate of over an hour of work is no estimate
 
--- a/ringledge/wire/releases.py
+++ b/ringledge/wire/releases.py
@@ -13,7 +13,7 @@
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
-from ringledge.wire.http import PEER_ERRORS
+from ringledge.wire.errors import PEER_ERRORS
 
 TRY_S = 0.3  # one call; meanwhile others are asked too
 WAIT_S = 0.7  # a release that the next step of its request waits for: the time it has, and a call behind it
--- /dev/null
+++ b/ringledge/wire/sockets.py
@@ -0,0 +1,55 @@
+"""Sockets: opened, listened at, asked how long what they hold has lain there."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import suppress
+
+import anyio
+import h11
+
+from ringledge.wire.connection import Connection
+
+PROBE_S, PROBE_AGAIN_S = 60, 10  # of rest until the kernel asks a peer, and between its further questions
+UNHEARD_MS = 30_000  # that what was sent to a peer, questions too, may stay unacknowledged
+
+
+
+async def connect(address: str, timeout_s: float) -> Connection:
+    """Open a connection; OSError if it is refused, TimeoutError if it doesn't come up."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with suppress(BlockingIOError):
+            sock.connect((host, int(port)))
+        with anyio.fail_after(timeout_s):
+            await anyio.wait_writable(sock)
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, "connect failed")
+    except BaseException:
+        sock.close()
+        raise
+    return Connection(sock, h11.CLIENT)
+
+
+def listen(address: str) -> socket.socket:
+    """A listening socket at that address only."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)  # a process that hangs there stops no start
+    sock.setblocking(False)
+    sock.bind((host, int(port)))
+    sock.listen(1024)
+    return sock
+
+
+def find_half_open(sock: socket.socket, keep_s: float) -> None:
+    """Have the kernel look for peers that vanished: nobody speaks on a connection at rest for long."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, min(PROBE_S, int(keep_s / 2))))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_AGAIN_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNHEARD_MS)
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -18,8 +18,8 @@
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.answers import reusable
+from ringledge.wire.connection import Connection
 from ringledge.wire.exchange import End, Exchanges, Live
-from ringledge.wire.http import Connection
 from ringledge.wire.lines import Lines
 from ringledge.wire.releases import Releaser
 from ringledge.wire.silence import Silence
--- a/ringledge/wire/xds.py
+++ b/ringledge/wire/xds.py
@@ -22,7 +22,9 @@
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.client import converse
-from ringledge.wire.http import Connection, HttpError, only, read_body, respond
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError
+from ringledge.wire.messages import only, read_body, respond
 from ringledge.wire.xds_settings import XdsConfig
 
 CLUSTERS = {i.Role.READER: "readers", i.Role.WRITER: "writers", i.Role.MIXED: "mixed"}
--- a/tests/wire/queued.py
+++ b/tests/wire/queued.py
@@ -28,7 +28,9 @@
 from ringledge.wire.chat.queued import QueuedChat
 from ringledge.wire.chat.replaying import ReplaySender
 from ringledge.wire.chat_settings import ChatConfig
-from ringledge.wire.http import Connection, HttpError, respond
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError
+from ringledge.wire.messages import respond
 
 SETTINGS = i.Settings(
     classes=(i.RequestClass(1200, 5000, i.Effect.SAFE), i.RequestClass(2500, 5000, i.Effect.UNSAFE)),
--- a/tests/wire/test_abandoned.py
+++ b/tests/wire/test_abandoned.py
@@ -20,7 +20,7 @@
 from ringledge.memory.servers import ServerList
 from ringledge.observe.metrics import Metrics
 from ringledge.wire import lines
-from ringledge.wire.http import Connection
+from ringledge.wire.connection import Connection
 from ringledge.wire.upstream import Upstream
 
 SERVER, ADDRESS = "w0", "127.0.0.1:9"
--- a/tests/wire/test_front_room.py
+++ b/tests/wire/test_front_room.py
@@ -10,8 +10,12 @@
 import pytest
 
 from ringledge.observe.metrics import Metrics
+from ringledge.wire.budget import Budget
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError
 from ringledge.wire.front import Front
-from ringledge.wire.http import Budget, Connection, HttpError, listen, read_body, respond
+from ringledge.wire.messages import read_body, respond
+from ringledge.wire.sockets import listen
 
 LIMIT = 4
 WHOLE = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
