Close clients' connections in order, so that what crosses the close takes no answer with it

Ruled out: small writes that are held back (TCP_NODELAY stands on both sides, now tested), and requests read behind the shutdown: none was sent on.

Used for each connection that ends with its answer, for a rejected one (which held its task for it before), for a broken stream, in a drain and at the end of a rest. One that never asked, and whoever has to give way for a descriptor or a place, is closed at once; those that linger go first.

Shown: tests/wire/test_closing.py.

--- a/ringledge/wire/connection.py
+++ b/ringledge/wire/connection.py
@@ -128,10 +128,14 @@
     def close(self) -> None:
         """Close the socket now."""
         if not self.closed:
-            self.closed = True
-            self.deafen()
-            if self._waiter is not None and not self._waiter.done():
-                self._waiter.set_result(None)
-            if self._stuck:
-                anyio.notify_closing(self.sock)
-            self.sock.close()
+            self.let_go().close()
+
+    def let_go(self) -> socket.socket:
+        """Give the socket out, still open; to whoever waits here it is closed."""
+        self.closed = True
+        self.deafen()
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+        if self._stuck:
+            anyio.notify_closing(self.sock)
+        return self.sock
--- a/ringledge/wire/front.py
+++ b/ringledge/wire/front.py
@@ -75,7 +75,6 @@
             await self._reopened.wait()
 
     async def _accept(self, listener: socket.socket) -> None:
-        parked = self.connections.parked
         while True:
             await anyio.wait_readable(listener)
             try:
@@ -85,12 +84,17 @@
                 continue
             except OSError as error:
                 # Out of descriptors: whoever rests gives way, or nobody new would ever be heard.
-                if error.errno in (errno.EMFILE, errno.ENFILE) and parked.close(GIVE_WAY):
-                    log.often("parked_gave_way", front=self.name, parked=len(parked))
+                if error.errno in (errno.EMFILE, errno.ENFILE) and self._give_way():
+                    log.often("parked_gave_way", front=self.name, parked=len(self.connections.parked))
                     continue
                 log.error("accept_failed", front=self.name, error=str(error))
                 await anyio.sleep(0.05)
 
+    def _give_way(self) -> int:
+        """Free some descriptors; how many."""
+        connections = self.connections
+        return connections.lingering.close(GIVE_WAY) or connections.parked.close(GIVE_WAY)
+
     def _admit(self, sock: socket.socket, address: tuple[str, int] | str) -> None:
         """Let a new connection in; past the limit a few more, only to be told so."""
         entry: Entry | None = None
--- a/ringledge/wire/open_connections.py
+++ b/ringledge/wire/open_connections.py
@@ -11,6 +11,7 @@
 
 from ringledge.decide.room import Guest, gives_way
 from ringledge.observe.metrics import Metrics
+from ringledge.wire.closing import Lingering
 from ringledge.wire.connection import Connection
 from ringledge.wire.parking import Parked, Parking, Wake
 
@@ -30,6 +31,7 @@
         """`wake`: called with each connection at rest on which something has come."""
         self.name, self.limit, self._doors = name, limit, doors
         self.parked: Parking = Parking(wake, self._rest_ended)
+        self.lingering = Lingering()  # they are being closed
         self._closed = {how: metrics.closed.labels(name, how) for how in ("idle", "other")}
         self._gauge = metrics.client_sockets.labels(name)
         self.active: set[Connection] = set()
@@ -44,8 +46,8 @@
 
     @property
     def open(self) -> int:
-        """How many connections there are, at rest or not."""
-        return len(self.active) + len(self.parked)
+        """How many connections there are, at rest or not, or being closed."""
+        return len(self.active) + len(self.parked) + len(self.lingering)
 
     def counted(self) -> None:
         """Their number has changed."""
@@ -65,6 +67,8 @@
 
         Not `come`, whose head has been read, though its body may not have.
         """
+        if self.lingering.close(1):
+            return
         half = (each for each in self.reading if each is not come and each.h11.their_state is not h11.DONE)
         live = [*islice(filter(quiet, self.resting), 1), *islice(filter(quiet, half), 1)]
         parked = self.parked.firsts()
@@ -110,8 +114,8 @@
         """Close connections between requests, of those at rest so many at a time."""
         for conn in list(self.resting):
             if quiet(conn):
-                self.close(conn)
-        self.parked.close(DRAIN_AT_ONCE)
+                self.close_in_order(conn)
+        self.parked.close(DRAIN_AT_ONCE, now=False)
         self.counted()
 
     async def close_idle(self) -> None:
@@ -135,6 +139,12 @@
         self.resting.pop(conn, None)
         self.reading.pop(conn, None)
 
+    def close_in_order(self, conn: Connection) -> None:
+        """Close one whose answer may still be on its way, so that what its client sends takes none of it."""
+        if not (conn.closed or conn.ended):
+            self.lingering.begin(conn.let_go())
+        self.close(conn)
+
     def close(self, conn: Connection) -> None:
         """Close one now."""
         conn.close()
@@ -143,7 +153,12 @@
         self._closed["other"].inc()
         self.counted()
 
-    def _rest_ended(self, parked: Parked) -> None:
+    def _rest_ended(self, parked: Parked, now: bool) -> None:
+        """A connection at rest is out of the parking: close it, `now` where its descriptor is wanted."""
+        if now or not parked.asked:  # nothing was ever answered on it
+            parked.sock.close()
+        else:
+            self.lingering.begin(parked.sock)
         self.left(parked.entry, parked.asked)
         self._closed["idle"].inc()
 
--- a/ringledge/wire/parking.py
+++ b/ringledge/wire/parking.py
@@ -44,12 +44,13 @@
 
 
 Wake = Callable[[Parked], None]
+Ended = Callable[[Parked, bool], None]  # has to close it, at once where the bool says so
 
 
 class Parking:
     """The connections of one front that rest."""
 
-    def __init__(self, wake: Wake, ended: Callable[[Parked], None]) -> None:
+    def __init__(self, wake: Wake, ended: Ended) -> None:
         self._wake, self._ended = wake, ended
         self._loop: asyncio.AbstractEventLoop | None = None
         self._epoll: select.epoll | None = None
@@ -129,9 +130,9 @@
 
     def end(self, parked: Parked) -> None:
         """Close that one, unless a request has come on it."""
-        self._end(parked.sock.fileno())
+        self._end(parked.sock.fileno(), now=True)
 
-    def _end(self, number: int) -> bool:
+    def _end(self, number: int, now: bool) -> bool:
         """Close one, unless a request has come meanwhile: that one is owed an answer, so it is woken."""
         parked = self._take(number)
         if parked is None:
@@ -140,8 +141,7 @@
             self.woken += 1
             self._wake(parked)
             return False
-        parked.sock.close()
-        self._ended(parked)
+        self._ended(parked, now)
         return True
 
     def sweep(self) -> bool:
@@ -152,14 +152,14 @@
             number = self._numbers[timer]
             parked = self._silent.get(number) or self._rested[number]
             parked.timer = -1  # given out: its number may soon be another one's
-            self.expired += self._end(number)
+            self.expired += self._end(number, now=False)
         return self._wheel.ready > 0 or not there
 
-    def close(self, most: int) -> int:
+    def close(self, most: int, now: bool = True) -> int:
         """Close so many at most, first those that never asked, the longest resting first; how many were."""
         closed = 0
         for number in [*_first(self._silent, most), *_first(self._rested, max(0, most - len(self._silent)))]:
-            closed += self._end(number)
+            closed += self._end(number, now)
         return closed
 
 
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -169,7 +169,7 @@
         if exchange.end == "served":
             await conn.send(*([] if exchange.begun else [STREAM_HEAD]), h11.EndOfMessage())
         elif exchange.end == "broken":
-            conn.close()  # without the last chunk: a clean end would pass for a whole answer
+            return  # the connection ends without the last chunk: a clean end would pass for a whole answer
         elif exchange.end == "refused":
             text = b'{"error":"overloaded, nothing has run"}'
             await respond(conn, 503, text, retry_after(exchange.come_back_ms, self._names))
--- a/ringledge/wire/request_loop.py
+++ b/ringledge/wire/request_loop.py
@@ -12,7 +12,6 @@
 
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
-from ringledge.wire.closing import close_in_order
 from ringledge.wire.connection import Connection
 from ringledge.wire.errors import HttpError, ParkingError, ShedError
 from ringledge.wire.headers import header
@@ -65,7 +64,7 @@
             log.fault("connection_crashed", error, front=self._connections.name)
         finally:
             if conn in self._connections.active:
-                self._connections.close(conn)
+                self._connections.close_in_order(conn)
 
     async def _exchange(self, conn: Connection, crowded: bool) -> bool:
         """Read one request and have it answered; False once the connection is through."""
@@ -187,4 +186,4 @@
         headers = [*error.headers, (b"Connection", b"close")] if closing else error.headers
         await respond(conn, error.status, self._answering.error_body(error), headers)
         if closing:
-            await close_in_order(conn)
+            self._connections.close_in_order(conn)
--- /dev/null
+++ b/tests/wire/test_closing.py
@@ -0,0 +1,200 @@
+"""The close of a client's connection: no answer is lost by it, and what crosses it is never sent on."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+import anyio.to_thread
+import h11
+import pytest
+
+from ringledge.observe.metrics import Metrics
+from ringledge.wire import closing, open_connections
+from ringledge.wire.budget import Budget
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError
+from ringledge.wire.front import Front
+from ringledge.wire.messages import read_body, respond
+from ringledge.wire.sockets import connect, listen
+
+GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+LAST = GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+AHEAD = b"x" * 100_000  # more than is read ahead
+
+
+class Played:
+    """A front in this process, and how many requests it was asked."""
+
+    def __init__(self, body: bytes = b"served") -> None:
+        self.asked, self._body = 0, body
+        self._listener = listen("127.0.0.1:0")
+        self.front = Front("test", 8, Budget(1e6), self._handle, self._error, Metrics(), aged=lambda _: None)
+
+    async def _handle(self, conn: Connection, head: h11.Request) -> None:
+        await read_body(conn, head)
+        self.asked += 1
+        await respond(conn, 200, self._body)
+
+    def _error(self, told: HttpError) -> bytes:
+        return told.reason.encode()
+
+    def dial(self, receive: int | None = None) -> socket.socket:
+        sock = socket.socket()
+        if receive is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive)
+        sock.settimeout(10)
+        sock.connect(self._listener.getsockname())
+        return sock
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        with anyio.fail_after(10):
+            while not holds():
+                await anyio.sleep(0.005)
+
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator[None]:
+        with self._listener:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.front.serve, self._listener, tasks)
+                yield
+                tasks.cancel_scope.cancel()
+
+
+def everything(sock: socket.socket) -> bytes:
+    """All that comes to the clean end; a reset is an error."""
+    told = b""
+    while data := sock.recv(65536):
+        told += data
+    return told
+
+
+def test_a_close_over_unread_bytes_takes_no_answer_with_it() -> None:
+    """The kernel resets such a connection, and drops what of the answer its client has not taken yet."""
+
+    async def run() -> None:
+        at = Played(b"y" * 32_000)
+        async with at.serving():
+            with at.dial(receive=4096) as client:
+                client.sendall(LAST)
+                client.sendall(AHEAD[:60_000])
+                await at.until(lambda: at.asked == 1 and not at.front.connections.active)
+                told = await anyio.to_thread.run_sync(everything, client)
+            assert told.startswith(b"HTTP/1.1 200") and told.endswith(b"y" * 32_000)
+            await at.until(lambda: at.front.open == 0)
+
+    anyio.run(run)
+
+
+def test_a_request_between_the_decision_to_close_and_the_close_meets_a_clean_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its client sends it once more elsewhere; here it is never sent on."""
+    decided = open_connections.quiet
+
+    async def run() -> None:
+        at = Played()
+        async with at.serving():
+            with at.dial() as client:
+                client.sendall(GET)
+                await at.until(lambda: len(at.front.connections.resting) == 1)
+
+                def quiet(conn: Connection) -> bool:
+                    told = decided(conn)
+                    client.sendall(GET)
+                    return told
+
+                monkeypatch.setattr(open_connections, "quiet", quiet)
+                at.front.connections.drain()
+                told = await anyio.to_thread.run_sync(everything, client)
+            assert told.count(b"HTTP/1.1 200") == 1 and at.asked == 1
+            await at.until(lambda: at.front.open == 0)
+
+    anyio.run(run)
+
+
+def test_a_request_behind_the_end_of_our_sending_is_dropped() -> None:
+    async def run() -> None:
+        at = Played()
+        async with at.serving():
+            with at.dial() as client:
+                client.sendall(LAST)
+                assert (await anyio.to_thread.run_sync(everything, client)).startswith(b"HTTP/1.1 200")
+                client.sendall(GET)
+            await at.until(lambda: at.front.open == 0)
+            assert at.asked == 1
+
+    anyio.run(run)
+
+
+def test_one_that_never_ends_is_closed_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(closing, "LINGER_S", 0.05)
+
+    async def run() -> None:
+        at = Played()
+        async with at.serving():
+            with at.dial() as client:
+                client.sendall(LAST)
+                await at.until(lambda: at.asked == 1 and at.front.open == 0)
+
+    anyio.run(run)
+
+
+def test_one_that_sends_without_end_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(closing, "LINGER_S", 60.0)
+
+    def send(client: socket.socket) -> None:
+        with pytest.raises(ConnectionError):
+            for _ in range(1000):
+                client.sendall(AHEAD)
+
+    async def run() -> None:
+        at = Played()
+        async with at.serving():
+            with at.dial() as client:
+                client.sendall(LAST)
+                await anyio.to_thread.run_sync(send, client)
+                await at.until(lambda: at.front.open == 0)
+
+    anyio.run(run)
+
+
+def test_those_that_linger_give_way_to_new_ones(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(closing, "LINGER_S", 60.0)
+
+    async def run() -> None:
+        at = Played()
+        async with at.serving():
+            clients = [at.dial() for _ in range(at.front.connections.limit)]
+            for client in clients:
+                client.sendall(LAST)
+            await at.until(lambda: len(at.front.connections.lingering) == len(clients))
+            with at.dial() as client:
+                client.sendall(LAST)
+                assert (await anyio.to_thread.run_sync(everything, client)).startswith(b"HTTP/1.1 200")
+            for client in clients:
+                client.close()
+            await at.until(lambda: at.front.open == 0)
+
+    anyio.run(run)
+
+
+def test_small_writes_are_never_held_back_on_either_side() -> None:
+    """What the system held back would go with a reset, and late in any case."""
+
+    async def run() -> None:
+        at = Played()
+        async with at.serving():
+            with at.dial() as client:
+                client.sendall(GET[:5])
+                await at.until(lambda: len(at.front.connections.active) == 1)
+                (conn,) = at.front.connections.active
+                host, port = client.getpeername()
+                upstream = await connect(f"{host}:{port}", 10)
+                for sock in (conn.sock, upstream.sock):
+                    assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+                upstream.close()
+
+    anyio.run(run)
--- a/tests/wire/test_parking_epolls.py
+++ b/tests/wire/test_parking_epolls.py
@@ -35,7 +35,7 @@
         if len(woken) == count:
             done.set()
 
-    rest, pairs = Parking(wake, lambda _: None), [socket.socketpair() for _ in range(count)]
+    rest, pairs = Parking(wake, lambda *_: None), [socket.socketpair() for _ in range(count)]
     for ours, _ in pairs:
         rest.park(Parked(ours, 0.0, True, False), 60.0)
     for _, theirs in pairs:
