--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -27,8 +27,11 @@
     opening_event,
     read_tail,
 )
-from ringledge.wire.http import PEER_ERRORS, Connection, header, read_body
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import PEER_ERRORS
+from ringledge.wire.headers import header
 from ringledge.wire.lines import Lines
+from ringledge.wire.messages import read_body
 from ringledge.wire.releases import Releaser
 
 STREAM_SILENCE_S = 3.0  # a begun stream without a further whole chunk for so long is broken off: it vanished
@@ -80,6 +83,8 @@
         except OSError as error:
             log.info("connect_failed", server=attempt.server, request=record.name, error=str(error))
             return End(i.Status.CONNECT_FAILED)
+        if not live.scope.cancel_called and record.caller.gone():  # the loop may not have come round to it
+            self.conductor.client_gone(record)
         if live.scope.cancel_called:  # only the next wait would tell, and to write may take none
             return End(i.Status.CONNECT_FAILED)
         left_ms = max(0, int(attempt.ends_ms - self.clock.now_ms()))
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -4,6 +4,7 @@
 
 import re
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import h11
@@ -14,18 +15,10 @@
 from ringledge.core.stages.take_in import DuplicateError
 from ringledge.lifecycle.config import Names
 from ringledge.wire.client import STREAM_HEAD, Exchange, converse
-from ringledge.wire.http import (
-    MAX_BODY,
-    Connection,
-    Headers,
-    HttpError,
-    ShedError,
-    fields,
-    header,
-    only,
-    read_body,
-    respond,
-)
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError, ShedError
+from ringledge.wire.headers import Headers, fields, header
+from ringledge.wire.messages import MAX_BODY, only, read_body, respond
 from ringledge.wire.platform_request import read_request
 
 if TYPE_CHECKING:
@@ -88,7 +81,9 @@
         except DuplicateError as error:
             raise HttpError(400, f"request {error} is open already") from error
         try:
-            await converse(conn, self._answer(conn, exchange))
+            await converse(
+                conn, self._answer(conn, exchange), partial(self._conductor.client_gone, record)
+            )
         finally:
             exchange.forget()
             self._conductor.client_gone(record)  # for a request that is over it changes nothing
@@ -174,7 +169,7 @@
         if exchange.end == "served":
             await conn.send(*([] if exchange.begun else [STREAM_HEAD]), h11.EndOfMessage())
         elif exchange.end == "broken":
-            conn.close()  # without the last chunk: a clean end would pass for a whole answer
+            return  # the connection ends without the last chunk: a clean end would pass for a whole answer
         elif exchange.end == "refused":
             text = b'{"error":"overloaded, nothing has run"}'
             await respond(conn, 503, text, retry_after(exchange.come_back_ms, self._names))
