--- a/crowstand/wirehost.py
+++ b/crowstand/wirehost.py
@@ -11,13 +11,13 @@
 
 from crowstand.interface import Event, Members, ServerEntry
 from crowstand.policy import Policy
+from crowstand.wire_actions import action_line
 from crowstand.wirewords import (
     ENTRY_FIELDS,
     EVENTS,
     FORMS,
     UNUSED_EVENTS,
     Fields,
-    action_line,
     pick,
 )
 from crowstand.wirewords import LOAD as LOAD
--- a/crowstand/wirewords.py
+++ b/crowstand/wirewords.py
@@ -1,4 +1,4 @@
-"""Translates between the simulator's messages and ``interface.py``'s events, settings and actions."""
+"""Translates the simulator's messages to ``interface.py``'s settings and events."""
 
 from __future__ import annotations
 
@@ -6,35 +6,24 @@
 from typing import Any
 
 from crowstand.interface import (
-    Action,
-    AskMembers,
     Availability,
-    Cancel,
     ClientGone,
     DedupScope,
     Effect,
     Event,
-    Fail,
     FirstToken,
     ListForm,
     Load,
     LoadReports,
-    Log,
     MembershipMode,
     Outcome,
-    Probe,
     Probed,
-    Refuse,
-    Release,
     Request,
     RequestClass,
     Role,
-    Send,
     ServerKind,
-    SetTimer,
     Settings,
     Status,
-    Subscribe,
     Tenant,
     Timer,
 )
@@ -225,32 +214,3 @@
     "RING": lambda fields: Timer(fields["cookie"]),
 }
 UNUSED_EVENTS = ("MEMO", "SEAT_NEWS")  # answers to actions that no policy here takes
-
-
-def action_line(action: Action) -> str:
-    """Write one action in the wire's words."""
-    match action:
-        case Send(request, server, None):
-            return f"DISPATCH op_id={request} host={server}"
-        case Send(request, server, timeout_ms):
-            return f"DISPATCH op_id={request} host={server} try_for_ms={timeout_ms:.3f}"
-        case SetTimer(at_ms, token):
-            return f"SET_TIMER fire_at_ms={at_ms:.3f} cookie={token}"
-        case Refuse(request, None):
-            return f"OVERLOAD_REPLY op_id={request}"
-        case Refuse(request, retry_after_ms):
-            return f"OVERLOAD_REPLY op_id={request} come_back_ms={retry_after_ms:.3f}"
-        case Fail(request):
-            return f"FAIL op_id={request}"
-        case Cancel(request, attempt):
-            return f"ABORT_ATTEMPT op_id={request} shot={attempt}"
-        case Release(request):
-            return f"UNHOLD op_id={request}"
-        case Probe(server):
-            return f"ASK_LOAD host={server}"
-        case AskMembers():
-            return "QUERY_ALL"
-        case Subscribe(active):
-            return f"WATCH active={int(active)}"
-        case Log(text):
-            return f"EMIT msg={text}"
