Use standard names in the core: registry, records, context, accept, record_outcome

Conductor.take -> accept, last_call -> shut_down, desk -> context, ledger -> registry; in wire/ and lifecycle/ only the lines that use these.

--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -17,11 +17,12 @@
 from crowstand.policy import Policy
 from crowstand.view import server_views
 from ringledge.core.clock import Clock
-from ringledge.core.desk import Desk
-from ringledge.core.ledger import Attempt, Ledger, Record
+from ringledge.core.context import Context
 from ringledge.core.port import Caller, Payload
+from ringledge.core.records import Attempt, Record
+from ringledge.core.registry import RequestRegistry
 from ringledge.core.server_port import Servers
-from ringledge.core.stages import admit, book, relay, route, send, take_in
+from ringledge.core.stages import accept, admit, record_outcome, relay, route, send
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
@@ -31,7 +32,7 @@
 
 
 class Conductor:
-    """Owns time, timers and the ledger; every choice of a server is the policy's."""
+    """Owns timers and the registry of requests; every choice of a server is the policy's."""
 
     def __init__(
         self,
@@ -44,8 +45,8 @@
     ) -> None:
         self.policy = Policy(settings, seed)
         self.clock = clock
-        self.ledger = Ledger()
-        self.desk = Desk(settings, clock, self.ledger, servers, metrics, port, self._tell)
+        self.registry = RequestRegistry()
+        self.context = Context(settings, clock, self.registry, servers, metrics, port, self._tell)
         self._events: deque[i.Event] = deque()
         self._busy = False
         self._silent = frozenset[str]()  # as the policy was told
@@ -57,20 +58,20 @@
 
     # What the wires report.
 
-    def take(self, request: i.Request, payload: Payload, caller: Caller) -> Record:
-        """Take a client's request in; its one final answer comes through the caller."""
-        record = take_in.take_in(self.desk, request, payload, caller)
-        admit.admit(self.desk, record)
+    def accept(self, request: i.Request, payload: Payload, caller: Caller) -> Record:
+        """Accept a client's request; its one final answer comes through the caller."""
+        record = accept.accept(self.context, request, payload, caller)
+        admit.admit(self.context, record)
         return record
 
     def client_gone(self, record: Record) -> None:
         """The client has closed its connection."""
-        take_in.client_gone(self.desk, record)
+        accept.client_gone(self.context, record)
 
     def members(self, members: i.Members, addresses: dict[str, str]) -> None:
         """News of the list; it goes before all else that waits, so that a drain is never overtaken."""
-        self.desk.servers.apply(members, addresses)
-        self.desk.port.listed()
+        self.context.servers.apply(members, addresses)
+        self.context.port.listed()
         self._events.appendleft(members)
         self._work()
 
@@ -85,7 +86,7 @@
 
     def first(self, attempt: Attempt) -> bool:
         """An answer has started; False where nobody takes it any more."""
-        return relay.begin(self.desk, attempt)
+        return relay.begin(self.context, attempt)
 
     async def piece(self, attempt: Attempt, data: bytes) -> None:
         """A piece of an answer has come."""
@@ -93,7 +94,7 @@
 
     def outcome(self, attempt: Attempt, status: i.Status, note: int = 0, load: i.Load | None = None) -> None:
         """An attempt has ended."""
-        book.outcome(self.desk, attempt, status, note, load)
+        record_outcome.record_outcome(self.context, attempt, status, note, load)
 
     def probed(self, probed: i.Probed) -> None:
         """A probe has been answered, or not."""
@@ -112,7 +113,7 @@
         except (ValueError, TypeError, KeyError) as error:  # of another version: we learn it anew
             log.warning("learned_unreadable", error=repr(error))
 
-    def last_call(self) -> None:
+    def shut_down(self) -> None:
         """Have all that has not begun given up: the process is about to end."""
         self._tell(i.Shutdown())
 
@@ -124,7 +125,7 @@
             self._looked_s, now_ms = time.monotonic(), self.clock.now_ms()
             while self._timers and self._timers[0][0] <= now_ms:
                 due_ms, _, token = heapq.heappop(self._timers)
-                self.desk.metrics.lag.set((now_ms - due_ms) / 1000)
+                self.context.metrics.lag.set((now_ms - due_ms) / 1000)
                 self._late_ms = max(self._late_ms, now_ms - due_ms)
                 self._tell(i.Timer(token))
             self._wake = anyio.Event()
@@ -159,7 +160,7 @@
         try:
             while self._events:
                 event, began_s = self._events.popleft(), time.perf_counter()
-                silent = self.desk.port.silences()
+                silent = self.context.port.silences()
                 if silent != self._silent:  # the policy knows it before it decides anything more
                     self._silent = silent
                     self.policy.handle(self.clock.now_ms(), i.Unreachable(silent))
@@ -173,27 +174,27 @@
     def _carry_out(self, action: i.Action) -> None:
         match action:
             case i.Send():
-                attempt = route.route(self.desk, action)
+                attempt = route.route(self.context, action)
                 if attempt is not None:
-                    send.send(self.desk, attempt)
+                    send.send(self.context, attempt)
             case i.SetTimer(at_ms, token):
                 heapq.heappush(self._timers, (at_ms, next(self._numbers), token))
                 if self._timers[0][2] == token:
                     self._wake.set()
             case i.Refuse():
-                admit.refuse(self.desk, action)
+                admit.refuse(self.context, action)
             case i.Fail():
-                admit.fail(self.desk, action)
+                admit.fail(self.context, action)
             case i.Cancel():
-                send.cancel(self.desk, action)
+                send.cancel(self.context, action)
             case i.Release(name):
-                record = self.ledger.records.get(name)
+                record = self.registry.records.get(name)
                 if record is not None and record.done:
-                    book.release(self.desk, record)
+                    record_outcome.release_cache(self.context, record)
             case i.Probe(server):
-                self.desk.port.probe(server)
+                self.context.port.probe(server)
             case i.AskMembers():
-                self.desk.port.ask_members()
+                self.context.port.ask_members()
             case i.Subscribe():
                 pass  # discovery is watched from the start, whether or not it is asked for
             case i.Log(text):
--- a/ringledge/core/desk.py
+++ b/ringledge/core/context.py
@@ -7,20 +7,20 @@
 
 from crowstand import interface as i
 from ringledge.core.clock import Clock
-from ringledge.core.ledger import Ledger
 from ringledge.core.observer import Observer
+from ringledge.core.registry import RequestRegistry
 from ringledge.core.server_port import Servers
 from ringledge.memory.servers import ServerList
 from ringledge.observe.metrics import Metrics
 
 
 @dataclass(slots=True)
-class Desk:
-    """The conductor's tools, handed to each stage."""
+class Context:
+    """The conductor's tools, passed to each stage."""
 
     settings: i.Settings
     clock: Clock
-    ledger: Ledger
+    registry: RequestRegistry
     servers: ServerList
     metrics: Metrics
     port: Servers
--- a/ringledge/core/gate.py
+++ b/ringledge/core/gate.py
@@ -1,6 +1,6 @@
 """The gate: asks the overload decisions about each request before its body is read, and feeds them.
 
-Who is turned away here was never taken: neither the ledger nor the policy hears of it.
+Who is turned away here was never taken: neither the registry nor the policy hears of it.
 """
 
 from __future__ import annotations
--- a/ringledge/core/observer.py
+++ b/ringledge/core/observer.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from crowstand import interface as i
-from ringledge.core.ledger import Attempt, Record
+from ringledge.core.records import Attempt, Record
 
 
 class Observer(Protocol):
--- a/ringledge/core/ledger.py
+++ b/ringledge/core/records.py
@@ -1,9 +1,8 @@
-"""The ledger: every open request, its attempts, and how each ended."""
+"""Records of requests and of their attempts, and how each ended."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from crowstand import interface as i
 from ringledge.core.port import Caller, Payload
@@ -16,7 +15,7 @@
     record: Record
     number: int
     server: str
-    reads: bool  # the server is a reader: a state may be left there
+    reads: bool  # the server prefills: a KV cache entry may be left there
     once: bool  # it must never run twice
     sent_ms: float
     ends_ms: float  # clock reading at which it is timed out, unless it has begun
@@ -39,12 +38,12 @@
     """One request, from its arrival until the last of its attempts has an outcome."""
 
     request: i.Request
-    payload: Payload  # the request's text as it came; the core only hands it on
+    payload: Payload  # as it came; the core only passes it on
     caller: Caller
     arrived_ms: float
     attempts: list[Attempt] = field(default_factory=list)
-    holders: set[str] = field(default_factory=set)  # servers where a read state waits
-    unseen: dict[str, float] = field(default_factory=dict)  # where a read may have ended unseen, and when
+    holders: set[str] = field(default_factory=set)  # servers that hold a KV cache entry
+    unseen: dict[str, float] = field(default_factory=dict)  # where a prefill may have ended unseen, and when
     free_ms: float = 0.0  # since when no attempt of it is out that has arrived
     over: bool = False  # its final answer is given, or its client has gone
     how: str = ""  # what the final answer was
@@ -71,40 +70,3 @@
         """Whether an attempt was written to a server that answers, and is not proved never to have run."""
         never = (i.Status.PREFILLED, i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.NOT_SENT)
         return any(a.written and not a.reads and a.outcome not in never for a in self.attempts)
-
-
-class Peer(Protocol):
-    """Another process of this conductor, while the two overlap."""
-
-    ids: set[str]  # requests that it has open
-
-    def note(self, request: str, opened: bool) -> None:
-        """Have it told that a request was opened here, or has ended."""
-
-
-class Ledger:
-    """The open requests by id."""
-
-    def __init__(self) -> None:
-        self.records: dict[str, Record] = {}
-        self.peers: list[Peer] = []
-
-    def taken(self, name: str) -> bool:
-        """Whether a request with that id is open, here or in another process."""
-        return name in self.records or any(name in peer.ids for peer in self.peers)
-
-    def current(self) -> int:
-        """How many requests are still owed their answer's end."""
-        return sum(not record.over for record in self.records.values())
-
-    def open(self, record: Record) -> None:
-        """Enter a request."""
-        self.records[record.name] = record
-        for peer in self.peers:
-            peer.note(record.name, True)
-
-    def strike(self, record: Record) -> None:
-        """A request is done."""
-        del self.records[record.name]
-        for peer in self.peers:
-            peer.note(record.name, False)
--- /dev/null
+++ b/ringledge/core/registry.py
@@ -0,0 +1,44 @@
+"""The registry of open requests, shared with another process of this conductor while the two overlap."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from ringledge.core.records import Record
+
+
+class Peer(Protocol):
+    """Another process of this conductor, while the two overlap."""
+
+    ids: set[str]  # requests that it has open
+
+    def note(self, request: str, opened: bool) -> None:
+        """Have it told that a request was opened here, or has ended."""
+
+
+class RequestRegistry:
+    """The open requests by id."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, Record] = {}
+        self.peers: list[Peer] = []
+
+    def is_open(self, name: str) -> bool:
+        """Whether a request with that id is open, here or in another process."""
+        return name in self.records or any(name in peer.ids for peer in self.peers)
+
+    def unanswered(self) -> int:
+        """How many requests are still owed their answer's end."""
+        return sum(not record.over for record in self.records.values())
+
+    def add(self, record: Record) -> None:
+        """Register a request."""
+        self.records[record.name] = record
+        for peer in self.peers:
+            peer.note(record.name, True)
+
+    def remove(self, record: Record) -> None:
+        """A request is done."""
+        del self.records[record.name]
+        for peer in self.peers:
+            peer.note(record.name, False)
--- a/ringledge/core/server_port.py
+++ b/ringledge/core/server_port.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from ringledge.core.ledger import Attempt
+from ringledge.core.records import Attempt
 
 
 class Servers(Protocol):
@@ -18,11 +18,11 @@
         """Close the attempt's connection now."""
 
     def release(self, request: str, known: set[str], unseen: Mapping[str, float], begun: bool) -> None:
-        """Let go of what servers hold for a request whose attempts have all ended.
+        """Release what servers hold for a request whose attempts have all ended.
 
-        `known`: where a state waits for certain; `unseen`: where a read was given up that may have ended
-        well, and when (the clock's ms); `begun`: an answer has started since, with which all was let go
-        wherever that could be told.
+        `known`: which hold a KV cache entry for certain; `unseen`: where a prefill was given up that may have
+        ended well, and when (the clock's ms); `begun`: an answer has started since, with which all was
+        released wherever that could be told.
         """
 
     def listed(self) -> None:
--- a/ringledge/core/stages/__init__.py
+++ b/ringledge/core/stages/__init__.py
@@ -1,1 +1,1 @@
-"""The stages that a request passes, one a file: take in, admit, route, send, relay, book."""
+"""The stages that a request passes, one a file: accept, admit, route, send, relay, record outcome."""
--- /dev/null
+++ b/ringledge/core/stages/accept.py
@@ -0,0 +1,39 @@
+"""Accept: register a client's request."""
+
+from __future__ import annotations
+
+from crowstand import interface as i
+from ringledge.core.context import Context
+from ringledge.core.port import Caller, Payload
+from ringledge.core.records import Record
+from ringledge.core.stages import record_outcome
+
+
+class DuplicateError(Exception):
+    """A request with this id is open already: accepting it again could run it twice."""
+
+
+def accept(context: Context, request: i.Request, payload: Payload, caller: Caller) -> Record:
+    """Register the request; from here on exactly one final answer is owed."""
+    if context.registry.is_open(request.request):
+        raise DuplicateError(request.request)
+    record = Record(request, payload, caller, context.clock.now_ms())
+    context.registry.add(record)
+    context.metrics.requests.labels(str(request.class_index)).inc()
+    if context.observer is not None:
+        context.observer.taken(record)
+    return record
+
+
+def client_gone(context: Context, record: Record) -> None:
+    """The client has left: nothing is owed any more, but the policy has to release what is held."""
+    if record.over:
+        return
+    record_outcome.end_request(context, record, "gone")
+    context.tell(i.ClientGone(record.name))
+    # An attempt that has begun is not the policy's to cancel: its stream ends with its taker.
+    for attempt in record.attempts:
+        if attempt.out and attempt.began:
+            context.port.abandon(attempt)
+            record_outcome.record_outcome(context, attempt, i.Status.CANCELLED)
+    record_outcome.remove_if_done(context, record)
--- a/ringledge/core/stages/admit.py
+++ b/ringledge/core/stages/admit.py
@@ -3,35 +3,35 @@
 from __future__ import annotations
 
 from crowstand import interface as i
-from ringledge.core.desk import Desk
-from ringledge.core.ledger import Record
-from ringledge.core.stages import book
+from ringledge.core.context import Context
+from ringledge.core.records import Record
+from ringledge.core.stages import record_outcome
 
 
-def admit(desk: Desk, record: Record) -> None:
+def admit(context: Context, record: Record) -> None:
     """Let the policy decide what becomes of the request."""
-    desk.tell(record.request)
+    context.tell(record.request)
 
 
-def refuse(desk: Desk, action: i.Refuse) -> None:
+def refuse(context: Context, action: i.Refuse) -> None:
     """Answer at once that a repeat does no harm."""
-    record = _close(desk, action.request, "refused")
+    record = _close(context, action.request, "refused")
     if record is not None:
         record.caller.refuse(action.retry_after_ms)
 
 
-def fail(desk: Desk, action: i.Fail) -> None:
+def fail(context: Context, action: i.Fail) -> None:
     """Answer at once that the request failed."""
-    record = _close(desk, action.request, "failed")
+    record = _close(context, action.request, "failed")
     if record is not None:
         record.caller.fail()
 
 
-def _close(desk: Desk, name: str, how: str) -> Record | None:
+def _close(context: Context, name: str, how: str) -> Record | None:
     """Mark the request over; None where it is over already, for then its one answer is given."""
-    record = desk.ledger.records.get(name)
+    record = context.registry.records.get(name)
     if record is None or record.over or record.began:
         return None
-    book.end(desk, record, how)
-    book.close(desk, record)
+    record_outcome.end_request(context, record, how)
+    record_outcome.remove_if_done(context, record)
     return record
--- /dev/null
+++ b/ringledge/core/stages/record_outcome.py
@@ -0,0 +1,83 @@
+"""Record how an attempt ended, end the request with it where it does, and release what is held."""
+
+from __future__ import annotations
+
+from crowstand import interface as i
+from ringledge.core.context import Context
+from ringledge.core.records import Attempt, Record
+from ringledge.observe.logging import log
+
+# Ends that may have crossed a 202, or a KV cache entry on its way: what they left is held like any other.
+CROSSED = (i.Status.CANCELLED, i.Status.TIMEOUT, i.Status.RESET)
+
+
+def record_outcome(
+    context: Context, attempt: Attempt, status: i.Status, note: int = 0, load: i.Load | None = None
+) -> None:
+    """Record the attempt's one outcome; a second one is dropped."""
+    if not attempt.out:
+        return
+    attempt.outcome = status
+    record, now_ms = attempt.record, context.clock.now_ms()
+    ends = status == i.Status.OK or attempt.began
+    if ends and not record.over:
+        whole = status == i.Status.OK
+        end_request(context, record, "served" if whole else "broken")
+        (record.caller.finish if whole else record.caller.break_off)()
+    if status == i.Status.PREFILLED:
+        record.holders.add(attempt.server)
+    elif status == i.Status.FULL and note == 1:
+        # Gone from its prefill server; a decode server that was given up before may have fetched it.
+        record.unseen |= dict.fromkeys(record.holders, now_ms)
+        record.holders.clear()
+    elif (attempt.reads or record.holders) and attempt.written and status in CROSSED:
+        record.unseen[attempt.server] = now_ms
+    context.metrics.outcomes.labels(status.value).inc()
+    latency_ms = attempt.took_ms = now_ms - attempt.sent_ms
+    if context.observer is not None:
+        context.observer.ended(attempt, status, note)
+    if attempt.arrived:
+        record.free_ms = now_ms
+    context.tell(
+        i.Outcome(record.name, attempt.number, attempt.server, status, latency_ms, record.over, note, load)
+    )
+    remove_if_done(context, record)
+
+
+def end_request(context: Context, record: Record, how: str) -> None:
+    """Mark the request over: nothing is owed any more."""
+    record.over, record.how = True, how
+    context.metrics.answers.labels(how, str(record.request.class_index)).inc()
+
+
+def release_cache(context: Context, record: Record) -> None:
+    """Release the request's KV cache entry on whichever server may hold it.
+
+    Only once no attempt will follow: a server that hears of it releases all that is held for the request on
+    any server, and so the entry of a further prefill that is in flight.
+    """
+    if record.holders or record.unseen:
+        context.port.release(record.name, record.holders, record.unseen, record.began)
+    record.holders, record.unseen = set(), {}
+
+
+def remove_if_done(context: Context, record: Record) -> None:
+    """Remove a request that is done. Whatever is still held for it would stay pinned, so it is released.
+
+    The policy may have ended it while it was told the outcome: a request is removed and logged only once.
+    """
+    if record.done and context.registry.records.get(record.name) is record:
+        release_cache(context, record)
+        context.registry.remove(record)
+        log.info(
+            "request_ended",
+            request=record.name,
+            **{"class": record.request.class_index},
+            how=record.how,
+            ms=round(context.clock.now_ms() - record.arrived_ms, 1),
+            first_ms=record.first_ms and round(record.first_ms, 1),
+            attempts=[
+                [each.server, each.outcome.value if each.outcome else None, round(each.took_ms, 1)]
+                for each in record.attempts
+            ],
+        )
--- a/ringledge/core/stages/relay.py
+++ b/ringledge/core/stages/relay.py
@@ -3,21 +3,21 @@
 from __future__ import annotations
 
 from crowstand import interface as i
-from ringledge.core.desk import Desk
-from ringledge.core.ledger import Attempt
+from ringledge.core.context import Context
+from ringledge.core.records import Attempt
 
 
-def begin(desk: Desk, attempt: Attempt) -> bool:
-    """Book the first token; False where the request is over, so that the stream has no taker."""
+def begin(context: Context, attempt: Attempt) -> bool:
+    """Record the first token; False where the request is over, so that the stream has no taker."""
     record = attempt.record
     if record.over or not attempt.out:
         return False
     attempt.began = record.began = True
     record.holders.clear()  # with the first token all that is held goes by itself
-    latency_ms = attempt.first_ms = desk.clock.now_ms() - attempt.sent_ms
-    record.first_ms = desk.clock.now_ms() - record.arrived_ms
-    desk.metrics.first_token.observe(record.first_ms / 1000)
-    desk.tell(i.FirstToken(record.name, attempt.number, attempt.server, latency_ms))
+    latency_ms = attempt.first_ms = context.clock.now_ms() - attempt.sent_ms
+    record.first_ms = context.clock.now_ms() - record.arrived_ms
+    context.metrics.first_token.observe(record.first_ms / 1000)
+    context.tell(i.FirstToken(record.name, attempt.number, attempt.server, latency_ms))
     return True
 
 
--- a/ringledge/core/stages/route.py
+++ b/ringledge/core/stages/route.py
@@ -3,33 +3,33 @@
 from __future__ import annotations
 
 from crowstand import interface as i
-from ringledge.core.desk import Desk
-from ringledge.core.ledger import Attempt
+from ringledge.core.context import Context
+from ringledge.core.records import Attempt
 
 
-def route(desk: Desk, action: i.Send) -> Attempt | None:
-    """Enter the attempt; one that may not go out gets its outcome (moot) right away."""
-    record = desk.ledger.records.get(action.request)
+def route(context: Context, action: i.Send) -> Attempt | None:
+    """Record the attempt; one that may not be sent gets its outcome right away."""
+    record = context.registry.records.get(action.request)
     if record is None:
         return None  # the wire's rule: nothing is sent for a request that has ended
-    now_ms = desk.clock.now_ms()
+    now_ms = context.clock.now_ms()
     timeout_ms = record.deadline_ms - now_ms
     if action.timeout_ms:
         timeout_ms = min(timeout_ms, action.timeout_ms)
-    reads = desk.servers.role(action.server) == i.Role.PREFILL
-    repeatable = desk.settings.classes[record.request.class_index].effect is i.Effect.SAFE
+    reads = context.servers.role(action.server) == i.Role.PREFILL
+    repeatable = context.settings.classes[record.request.class_index].effect is i.Effect.SAFE
     once = not reads and not repeatable
     attempt = Attempt(record, len(record.attempts), action.server, reads, once, now_ms, now_ms + timeout_ms)
     another_out = any(each.out for each in record.attempts)
     record.attempts.append(attempt)
     # Two attempts of a request are never out together, whatever was decided, but where the settings allow a
     # second copy of what may be repeated.
-    copies = desk.settings.second_copies and repeatable
+    copies = context.settings.second_copies and repeatable
     may_go = not (record.over or record.began or (another_out and not copies))
-    may_go = may_go and timeout_ms > 0 and attempt.number < desk.settings.max_attempts
-    if may_go and desk.servers.address(action.server) is not None:
+    may_go = may_go and timeout_ms > 0 and attempt.number < context.settings.max_attempts
+    if may_go and context.servers.address(action.server) is not None:
         return attempt
     attempt.outcome = i.Status.NOT_SENT
-    desk.metrics.outcomes.labels(i.Status.NOT_SENT.value).inc()
-    desk.tell(i.Outcome(record.name, attempt.number, action.server, i.Status.NOT_SENT, 0.0, record.over))
+    context.metrics.outcomes.labels(i.Status.NOT_SENT.value).inc()
+    context.tell(i.Outcome(record.name, attempt.number, action.server, i.Status.NOT_SENT, 0.0, record.over))
     return None
--- a/ringledge/core/stages/send.py
+++ b/ringledge/core/stages/send.py
@@ -3,22 +3,22 @@
 from __future__ import annotations
 
 from crowstand import interface as i
-from ringledge.core.desk import Desk
-from ringledge.core.ledger import Attempt
-from ringledge.core.stages import book
+from ringledge.core.context import Context
+from ringledge.core.records import Attempt
+from ringledge.core.stages import record_outcome
 
 
-def send(desk: Desk, attempt: Attempt) -> None:
+def send(context: Context, attempt: Attempt) -> None:
     """Start the attempt."""
-    desk.port.send(attempt)
+    context.port.send(attempt)
 
 
-def cancel(desk: Desk, action: i.Cancel) -> None:
-    """Close an attempt's connection and book it as cancelled, unless it has begun or ended."""
-    record = desk.ledger.records.get(action.request)
+def cancel(context: Context, action: i.Cancel) -> None:
+    """Close an attempt's connection and record it as cancelled, unless it has begun or ended."""
+    record = context.registry.records.get(action.request)
     if record is None or action.attempt >= len(record.attempts):
         return
     attempt = record.attempts[action.attempt]
     if attempt.out and not attempt.began:
-        desk.port.abandon(attempt)
-        book.outcome(desk, attempt, i.Status.CANCELLED)
+        context.port.abandon(attempt)
+        record_outcome.record_outcome(context, attempt, i.Status.CANCELLED)
--- a/ringledge/lifecycle/drain.py
+++ b/ringledge/lifecycle/drain.py
@@ -18,8 +18,8 @@
     longest_s = max((each.deadline_ms / 1000 for each in classes), default=LONGEST_S)
     last_call = anyio.current_time() + min(LONGEST_S, longest_s) + END_S - LAST_CALL_S
     await anyio.sleep(KEEP_TAKING_S)
-    while shared.fronts.open_count() or shared.conductor.ledger.records or shared.upstream.releases:
+    while shared.fronts.open_count() or shared.conductor.registry.records or shared.upstream.releases:
         shared.fronts.drain()
         if anyio.current_time() >= last_call:
-            shared.conductor.last_call()
+            shared.conductor.shut_down()
         await anyio.sleep(LOOK_S)
--- a/ringledge/lifecycle/handover.py
+++ b/ringledge/lifecycle/handover.py
@@ -14,7 +14,7 @@
 import anyio
 
 from ringledge.core.conductor import Conductor
-from ringledge.core.ledger import Ledger
+from ringledge.core.registry import RequestRegistry
 from ringledge.lifecycle import channel
 from ringledge.lifecycle.fronts import Fronts
 from ringledge.observe.logging import log
@@ -25,13 +25,13 @@
 class Peer:
     """The other process: what it has open, and what it is yet to be told of ours."""
 
-    def __init__(self, sock: socket.socket, ledger: Ledger) -> None:
+    def __init__(self, sock: socket.socket, registry: RequestRegistry) -> None:
         self.ids: set[str] = set()
-        self._sock, self._ledger = sock, ledger
-        self._untold = dict.fromkeys(ledger.records, True)
+        self._sock, self._ledger = sock, registry
+        self._untold = dict.fromkeys(registry.records, True)
         self._news = anyio.Event()
         self._sending = anyio.Lock()  # two tasks may not wait for the same socket
-        ledger.peers.append(self)
+        registry.peers.append(self)
 
     def note(self, request: str, opened: bool) -> None:
         """Have it told that a request was opened, or has ended."""
@@ -99,7 +99,7 @@
 
     async def follow(self, sock: socket.socket, serving: anyio.Event) -> None:
         """Keep in touch with the predecessor, and tell it once this process serves."""
-        peer = Peer(sock, self._conductor.ledger)
+        peer = Peer(sock, self._conductor.registry)
         self._count(1)
 
         async def tell() -> None:
@@ -153,7 +153,7 @@
                 self._told.left()
                 log.info("successor_serves")
 
-        peer = Peer(sock, self._conductor.ledger)
+        peer = Peer(sock, self._conductor.registry)
         self._count(1)
         try:
             await peer.follow(heard)
--- a/ringledge/lifecycle/parts/ratio.py
+++ b/ringledge/lifecycle/parts/ratio.py
@@ -23,5 +23,5 @@
     book = RoleBook(told)
     keeper = RoleKeeper(told, members.facts, members.membership, shared.conductor, config.names, book)
     fleet.duties[NAME] = Planner(told, members.facts, keeper, book, time.monotonic)
-    shared.conductor.desk.observer = keeper
+    shared.conductor.context.observer = keeper
     return Part(ready=lambda: shared.tasks.start_soon(keeper.run))
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -73,7 +73,7 @@
         shared = self.shared
         metrics, discovery = shared.metrics, shared.discovery
         metrics.list_age.set_function(lambda: time.monotonic() - discovery.last_heard)
-        metrics.open_requests.set_function(shared.conductor.ledger.current)
+        metrics.open_requests.set_function(shared.conductor.registry.unanswered)
         metrics.avoided.set_function(shared.conductor.avoided)
         for state in (i.Availability.UP, i.Availability.DRAINING):
             metrics.servers.labels(state.value).set_function(partial(shared.servers.count, state))
--- a/ringledge/members/role_keeper.py
+++ b/ringledge/members/role_keeper.py
@@ -12,7 +12,7 @@
 from crowstand import interface as i
 from crowstand.view import server_views
 from ringledge.core.conductor import Conductor
-from ringledge.core.ledger import Attempt, Record
+from ringledge.core.records import Attempt, Record
 from ringledge.decide.fleet import Facts, PlanRow, ServerSeen
 from ringledge.decide.measures import Measures
 from ringledge.decide.membership import Membership
@@ -42,7 +42,7 @@
     ) -> None:
         self._settings, self._facts, self._membership = settings, facts, membership
         self._conductor, self._names, self._book = conductor, names, book
-        self._desk = conductor.desk
+        self._desk = conductor.context
         self._measures = Measures()
         self._told: dict[str, ServerSeen] = {}
         self._asked: dict[str, PlanRow] = {}  # rows that the log has
@@ -95,7 +95,7 @@
         """Tell what is seen, hear the rows, and hand the roles on where they have changed."""
         listed = {each.name: each for each in self.servers()}
         reads, streams, waiting = Counter[str](), Counter[str](), Counter[str]()
-        for record in self._desk.ledger.records.values():
+        for record in self._desk.registry.records.values():
             waiting.update(record.holders)
             for attempt in record.attempts:
                 if attempt.out:
--- a/ringledge/memory/sessions.py
+++ b/ringledge/memory/sessions.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from ringledge.core.ledger import Record
+from ringledge.core.records import Record
 
 
 class End(Enum):
--- a/ringledge/wire/chat/front.py
+++ b/ringledge/wire/chat/front.py
@@ -195,7 +195,7 @@
         asked = question | {"stream": True, "max_tokens": int(request.max_output_tokens)}
         asked.pop("max_completion_tokens", None)
         payload = Payload(PATH, orjson.dumps(asked))
-        session.record = self._conductor.take(request, payload, Answer(session))
+        session.record = self._conductor.accept(request, payload, Answer(session))
 
     def _safe(self, class_index: int) -> bool:
         return self._settings.classes[class_index].effect is i.Effect.SAFE
--- a/ringledge/wire/chat/replaying.py
+++ b/ringledge/wire/chat/replaying.py
@@ -10,9 +10,9 @@
 
 from crowstand import interface as i
 from ringledge.core.conductor import Conductor
-from ringledge.core.ledger import Record
 from ringledge.core.port import Payload
-from ringledge.core.stages.take_in import DuplicateError
+from ringledge.core.records import Record
+from ringledge.core.stages.accept import DuplicateError
 from ringledge.decide.replay import Verdict
 from ringledge.members.sending import Result, Sending
 from ringledge.memory.names import Names
@@ -91,7 +91,7 @@
         body.pop("max_completion_tokens", None)
         payload = Payload(b"/v1/chat/completions", orjson.dumps(body))
         try:
-            record: Record = self._conductor.take(request, payload, run)
+            record: Record = self._conductor.accept(request, payload, run)
         except DuplicateError:  # the last attempt is still being let go of
             ended(Result(Verdict.REFUSED, False))
             return run
--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -43,7 +43,7 @@
 
     def __init__(self, address: str, names: Names, conductor: Conductor, rng: random.Random) -> None:
         self.address, self._names, self._conductor = address, names, conductor
-        settings = conductor.desk.settings
+        settings = conductor.context.settings
         self._pushed = settings.membership == i.MembershipMode.PUSH
         first_s, most_s = PUSHED_FIRST_S, PUSHED_MOST_S
         if not self._pushed:
@@ -125,7 +125,7 @@
         return conn, head
 
     async def _watch_once(self) -> None:
-        version = self._conductor.desk.servers.version
+        version = self._conductor.context.servers.version
         conn, _ = await self._ask(f"/v1/endpoints?watch=1&after={version}")
         try:
             objects = Objects(MOST_LIST)
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -13,7 +13,7 @@
 from crowstand import interface as i
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
-from ringledge.core.ledger import Attempt, Record
+from ringledge.core.records import Attempt, Record
 from ringledge.decide import patience
 from ringledge.decide.reach import Reach
 from ringledge.observe.logging import log
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -11,7 +11,7 @@
 
 from ringledge.core.conductor import Conductor
 from ringledge.core.port import Payload
-from ringledge.core.stages.take_in import DuplicateError
+from ringledge.core.stages.accept import DuplicateError
 from ringledge.lifecycle.config import Names
 from ringledge.wire.client import STREAM_HEAD, Exchange, converse
 from ringledge.wire.http import (
@@ -84,7 +84,7 @@
         payload = Payload(head.target, body, header(head, b"content-type") or b"application/json")
         exchange = Exchange(conn, self._held)
         try:
-            record = self._conductor.take(request, payload, exchange)
+            record = self._conductor.accept(request, payload, exchange)
         except DuplicateError as error:
             raise HttpError(400, f"request {error} is open already") from error
         try:
@@ -166,7 +166,7 @@
         names = self._names.classes
         index = self._names.index(names, name.decode("latin1"))
         if index < len(names):
-            self._conductor.desk.metrics.answers.labels("refused", str(index)).inc()
+            self._conductor.context.metrics.answers.labels("refused", str(index)).inc()
 
     async def _answer(self, conn: Connection, exchange: Exchange) -> None:
         """Write the one answer, as it comes."""
--- a/ringledge/wire/silence.py
+++ b/ringledge/wire/silence.py
@@ -9,7 +9,7 @@
 import anyio.abc
 
 from ringledge.core.clock import Clock
-from ringledge.core.ledger import Attempt
+from ringledge.core.records import Attempt
 from ringledge.decide.arrivals import Arrivals
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -10,7 +10,7 @@
 from crowstand import interface as i
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
-from ringledge.core.ledger import Attempt
+from ringledge.core.records import Attempt
 from ringledge.decide.reach import Reach
 from ringledge.lifecycle.config import Names
 from ringledge.memory.pool import Pool
--- a/ringledge/wire/xds.py
+++ b/ringledge/wire/xds.py
@@ -69,7 +69,7 @@
         with anyio.move_on_after(self._config.poll_s):
             while now.name == has:
                 with anyio.move_on_after(LOOK_S):
-                    await self._conductor.desk.servers.changed.wait()
+                    await self._conductor.context.servers.changed.wait()
                 now = self._version(kind, wanted)
         if now.name == has:
             return await conn.send(h11.Response(status_code=304, headers=[]), h11.EndOfMessage())
@@ -106,7 +106,7 @@
     def _assignment(self, role: i.Role) -> dict[str, Any]:
         """The servers of a role by hall and rack, with the module's weights."""
         places: dict[tuple[int, int], list[dict[str, Any]]] = {}
-        servers = self._conductor.desk.servers
+        servers = self._conductor.context.servers
         for view in server_views(self._conductor.policy, self._conductor.clock.now_ms()):
             address = servers.address(view.server)
             if view.role is not role or address is None:
--- a/tests/core/test_route.py
+++ b/tests/core/test_route.py
@@ -8,13 +8,14 @@
 import pytest
 
 from crowstand import interface as i
-from ringledge.core.ledger import Attempt, Ledger, Record
 from ringledge.core.port import Payload
+from ringledge.core.records import Attempt, Record
+from ringledge.core.registry import RequestRegistry
 from ringledge.core.stages.route import route
 from ringledge.observe.metrics import Metrics
 
 
-def desk(effect: i.Effect, second_copies: bool) -> Any:
+def context(effect: i.Effect, second_copies: bool) -> Any:
     kind = i.RequestClass(target_ms=1200, deadline_ms=5000, effect=effect)
     settings = i.Settings(
         classes=(kind,),
@@ -24,11 +25,16 @@
         second_copies=second_copies,
     )
     servers = SimpleNamespace(role=lambda _: i.Role.PREFILL, address=lambda _: "127.0.0.1:1")
-    ledger = Ledger()
+    registry = RequestRegistry()
     told = list[i.Event]()
     clock = SimpleNamespace(now_ms=lambda: 10.0)
     return SimpleNamespace(
-        settings=settings, servers=servers, ledger=ledger, clock=clock, metrics=Metrics(), tell=told.append
+        settings=settings,
+        servers=servers,
+        registry=registry,
+        clock=clock,
+        metrics=Metrics(),
+        tell=told.append,
     )
 
 
@@ -38,10 +44,10 @@
     effect: i.Effect, second_copies: bool
 ) -> None:
     """Where the settings allowed copies, one went out for any class, also for what must not run twice."""
-    at = desk(effect, second_copies)
+    at = context(effect, second_copies)
     record = Record(i.Request("a", expires_in_ms=5000), Payload(b"/", b""), SimpleNamespace(), 0.0)
     record.attempts.append(Attempt(record, 0, "r0", True, False, 0.0, 5000.0))
-    at.ledger.open(record)
+    at.registry.add(record)
     gone = route(at, i.Send("a", "r1"))
     assert (gone is not None) == (second_copies and effect is i.Effect.SAFE)
     assert len(record.attempts) == 2 and (gone is None) == (record.attempts[1].outcome is i.Status.NOT_SENT)
--- a/tests/wire/queued.py
+++ b/tests/wire/queued.py
@@ -15,7 +15,7 @@
 from crowstand import interface as i
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
-from ringledge.core.ledger import Attempt
+from ringledge.core.records import Attempt
 from ringledge.decide.cut_off import State
 from ringledge.members.sending import Result
 from ringledge.memory.names import Names
--- a/tests/wire/test_abandoned.py
+++ b/tests/wire/test_abandoned.py
@@ -14,8 +14,8 @@
 
 from crowstand import interface as i
 from ringledge.core.clock import Clock
-from ringledge.core.ledger import Attempt, Record
 from ringledge.core.port import Payload
+from ringledge.core.records import Attempt, Record
 from ringledge.lifecycle.config import Names
 from ringledge.memory.servers import ServerList
 from ringledge.observe.metrics import Metrics
--- a/tests/wire/test_chat_queue.py
+++ b/tests/wire/test_chat_queue.py
@@ -146,7 +146,7 @@
         assert [end.ran for end in ends] == [True]
         _, _, told = await process.post("book", **ASYNC)
         ends = await process.replay(told["id"], 1)
-        process.conductor.last_call()  # given up before anything was read
+        process.conductor.shut_down()  # given up before anything was read
         assert [end.ran for end in ends] == [False]
 
     play(tmp_path, game)
--- a/tests/wire/test_discovery.py
+++ b/tests/wire/test_discovery.py
@@ -32,12 +32,12 @@
 
     def __init__(self, membership: i.MembershipMode) -> None:
         settings = SimpleNamespace(membership=membership, routers=TIER)
-        self.desk = SimpleNamespace(settings=settings, servers=SimpleNamespace(version=7))
+        self.context = SimpleNamespace(settings=settings, servers=SimpleNamespace(version=7))
         self.news, self.lists = anyio.Event(), list[i.Members]()
 
     def members(self, members: i.Members, _: dict[str, str]) -> None:
         self.lists.append(members)
-        self.desk.servers.version = members.version
+        self.context.servers.version = members.version
         self.news.set()
         self.news = anyio.Event()
 
