--- a/benchmarks/overload_ways.py
+++ b/benchmarks/overload_ways.py
@@ -17,7 +17,8 @@
 import numpy
 import orjson
 
-from ringledge.decide.overload import Limits, Overload, Sample
+from ringledge.decide.overload import Overload
+from ringledge.decide.overload_messages import Limits, Sample
 from ringledge.decide.shares import Share
 from ringledge.lab import load
 
@@ -149,7 +150,7 @@
 
     def ask(self, now_ms: float, arrival: load.Arrival, age_ms: float) -> bool:
         kb = arrival.size / 1024
-        return self.overload.ask(now_ms, arrival.class_index, 0, kb, self.late_ms, self.busy) is None
+        return self.overload.decide(now_ms, arrival.class_index, 0, kb, self.late_ms, self.busy) is None
 
     def look(self, now_ms: float, delay_ms: float, busy: float) -> None:
         span_ms, self.at_ms = now_ms - self.at_ms, now_ms
--- a/ringledge/core/gate.py
+++ b/ringledge/core/gate.py
@@ -12,7 +12,8 @@
 
 from crowstand import interface as i
 from ringledge.core.clock import Clock
-from ringledge.decide.overload import Limits, No, Overload, Reason, Sample
+from ringledge.decide.overload import Overload
+from ringledge.decide.overload_messages import Limits, Reason, Rejection, Sample
 from ringledge.decide.overload_settings import OverloadConfig
 from ringledge.decide.shares import Share
 from ringledge.memory.held import Held
@@ -82,16 +83,17 @@
         self._memory = self._caps.memory / processes
 
     def _admitted(self, class_index: int, over_share: bool) -> float:
-        return self._overload.admitted(self._clock.now_ms(), class_index, over_share)
+        return self._overload.admitted_share(self._clock.now_ms(), class_index, over_share)
 
-    def ask(self, class_index: int, tenant: int, size: int) -> No | None:
+    def ask(self, class_index: int, tenant: int, size: int) -> Rejection | None:
         """Decide on one request by its class, tenant and the bytes of its body; None lets it in."""
         behind_ms = self.vitals.behind_ms()
         busy = self.vitals.busy() if behind_ms else 0.0
-        no = self._overload.ask(self._clock.now_ms(), class_index, tenant, size / 1024, behind_ms, busy)
-        if no is not None:
-            self._turned_away(class_index, no.reason)
-        return no
+        now_ms, kb = self._clock.now_ms(), size / 1024
+        rejection = self._overload.decide(now_ms, class_index, tenant, kb, behind_ms, busy)
+        if rejection is not None:
+            self._turned_away(class_index, rejection.reason)
+        return rejection
 
     def worthiest(self, name: str) -> bool:
         """Whether no other class is worth more than that one."""
@@ -99,24 +101,24 @@
 
     def sheds(self) -> bool:
         """Whether anybody may be turned away now."""
-        return self._overload.sheds
+        return self._overload.may_reject
 
     def hopeless(self) -> Reason | None:
         """Why nobody at all is let in now, if so: asked where a request's class is not known yet."""
-        return self._overload.hopeless(self._clock.now_ms())
+        return self._overload.rejects_all(self._clock.now_ms())
 
     def checked(self, size: int, seconds: float) -> None:
         """A body of so many bytes took so long to be checked."""
         kb = BODY_KB[bisect_left(BODY_KB[:-1], size / 1024)]
         self._metrics.body.labels(str(kb)).observe(seconds)
 
-    def turn_away(self, class_index: int, reason: Reason) -> No:
-        """A no for a request of whose class nothing surer is known."""
+    def turn_away(self, class_index: int, reason: Reason) -> Rejection:
+        """Reject a request of whose class nothing surer is known."""
         self._turned_away(class_index, reason)
-        return No(reason, False, self._overload.wait_ms())
+        return Rejection(reason, False, self._overload.retry_after_ms())
 
     def _turned_away(self, class_index: int, reason: Reason) -> None:
-        """Count a no."""
+        """Count a rejection."""
         self._sheds += 1
         self._metrics.shed.labels(self._names[class_index], reason.value).inc()
         log.often("request_shed", **{"class": self._names[class_index]}, reason=reason.value)
@@ -151,7 +153,7 @@
             "cpu": round(reading.cpu_ms / max(1.0, reading.span_ms), 2),
             "loop_ms": round(reading.loop_ms, 1),
             "unread_ms": round(reading.unread_ms, 1),
-            "request_ms": round(self._overload.costs.of(0.0), 2),
+            "request_ms": round(self._overload.costs.estimate_ms(0.0), 2),
             "shed": self._sheds,
         }
         log.often("overload", **told)
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -30,7 +30,7 @@
 
 if TYPE_CHECKING:
     from ringledge.core.gate import Gate
-    from ringledge.decide.overload import No
+    from ringledge.decide.overload_messages import Rejection
     from ringledge.memory.held import Held
     from ringledge.wire.turns import Turns
 
@@ -149,7 +149,7 @@
         if no is not None:
             raise shed(no)
 
-    def _decide(self, gate: Gate, name: bytes, caller: bytes, length: int) -> No | None:
+    def _decide(self, gate: Gate, name: bytes, caller: bytes, length: int) -> Rejection | None:
         """What names no class is not the gate's matter."""
         names = self._names
         class_index = names.index(names.classes, name.decode("latin1"))
@@ -181,9 +181,9 @@
         else:
             await respond(conn, 500, b'{"error":"failed, it may have run"}')
 
-def shed(no: No) -> ShedError:
+def shed(no: Rejection) -> ShedError:
     """What a client that the gate turned away is told: when to come back, and whose limit it met."""
-    headers: Headers = [(b"Retry-After", b"%.3f" % (no.come_back_ms / 1000))]
+    headers: Headers = [(b"Retry-After", b"%.3f" % (no.retry_after_ms / 1000))]
     if no.over_share:
         reason = "overloaded, and this caller is over its share; nothing has run"
         return ShedError(429, reason, "rate_limit_exceeded", headers=headers)
--- a/tests/decide/test_overload.py
+++ b/tests/decide/test_overload.py
@@ -7,7 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ringledge.decide.overload import Limits, Overload, Reason, Sample
+from ringledge.decide.overload import Overload
+from ringledge.decide.overload_messages import Limits, Reason, Sample
 from ringledge.decide.shares import Share, Shares
 
 WORTHS, OVER = (2.0, 6.0), 0.05
@@ -37,8 +38,9 @@
     for (cpu, loop_ms, unread_ms, memory, held), coming in history:
         for class_index, tenant, kb in coming:
             now_ms += STEP_MS / (len(coming) + 1)
-            overload.ask(now_ms, class_index, tenant, kb)
-            closed = [overload.refuses(now_ms, band) is not None for band in range(overload.bands)]
+            overload.decide(now_ms, class_index, tenant, kb)
+            bands = range(overload.band_count)
+            closed = [overload.rejection_reason(now_ms, band) is not None for band in bands]
             assert closed == sorted(closed, reverse=True), "a lower worth is let in, a higher one is not"
         now_ms = (now_ms // STEP_MS + 1) * STEP_MS
         overload.sample(Sample(now_ms, STEP_MS, cpu * STEP_MS, loop_ms, unread_ms, memory, held))
@@ -55,7 +57,7 @@
         overload.sample(Sample(now_ms, STEP_MS, 0.1 * STEP_MS))
     for number in range(40):
         now_ms += 25
-        assert overload.ask(now_ms, number % 2, number % 3, 2.0) is None
+        assert overload.decide(now_ms, number % 2, number % 3, 2.0) is None
     assert not overload.pressed
 
 
@@ -68,7 +70,7 @@
 def test_a_process_that_was_stopped_for_a_second_sheds_nobody() -> None:
     overload = decider()
     overload.sample(Sample(1000.0, 1000.0, 3.0, loop_ms=980.0, unread_ms=500.0))
-    assert not overload.pressed and overload.ask(1001.0, 0, 0, 2.0, behind_ms=900.0, busy=0.0) is None
+    assert not overload.pressed and overload.decide(1001.0, 0, 0, 2.0, lag_ms=900.0, busy=0.0) is None
     overload.sample(Sample(1060.0, STEP_MS, 20.0, loop_ms=2.0))
     assert not overload.pressed
 
@@ -78,26 +80,27 @@
     for number in range(60):
         overload.sample(Sample(number * STEP_MS, STEP_MS, 0.3 * STEP_MS, loop_ms=80.0))
         for _ in range(10):
-            overload.ask(number * STEP_MS, 0, 0, 2.0)
-    no = overload.ask(60 * STEP_MS, 0, 0, 2.0)
-    assert no is not None and no.reason is Reason.DELAY and overload.trim < 0.5
+            overload.decide(number * STEP_MS, 0, 0, 2.0)
+    no = overload.decide(60 * STEP_MS, 0, 0, 2.0)
+    assert no is not None and no.reason is Reason.DELAY and overload.correction < 0.5
 
 
 def test_a_rush_is_seen_between_two_samples() -> None:
     overload = decider()
-    assert overload.ask(10.0, 0, 0, 2.0, behind_ms=10.0, busy=1.0) is None
-    overload.ask(40.0, 0, 0, 2.0, behind_ms=40.0, busy=1.0)
+    assert overload.decide(10.0, 0, 0, 2.0, lag_ms=10.0, busy=1.0) is None
+    overload.decide(40.0, 0, 0, 2.0, lag_ms=40.0, busy=1.0)
     assert overload.pressed
 
 
 def test_bookings_go_last_and_a_no_says_when_to_come_back() -> None:
     overload = decider()
     now_ms = press(overload)
-    nos = [overload.ask(now_ms, 0, 3, 2.0) for _ in range(60)][20:]
-    assert all(nos) and all(overload.ask(now_ms, 1, 3, 2.0) is None for _ in range(20))
-    waits = [no.come_back_ms for no in nos if no]
+    nos = [overload.decide(now_ms, 0, 3, 2.0) for _ in range(60)][20:]
+    assert all(nos) and all(overload.decide(now_ms, 1, 3, 2.0) is None for _ in range(20))
+    waits = [no.retry_after_ms for no in nos if no]
     assert min(waits) >= 500 and max(waits) <= 1500 and max(waits) - min(waits) > 300
-    assert overload.admitted(now_ms, 0, False) < 0.5 and overload.admitted(now_ms, 1, False) == 1.0
+    assert overload.admitted_share(now_ms, 0, False) < 0.5
+    assert overload.admitted_share(now_ms, 1, False) == 1.0
 
 
 def test_memory_closes_the_bands_one_by_one_and_opens_them_a_little_later() -> None:
@@ -105,12 +108,12 @@
 
     def closed(memory: float) -> list[bool]:
         overload.sample(Sample(0.0, STEP_MS, 1.0, memory=memory))
-        return [overload.refuses(0.0, band) is Reason.MEMORY for band in range(overload.bands)]
+        return [overload.rejection_reason(0.0, band) is Reason.MEMORY for band in range(overload.band_count)]
 
     assert closed(0.79) == [False] * 4
     assert closed(0.81) == [True, False, False, False]
     assert closed(0.94) == [True, True, True, False]
-    assert closed(0.96) == [True] * 4 and overload.hopeless(0.0) is Reason.MEMORY
+    assert closed(0.96) == [True] * 4 and overload.rejects_all(0.0) is Reason.MEMORY
     assert closed(0.93) == [True] * 4  # it has to fall a little below where it closed
     assert closed(0.91) == [True, True, True, False]
     assert closed(0.76) == [False] * 4
@@ -131,7 +134,7 @@
         if now_ms >= next_ms:
             next_ms = now_ms + rng.expovariate(rate / 1000)
             booking = rng.random() < 0.19
-            no = overload.ask(now_ms, int(booking), rng.choices((0, 1, 2), (0.5, 0.3, 0.2))[0], 2.0)
+            no = overload.decide(now_ms, int(booking), rng.choices((0, 1, 2), (0.5, 0.3, 0.2))[0], 2.0)
             backlog_ms += no_ms if no else cost_ms
             told["asked"] += 1
             told["in"] += no is None
@@ -190,8 +193,8 @@
     now_ms = press(overload)
     for number in range(50):  # pressed, for the loop is late now and then, but with little to do
         now_ms += STEP_MS
-        overload.ask(now_ms, 0, 3, 2.0)
+        overload.decide(now_ms, 0, 3, 2.0)
         overload.sample(Sample(now_ms, STEP_MS, 0.7 * STEP_MS, loop_ms=40.0 if number % 3 == 0 else 0.0))
-    assert overload.pressed and overload.trim <= 1.0
-    shed = sum(overload.ask(now_ms, 0, 3, 2.0) is not None for _ in range(100))
+    assert overload.pressed and overload.correction <= 1.0
+    shed = sum(overload.decide(now_ms, 0, 3, 2.0) is not None for _ in range(100))
     assert shed > 50
