--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -22,6 +22,7 @@
 import psutil
 
 from ringledge.lab import load
+from ringledge.lab.load_plan import LoadPlan, parse_shares
 from ringledge.lab.stage import stage
 
 DOORS = "enabled = true\nkeep_alive_s = 3600.0\njitter = 0.1\n"
@@ -80,7 +81,7 @@
         time.sleep(IDLE_S)
         rested = process.memory_info().rss
         idle = (sum(process.cpu_times()[:2]) - used) / IDLE_S
-        plan = load.Plan(address, rate, seconds, 0.19, 2.0, 0.0, load.shares(""))
+        plan = LoadPlan(address, rate, seconds, 0.19, 2.0, 0.0, parse_shares(""))
         report = orjson.loads(load.run(plan))
         firsts = report["classes"]["yard-query"]["first_token_ms"]
         figures = on.figures()
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -20,6 +20,7 @@
 import psutil
 
 from ringledge.lab import load
+from ringledge.lab.load_plan import LoadPlan, parse_shares
 from ringledge.lab.stage import Stage, stage
 
 PROMETHEUS = 'enabled = true\nlisten = "127.0.0.1:0"\n'
@@ -27,10 +28,10 @@
 KEPT = 0.97  # of the requests served in time: the core keeps up
 
 
-def plan(on: Stage, rate: float, seconds: float, kb: float, seed: int) -> load.Plan:
+def plan(on: Stage, rate: float, seconds: float, kb: float, seed: int) -> LoadPlan:
     """The issue's load: 19% bookings, by the tenants' shares."""
     to, watch = on.listening["platform"], on.listening["operator"]
-    return load.Plan(to, rate, seconds, 0.19, kb, 0.0, load.shares(""), (), 0, watch, seed)
+    return LoadPlan(to, rate, seconds, 0.19, kb, 0.0, parse_shares(""), (), 0, watch, seed)
 
 
 def once(
--- a/ringledge/cli/lab.py
+++ b/ringledge/cli/lab.py
@@ -27,10 +27,11 @@
 def servers(folder: Path, readers: int, writers: int, read_ms: float, stream_ms: float, events: int,
             event_bytes: int, memory_mb: float, sockets: int, operator: str) -> None:  # fmt: skip
     """Play readers, writers and discovery until SIGTERM; what ran is told at discovery's /audit."""
-    from ringledge.lab import servers as playing
+    from ringledge.lab import servers as stand_ins
+    from ringledge.lab.instances import ServersPlan
 
-    plan = playing.Plan(readers, writers, read_ms, stream_ms, events, event_bytes)
-    playing.run(plan, folder, {"memory_mb": memory_mb, "sockets": sockets, "cores": 1.0}, operator)
+    plan = ServersPlan(readers, writers, read_ms, stream_ms, events, event_bytes)
+    stand_ins.run(plan, folder, {"memory_mb": memory_mb, "sockets": sockets, "cores": 1.0}, operator)
 
 
 @lab.command()
@@ -49,21 +50,22 @@
 def load(target: str, rate: float, seconds: float, bookings: float, prompt_kb: float, prompt_sigma: float,
          tenants: str, bursts: tuple[str, ...], unread: int, watch: str, seed: int) -> None:  # fmt: skip
     """Send requests at their drawn times; latency counts from the intended time. A report in JSON."""
-    from ringledge.lab import load as loading
+    from ringledge.lab import load as generator
+    from ringledge.lab.load_plan import LoadPlan, parse_burst, parse_shares
 
     try:
-        shares = loading.shares(tenants)
-        shapes = tuple(map(loading.burst, bursts))
+        shares = parse_shares(tenants)
+        shapes = tuple(map(parse_burst, bursts))
     except ValueError as error:
         raise click.UsageError(str(error)) from error
-    plan = loading.Plan(target, rate, seconds, bookings, prompt_kb, prompt_sigma, shares, shapes, unread,
-                        watch, seed)  # fmt: skip
-    click.echo(loading.run(plan))
+    plan = LoadPlan(target, rate, seconds, bookings, prompt_kb, prompt_sigma, shares, shapes, unread, watch,
+                    seed)  # fmt: skip
+    click.echo(generator.run(plan))
 
 
 @lab.command()
 def demo() -> None:
     """Start servers and a conductor, send a few requests, and say what happened."""
-    from ringledge.lab import demo as showing
+    from ringledge.lab import demo
 
-    raise SystemExit(showing.run())
+    raise SystemExit(demo.run())
--- a/ringledge/lab/demo.py
+++ b/ringledge/lab/demo.py
@@ -5,6 +5,7 @@
 import orjson
 
 from ringledge.lab import load
+from ringledge.lab.load_plan import LoadPlan, parse_shares
 from ringledge.lab.stage import stage
 
 SECONDS, RATE = 3.0, 30.0
@@ -15,7 +16,7 @@
     with stage() as on:
         print(f"stand-in servers are up, discovery at {on.discovery}")
         print(f"the conductor listens at {on.listening}")
-        plan = load.Plan(on.listening["platform"], RATE, SECONDS, 0.19, 2.0, 0.5, load.shares(""))
+        plan = LoadPlan(on.listening["platform"], RATE, SECONDS, 0.19, 2.0, 0.5, parse_shares(""))
         report = orjson.loads(load.run(plan))
         for name, each in report["classes"].items():
             first_ms = each["first_token_ms"]["p50"]
--- a/tests/wire/test_discovery.py
+++ b/tests/wire/test_discovery.py
@@ -135,7 +135,7 @@
             time.sleep(0.05)
 
     async def run() -> None:
-        async with watched(agent, i.Membership.PUSH) as told:
+        async with watched(agent, i.MembershipMode.PUSH) as told:
             slow = (await next_call(agent)).begin()
             with anyio.fail_after(5):
                 await anyio.to_thread.run_sync(trickle, slow)
@@ -167,7 +167,7 @@
 
     async def run() -> None:
         over = threading.Event()
-        async with watched(agent, i.Membership.PUSH) as told, anyio.create_task_group() as tasks:
+        async with watched(agent, i.MembershipMode.PUSH) as told, anyio.create_task_group() as tasks:
             tasks.start_soon(anyio.to_thread.run_sync, play, over)
             await told.has(8)
             over.set()
