--- /dev/null
+++ b/tests/crowstand/test_slow_start.py
@@ -0,0 +1,108 @@
+"""Rule 4: no cold server is overloaded, by many routers together."""
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from crowstand import interface as i
+from tests.world import FLEET, READER, WRITER, World, entry, finals, sends
+
+
+@pytest.mark.parametrize("routers", [3, 60, 200])
+def test_many_routers_together_keep_a_cold_servers_budget_and_warm_it(routers: int) -> None:
+    """Each router knows nothing of its peers; each second it has one request for the cold server."""
+    start = 1_000_000.0
+    fleet = tuple(replace(each, started_ms=start) if each.server == "r0" else each for each in FLEET)
+    worlds = [World(fleet, seed=seed, routers=routers, router=seed) for seed in range(routers)]
+    prefix = next(key for key in range(1, 99) if World().serve("x", session=1, prefix=key) == "r0")
+    windows = []
+    for second in range(9):
+        sent = 0
+        for world in worlds:
+            world.now_ms = start + 1000 * second
+            reader = sends(world.request(f"a{second}", session=1, prefix=prefix, prompt_tokens=100))
+            sent += reader == ["r0"]
+            world.end(f"a{second}")
+        windows.append(sent)
+    assert max(windows) <= 6  # of a budget of four times what it can do: a warm one does some a second
+    assert sum(windows) >= 3  # and it is not starved
+
+
+def test_a_busy_router_paces_a_cold_server_by_all_the_work_it_gets_done() -> None:
+    world = World(routers=8)
+    for number in range(200):  # 20 a second while a server would warm, about 5 at each of four readers
+        world.wait(50)
+        world.serve(f"a{number}", session=number)
+    cold = tuple(replace(each, started_ms=world.now_ms) for each in FLEET if each.server == "r0")
+    world.give(i.Members(i.ListForm.CHANGES, 2, cold))
+    used = 0
+    for number in range(60):
+        world.wait(50)
+        used += world.serve(f"b{number}", session=1000 + number) == "r0"
+    assert used >= 4  # 0.3 of 5 a second and rising, for 3 s; a quarter of the work tells a quarter
+
+
+def test_many_quiet_routers_together_give_a_cold_reader_what_it_can_read_and_no_more() -> None:
+    """Of 40 routers each sees little done: by that alone a fresh reader got next to nothing while cold."""
+    routers, start = 40, 1_000_000.0
+    worlds = [World(seed=seed, routers=routers, router=seed) for seed in range(routers)]
+    cold = tuple(replace(each, started_ms=start + 1000) for each in FLEET if each.server == "r0")
+    sent = Counter[int]()
+    for world in worlds:
+        world.serve("first", session=1, prompt_tokens=900)  # 50 ms for 1,200 with the fixed ones: the pace
+        world.now_ms = start + 1000
+        world.give(i.Members(i.ListForm.CHANGES, 2, cold))
+    for step in range(160):  # 4 s of 0.3 of a reader's capacity; in each all ask for it
+        for world in worlds:
+            world.wait(25)
+            reader = sends(world.request(f"a{step}", session=step, prompt_tokens=900))
+            sent[step // 40] += reader == ["r0"]
+            world.end(f"a{step}")
+    can = 0.3 * 1000 / 50
+    assert all(can <= sent[second] <= 4 * can for second in range(1, 4))
+
+
+def test_a_tier_whose_fleet_is_mostly_fresh_gives_cold_writers_more_than_their_usual_part() -> None:
+    """Three in four writers are cold: by their part of the usual alone the last warm one got nearly all."""
+    routers, start = 40, 1_000_000.0
+    worlds = [World(seed=seed, routers=routers, router=seed) for seed in range(routers)]
+    for world in worlds:
+        for number in range(40):  # two a second, for as long as a server warms
+            world.wait(500)
+            world.serve(f"a{number}", session=number)
+    cold = tuple(replace(e, started_ms=start + 20_000) for e in FLEET if e.server in ("w1", "w2", "w3"))
+    sent = Counter[str]()
+    for world in worlds:
+        world.give(i.Members(i.ListForm.CHANGES, 2, cold))
+    for number in range(12):  # 6 s
+        for world in worlds:
+            world.wait(500)
+            world.serve(f"b{number}", session=1000 + number)
+            sent[world.at[f"b{number}"]] += 1
+    usual = routers * 12 / 4  # what each of four writers got in as long
+    assert all(0.4 * usual < sent[server] <= usual for server in ("w1", "w2", "w3"))  # at 0.3 to 0.7
+    assert sent["w0"] < 0.62 * sent.total()  # 0.72 when they got their warmth's part of the usual at most
+
+
+def test_all_cold_and_spent_means_a_refusal_not_a_push() -> None:
+    world = World((entry("r", READER, started_ms=1_000_000.0), entry("w", WRITER)))
+    sent = [sends(world.request(f"a{n}", session=n)) for n in range(4)]
+    assert sent.count(["r"]) <= 1 and finals(world.last) == [i.Refuse("a3", 250)]
+    world.wait(2000)
+    assert sends(world.request("c", session=3)) == ["r"]
+
+
+def test_a_fleet_that_comes_back_cold_is_not_stormed_by_failed_sends() -> None:
+    world = World()
+    for number in range(60):  # all are down: connections fail, which is no evidence of what a server can do
+        world.request(f"a{number}", session=number)
+        while not finals(world.last):
+            world.outcome(f"a{number}", i.Status.CONNECT_FAILED)
+    world.now_ms += 1100
+    again = tuple(replace(each, started_ms=world.now_ms) for each in FLEET)
+    world.give(i.Members(i.ListForm.FULL, 2, again))
+    reads = [server for n in range(60) for server in sends(world.request(f"b{n}", session=n))]
+    assert all(reads.count(server) <= 1 for server in ("r0", "r1", "r2", "r3"))
+    world.now_ms += 2000
+    assert any(sends(world.request(f"c{n}", session=n)) for n in range(20))
--- /dev/null
+++ b/tests/wire/chat/helpers.py
@@ -0,0 +1,46 @@
+"""Requests to the chat front, and what its streams say."""
+
+import json
+from typing import Any
+
+from tests.loopback import Answer, Call, Node, take
+
+CHAT = """
+enabled = true
+listen = "127.0.0.1:0"
+[models]
+yard = "query"
+book = "booking"
+"""
+HELLO: dict[str, Any] = {"model": "yard", "messages": [{"role": "user", "content": "is room 14 free?"}]}
+STREAM = HELLO | {"stream": True}
+BOOK = STREAM | {"model": "book"}
+
+
+def writing(node: Node) -> Call:
+    """Let a request be read; give the call at the writer."""
+    node.reader[0].next().read()
+    return node.writer[0].next()
+
+
+def text(body: bytes) -> str:
+    """What the events of a stream say, whole or broken."""
+    return "".join(
+        choice["delta"].get("content", "")
+        for line in body.splitlines()
+        if line.startswith(b"data: {")
+        for choice in json.loads(line[6:])["choices"]
+    )
+
+
+def first_id(answer: Any) -> str:
+    """Read a stream's first event; give its id."""
+    line: str = answer.readline().decode()
+    assert line.startswith("id: ")
+    for _ in range(2):
+        answer.readline()
+    return line[4:].strip()
+
+
+def resume(node: Node, question: Any, last: str) -> Answer:
+    return take(node.chat(question, Last_Event_ID=last))
--- a/tests/world.py
+++ b/tests/world.py
@@ -10,6 +10,7 @@
 
 READER, WRITER, MIXED = 0, 1, 2
 SAFE = i.RequestClass(1000, 5000, i.Effect.SAFE, target_token_ms=50)
+UNSAFE = replace(SAFE, effect=i.Effect.UNSAFE)
 SETTINGS = i.Settings(
     classes=(SAFE,),
     kinds=(i.ServerKind(i.Role.PREFILL), i.ServerKind(i.Role.DECODE), i.ServerKind(i.Role.MIXED)),
@@ -121,3 +122,12 @@
 
 def cancelled(actions: list[i.Action]) -> bool:
     return any(isinstance(action, i.Cancel) for action in actions)
+
+
+def used(world: World, name: str, count: int, **fields: Any) -> list[str]:
+    """Where new sessions of one beginning are read; each is given up at once."""
+    servers = []
+    for number in range(count):
+        servers += sends(world.request(f"{name}{number}", session=1000 + number, **fields))
+        world.end(f"{name}{number}")
+    return servers
