--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -12,7 +12,7 @@
 
 from ringledge.core.conductor import Conductor
 from ringledge.core.port import Payload
-from ringledge.core.stages.take_in import DuplicateError
+from ringledge.core.stages.accept import DuplicateError
 from ringledge.lifecycle.config import Names
 from ringledge.wire.client import STREAM_HEAD, Exchange, converse
 from ringledge.wire.connection import Connection
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from ringledge.core.gate import Gate
-    from ringledge.decide.overload import No
+    from ringledge.decide.overload_messages import Rejection
     from ringledge.memory.held import Held
     from ringledge.wire.turns import Turns
 
@@ -77,7 +77,7 @@
         payload = Payload(head.target, body, header(head, b"content-type") or b"application/json")
         exchange = Exchange(conn, self._held)
         try:
-            record = self._conductor.take(request, payload, exchange)
+            record = self._conductor.accept(request, payload, exchange)
         except DuplicateError as error:
             raise HttpError(400, f"request {error} is open already") from error
         try:
@@ -144,7 +144,7 @@
         if no is not None:
             raise shed(no)
 
-    def _decide(self, gate: Gate, name: bytes, caller: bytes, length: int) -> No | None:
+    def _decide(self, gate: Gate, name: bytes, caller: bytes, length: int) -> Rejection | None:
         """What names no class is not the gate's matter."""
         names = self._names
         class_index = names.index(names.classes, name.decode("latin1"))
@@ -161,7 +161,7 @@
         names = self._names.classes
         index = self._names.index(names, name.decode("latin1"))
         if index < len(names):
-            self._conductor.desk.metrics.answers.labels("refused", str(index)).inc()
+            self._conductor.context.metrics.answers.labels("refused", str(index)).inc()
 
     async def _answer(self, conn: Connection, exchange: Exchange) -> None:
         """Write the one answer, as it comes."""
@@ -176,9 +176,9 @@
         else:
             await respond(conn, 500, b'{"error":"failed, it may have run"}')
 
-def shed(no: No) -> ShedError:
+def shed(no: Rejection) -> ShedError:
     """What a client that the gate turned away is told: when to come back, and whose limit it met."""
-    headers: Headers = [(b"Retry-After", b"%.3f" % (no.come_back_ms / 1000))]
+    headers: Headers = [(b"Retry-After", b"%.3f" % (no.retry_after_ms / 1000))]
     if no.over_share:
         reason = "overloaded, and this caller is over its share; nothing has run"
         return ShedError(429, reason, "rate_limit_exceeded", headers=headers)
--- a/tests/wire/test_discovery.py
+++ b/tests/wire/test_discovery.py
@@ -35,12 +35,12 @@
 
     def __init__(self, membership: i.MembershipMode) -> None:
         settings = SimpleNamespace(membership=membership, routers=TIER)
-        self.desk = SimpleNamespace(settings=settings, servers=SimpleNamespace(version=7))
+        self.context = SimpleNamespace(settings=settings, servers=SimpleNamespace(version=7))
         self.news, self.lists = anyio.Event(), list[i.Members]()
 
     def members(self, members: i.Members, _: dict[str, str]) -> None:
         self.lists.append(members)
-        self.desk.servers.version = members.version
+        self.context.servers.version = members.version
         self.news.set()
         self.news = anyio.Event()
 
@@ -128,7 +128,7 @@
             time.sleep(0.05)
 
     async def run() -> None:
-        async with watched(agent, i.Membership.PUSH) as told:
+        async with watched(agent, i.MembershipMode.PUSH) as told:
             slow = (await next_call(agent)).begin()
             with anyio.fail_after(5):
                 await anyio.to_thread.run_sync(trickle, slow)
@@ -160,7 +160,7 @@
 
     async def run() -> None:
         over = threading.Event()
-        async with watched(agent, i.Membership.PUSH) as told, anyio.create_task_group() as tasks:
+        async with watched(agent, i.MembershipMode.PUSH) as told, anyio.create_task_group() as tasks:
             tasks.start_soon(anyio.to_thread.run_sync, play, over)
             try:
                 await told.has(8)
--- a/tests/wire/test_list_lines.py
+++ b/tests/wire/test_list_lines.py
@@ -54,7 +54,7 @@
 
 async def played(agent: StandIn, bad: bytes, end: bytes = b"") -> int:
     """A good list, then what is bad, then on the next watch a better one; how many lists were taken."""
-    async with watched(agent, i.Membership.PUSH) as told:
+    async with watched(agent, i.MembershipMode.PUSH) as told:
         first = (await next_call(agent)).begin().chunk(json.dumps(listing(8)) + "\n")
         await told.has(8)
         first.raw(b"%x\r\n%s\r\n" % (len(bad), bad) + end)
@@ -90,7 +90,7 @@
 
 def test_a_server_that_has_left_needs_no_address(agent: StandIn, logged: list[str]) -> None:
     async def run() -> None:
-        async with watched(agent, i.Membership.PUSH) as told:
+        async with watched(agent, i.MembershipMode.PUSH) as told:
             call = (await next_call(agent)).begin().chunk(line(status="left", address="").decode())
             assert (await told.has(8)).entries[0].availability == i.Availability.GONE
             call.raw(b"")
