Count descriptors by the system's limit too, so that idle clients leave room for discovery

What is kept for discovery, listeners and servers is kept by arithmetic alone: 64 of limits.sockets, and of the rest half for servers. Played with the real program, RLIMIT_NOFILE 128 and 300 idle clients that come again as soon as they are closed, then a new address of discovery and a request. With limits.sockets 128 the arithmetic holds: no accept, connect or watch failed for want of a descriptor. With limits.sockets 4096 it does not: accepts failed with EMFILE, and whether discovery got a descriptor hung on who asked first.

The system's limit is left as it is.

--- a/ringledge/lifecycle/fronts.py
+++ b/ringledge/lifecycle/fronts.py
@@ -11,6 +11,7 @@
 import h11
 
 from ringledge.lifecycle.config import Config
+from ringledge.lifecycle.descriptors import allowed
 from ringledge.observe.metrics import Metrics
 from ringledge.wire import operator
 from ringledge.wire.budget import Budget
@@ -48,7 +49,7 @@
         self._metrics, self._inherited = metrics, inherited
         # Half for servers, half for clients; each front lets an eighth more in, only to be refused.
         spare = SPARE_SOCKETS + (operator.CONNECTIONS if config.operator else 0)
-        self.sockets = max(8, (config.sockets - spare) // 2)
+        self.sockets = max(8, (allowed(config.sockets) - spare) // 2)
         self._bodies = config.memory / BODIES_PART
         self._budget = Budget(self._bodies)
         self._crowded = 1 + ("chat" in config.extras)  # fronts that any client may call
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -56,13 +56,15 @@
     """The program, started with a folder's configuration; its log as it comes."""
 
     module = "ringledge"  # that is run
+    descriptors = 0  # that the system allows it; 0: as many as this process
 
     def start(self, folder: Path, *flags: str) -> None:
         environ = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "RINGLEDGE_"))}
         environ |= {"RELAY_CONFIG": str(folder / "config.json"), "RINGLEDGE_DEPLOY": str(folder)}
         environ["TMPDIR"] = str(folder)
         command = [sys.executable, *flags, "-m", self.module]
-        self.process = subprocess.Popen(command, cwd=ROOT, env=environ, stderr=subprocess.PIPE)
+        limit = ["prlimit", f"--nofile={self.descriptors}"] if self.descriptors else []
+        self.process = subprocess.Popen([*limit, *command], cwd=ROOT, env=environ, stderr=subprocess.PIPE)
         self.lines = queue.Queue[dict[str, Any]]()
         threading.Thread(target=self._read_log, daemon=True).start()
         self.listening = self.logged("ready")["listening"]
@@ -119,6 +121,7 @@
     hung: int = 0  # further writers that no connection reaches
     mixed: tuple[StandIn, ...] = ()  # servers that do both, of whoever made them: each in a rack of its own
     sockets: int = 256
+    descriptors: int = 0
     memory_mb: float = 192
     files: dict[str, str] = field(default_factory=dict)  # deploy files by name
     clients: list[http.client.HTTPConnection] = field(default_factory=list)  # whose answers a test waits for
