Accept no more once a stop has taken what still came, so that it ends

With 300 idle clients that come again as soon as they are closed it never ended (no 'stopped' in 10 s), and went with the kill. Ruled out: connections that linger (0.5 s each).

Who comes later is refused at once and goes elsewhere. Where a successor accepts, the backlog is left to it; one that asks later binds its own socket.

Shown: tests/test_descriptors.py, a stop ends though clients come again and again; fails without the change.

--- a/ringledge/lifecycle/fronts.py
+++ b/ringledge/lifecycle/fronts.py
@@ -119,9 +119,11 @@
         return sum(front.open for front, _ in self.clients)
 
     def drain(self) -> None:
-        """Close what rests, and read no further request behind an answer."""
-        for front, _ in self.clients:
-            front.connections.drain()
+        """Accept no more, close what rests, and read no further request behind an answer."""
+        for front, listener in self.clients:
+            front.drain()
+            for address in [name for name, each in self.listeners.items() if each is listener]:
+                del self.listeners[address]  # a successor that asks from here on binds its own
 
     def listening(self) -> dict[str, str]:
         """The address of each front by its name."""
--- a/ringledge/wire/front.py
+++ b/ringledge/wire/front.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,7 @@
 
 GIVE_WAY = 16  # connections at rest that are closed when descriptors run out
 SEND_BYTES = 64 * 1024  # of an answer that the kernel may hold, where memory is watched
+BACKLOG = 1024  # new connections that are taken at a stop, at most
 ACCEPT_AT_ONCE = 16  # new connections before others get their turn
 
 
@@ -57,6 +59,8 @@
         answering = Answering(handler, error_body, request_s, refused, keeps, quick)
         self._requests = RequestLoop(self.connections, answering, metrics)
         self.serving = False  # it accepts
+        self._stopped = False  # and never will again
+        self._sole = True  # no other process accepts here
         self._accepting, self._reopened = anyio.CancelScope(), anyio.Event()
 
     @property
@@ -65,14 +69,24 @@
         return self.connections.open
 
     async def serve(self, listener: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
-        """Accept until cancelled, save while another process does."""
+        """Accept until stopped, save while another process does; then the listening socket is closed."""
         self._tasks = tasks
         tasks.start_soon(self.connections.close_idle)
         self.serving = True
-        while True:
+        while not self._stopped:
             with anyio.CancelScope() as self._accepting:
                 await self._accept(listener)
-            await self._reopened.wait()
+            if not self._stopped:
+                await self._reopened.wait()
+        if self._sole:
+            self._admit_waiting(listener)
+        listener.close()
+
+    def _admit_waiting(self, listener: socket.socket) -> None:
+        """Take what waits in the backlog: it would be reset with the listening socket."""
+        with suppress(OSError):
+            for _ in range(BACKLOG):
+                self._admit(*listener.accept())
 
     async def _accept(self, listener: socket.socket) -> None:
         while True:
@@ -142,13 +156,28 @@
         read_by = math.inf if parked.asked else parked.since + self._request_s
         self._tasks.start_soon(self._requests.run, conn, parked.crowded, read_by)
 
+    def drain(self) -> None:
+        """Accept no more, close what rests, and let every other connection end with its answer.
+
+        Who comes later is refused at once and goes elsewhere: clients that came again and again would keep
+        the process from its end.
+        """
+        self._stopped = True
+        self._accepting.cancel()
+        self._reopened.set()
+        self.connections.drain()
+
     def leave(self) -> None:
         """Another process accepts now; here each connection ends with its next answer, not before it."""
         self._reopened = anyio.Event()
+        self._sole = False
         self._accepting.cancel()
         self.connections.end_with_answers(True)
 
     def reopen(self) -> None:
         """Accept again."""
+        self._sole = True
+        if self._stopped:
+            return
         self.connections.end_with_answers(False)
         self._reopened.set()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -93,3 +93,11 @@
         node.logged("request_ended")
         events += [line["event"] for line in node.passed]
         assert not OUT_OF_THEM & set(events)
+
+
+def test_a_stop_ends_though_clients_come_again_and_again(node: Node) -> None:
+    """Each new connection was one more to wait for, up to the kill."""
+    with crowd(node) as full:
+        assert full.wait(WAIT_S)
+        node.process.terminate()
+        assert node.process.wait(WAIT_S) == 0
