Have as many connections give way as a request past the limit needs

Half requests may stand past the limit, since none had been read when they came in; the one whole request then made room once, and was turned away. Now it makes room until the limit holds or nobody is left.

--- a/ringledge/wire/open_connections.py
+++ b/ringledge/wire/open_connections.py
@@ -58,17 +58,18 @@
 
         Half requests that came in the same turn had unread bytes then, so none of them could give way.
         """
-        if self.open > self.limit:
-            self.make_room(come)
+        while self.open > self.limit and self.make_room(come):
+            pass
         return self.open > self.limit
 
-    def make_room(self, come: Connection | None = None) -> None:
-        """Have one connection that is owed no answer give way; of each sort the longest so is asked about.
+    def make_room(self, come: Connection | None = None) -> bool:
+        """Have one connection that is owed no answer give way, if there is one.
 
-        Not `come`, whose head has been read, though its body may not have.
+        Of each sort the longest so is asked about; not `come`, whose head has been read, though its body may
+        not have.
         """
         if self.lingering.close(1):
-            return
+            return True
         half = (each for each in self.reading if each is not come and each.h11.their_state is not h11.DONE)
         live = [*islice(filter(quiet, self.resting), 1), *islice(filter(quiet, half), 1)]
         parked = self.parked.firsts()
@@ -76,11 +77,12 @@
         guests += [Guest(self.resting.get(conn, 0.0), conn.asked, conn in self.reading) for conn in live]
         place = gives_way(guests)
         if place is None:
-            return
+            return False
         if place < len(parked):
             self.parked.end(parked[place])
         else:
             self.close(live[place - len(parked)])
+        return True
 
     def park(self, conn: Connection, crowded: bool) -> None:
         """Its task ends, its parser and buffer go; the socket stays."""
