Make room for a whole request past the limit until it has its place

Cause: a front lets an eighth more in than its limit. Half requests whose bytes lie unread can't give way as they come, so a whole one may be the second past the limit, and then made room for one only (OpenConnections.full) and was told 503 beside connections that were owed nothing. Now it goes on until it has its place or nobody gives way.

--- a/ringledge/wire/open_connections.py
+++ b/ringledge/wire/open_connections.py
@@ -58,9 +58,12 @@
 
         Half requests that came in the same turn had unread bytes then, so none of them could give way.
         """
-        if self.open > self.limit:
+        while self.open > self.limit:
+            before = self.open
             self.make_room(come)
-        return self.open > self.limit
+            if self.open >= before:  # whoever might have given way has a request after all
+                return True
+        return False
 
     def make_room(self, come: Connection | None = None) -> None:
         """Have one connection that is owed no answer give way; of each sort the longest so is asked about.
--- a/tests/wire/test_front_room.py
+++ b/tests/wire/test_front_room.py
@@ -17,7 +17,7 @@
 from ringledge.wire.messages import read_body, respond
 from ringledge.wire.sockets import listen
 
-LIMIT = 4
+LIMITS = [4, 16]  # one, two more are let in to be told no
 WHOLE = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -30,18 +30,19 @@
     return told.reason.encode()
 
 
+@pytest.mark.parametrize("limit", LIMITS)
 @pytest.mark.parametrize("ahead", [b"GET / HT", b""])
-def test_half_requests_that_came_in_the_same_turn_give_way_to_a_whole_one(ahead: bytes) -> None:
+def test_half_requests_that_came_in_the_same_turn_give_way_to_a_whole_one(ahead: bytes, limit: int) -> None:
     """All lie in the backlog as the front begins: none of them could give way while its bytes were unread."""
 
     async def run() -> bytes:
         listener = listen("127.0.0.1:0")
         address = listener.getsockname()
-        socks = [socket.create_connection(address, 10) for _ in range(LIMIT + 1)]
+        socks = [socket.create_connection(address, 10) for _ in range(limit + max(1, limit // 8))]
         for sock in socks[:-1]:
             sock.sendall(ahead)
         socks[-1].sendall(WHOLE)
-        front = Front("test", LIMIT, Budget(1e6), handle, error, Metrics())
+        front = Front("test", limit, Budget(1e6), handle, error, Metrics())
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(front.serve, listener, tasks)
             answer = await anyio.to_thread.run_sync(socks[-1].recv, 4096)
