--- a/benchmarks/overload_policies.py
+++ b/benchmarks/overload_policies.py
@@ -8,7 +8,7 @@
 
 from ringledge.decide.overload import Overload
 from ringledge.decide.overload_messages import Limits, Sample
-from ringledge.decide.shares import Share
+from ringledge.decide.tenant_shares import TenantShare
 from ringledge.lab.load_plan import Arrival
 
 WORTHS = (2.0, 6.0)  # of the classes
@@ -127,7 +127,7 @@
     """What this program does (`ringledge/decide/overload.py`)."""
 
     def __init__(self) -> None:
-        shares = [Share(1.0)]
+        shares = [TenantShare(1.0)]
         self.overload = Overload(Limits(), WORTHS, shares, 1.0, 1000.0, random.Random(1))
         self.at_ms = 0.0
         self.late_ms, self.busy = 0.0, 0.0
--- a/ringledge/core/gate.py
+++ b/ringledge/core/gate.py
@@ -15,7 +15,7 @@
 from ringledge.decide.overload import Overload
 from ringledge.decide.overload_messages import Limits, Reason, Rejection, Sample
 from ringledge.decide.overload_settings import OverloadConfig
-from ringledge.decide.shares import Share
+from ringledge.decide.tenant_shares import TenantShare
 from ringledge.memory.held import Held
 from ringledge.memory.vitals import Reading, Vitals
 from ringledge.observe.logging import log
@@ -57,7 +57,10 @@
         self._overload = Overload(
             limits,
             [each.worth for each in settings.classes],
-            [Share(each.fraction, _part(each.quota_per_s, settings.routers)) for each in settings.tenants],
+            [
+                TenantShare(each.fraction, _part(each.quota_per_s, settings.routers))
+                for each in settings.tenants
+            ],
             settings.over_share_worth,
             settings.max_retry_after_ms or WAIT_MS,
             random.Random(seed),
--- a/ringledge/decide/arrivals.py
+++ b/ringledge/decide/arrivals.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from math import inf
 
-from ringledge.decide.reach import Reach
+from ringledge.decide.reachability import Reachability
 
 CHECK_MS = 250.0  # without a word: longer than most reads take, and half of what a state may be held
 AGAIN_MS = 1_500.0  # after a check: what waits still is in a queue, and a connection costs the server work
@@ -20,7 +20,7 @@
 class Arrivals:
     """Whom to check, and what a check that failed tells; at most one check is out to a server."""
 
-    def __init__(self, reach: Reach) -> None:
+    def __init__(self, reach: Reachability) -> None:
         self._reach = reach
         self._checked: dict[str, float] = {}  # when the last check came up; inf while one is out
 
--- a/ringledge/decide/membership.py
+++ b/ringledge/decide/membership.py
@@ -30,6 +30,7 @@
     Views,
     news_of,
 )
+from ringledge.decide.membership_outbox import Outbox
 from ringledge.decide.membership_probes import EVERYONE, Probes
 from ringledge.decide.membership_settings import ProbeConfig
 from ringledge.decide.membership_table import (
@@ -42,7 +43,6 @@
     Suspected,
     Table,
 )
-from ringledge.decide.membership_words import Words
 
 __all__ = ["EVERYONE", "MESSAGES", "Change", "Died", "Joined", "Left", "Membership", "Restarted", "Status",
            "Superseded", "Suspected"]  # fmt: skip
@@ -67,7 +67,7 @@
         self.silent = False  # it left, or has a successor
         self._seeds = [each for each in dict.fromkeys(seeds) if each != me.name]
         self._table = Table(settings)
-        self._words = Words(me, settings, self._table)
+        self._outbox = Outbox(me, settings, self._table)
         self._probes = Probes(settings, rng, self._table)
         self._known = False  # somebody addressed it by the start that it has
         self._begin_s = self._due_s = math.inf
@@ -76,11 +76,11 @@
     @property
     def me(self) -> Member:
         """The member itself; its start number may rise while it joins."""
-        return self._words.me
+        return self._outbox.me
 
     def moved(self, address: str) -> None:
         """Its own address, where it is known only once it listens; before anything is said."""
-        self._words.me = replace(self.me, address=address)
+        self._outbox.me = replace(self.me, address=address)
 
     def alive(self) -> tuple[Member, ...]:
         """All who count as there, itself too, by name."""
@@ -120,18 +120,18 @@
             return []
         self._begin_s = min(self._begin_s, now_s)
         self._stood_still(now_s)
-        words, probes, peers = self._words, self._probes, self._table.peers
+        outbox, probes, peers = self._outbox, self._probes, self._table.peers
         for peer in self._table.expire(now_s):
-            words.spread(peer.news())
+            outbox.spread(peer.news())
         if (failed := probes.failed(now_s)) is not None:
-            words.spread(peers[failed].news())
+            outbox.spread(peers[failed].news())
         actions: list[Action] = []
         if (begun := probes.begin(now_s)) is not None:
-            actions.append(words.ping(*begun))
+            actions.append(outbox.ping(*begun))
         if (late := probes.asks(now_s)) is not None:
             target, nonce, helpers = late
-            actions += [words.ping(target, nonce), *(words.ask(each, nonce, target) for each in helpers)]
-        actions += [words.ping(name, probes.nonce()) for name in probes.chase(now_s)]
+            actions += [outbox.ping(target, nonce), *(outbox.ask(each, nonce, target) for each in helpers)]
+        actions += [outbox.ping(name, probes.nonce()) for name in probes.chase(now_s)]
         if now_s >= self._again_s:
             actions += self._try_again(now_s)
         return actions
@@ -141,8 +141,8 @@
         if self.silent:
             return []
         if isinstance(message, Look):
-            return self._words.rosters(sender, JOIN_PAGES)
-        words, mine = self._words, self.me.start
+            return self._outbox.rosters(sender, JOIN_PAGES)
+        outbox, mine = self._outbox, self.me.start
         start, news = message.me.start if isinstance(message, Join) else message.start, news_of(message)
         if sender == self.me.name:
             return self._named(now_s, start, gone=False)
@@ -152,27 +152,27 @@
         if self.silent:
             return actions
         self._known = self._known or message.to_start == self.me.start
-        if start < words.start(sender):  # it has a successor, or has to take a higher start
-            return [*actions, words.roster(sender, self._table.peers[sender].news())]
+        if start < outbox.start(sender):  # it has a successor, or has to take a higher start
+            return [*actions, outbox.roster(sender, self._table.peers[sender].news())]
         self._table.heard(now_s, sender, start)
         match message:
             case Ping():
-                actions.append(words.ack(sender, message.nonce))
+                actions.append(outbox.ack(sender, message.nonce))
             case Ack():
                 if (asked := self._probes.answered(message.nonce)) is not None:
-                    actions.append(words.ack(*asked))
+                    actions.append(outbox.ack(*asked))
             case Ask() if message.target in self._table.peers:
                 nonce = self._probes.relay(sender, message.nonce)
-                actions.append(words.ping(message.target, nonce))
+                actions.append(outbox.ping(message.target, nonce))
             case Join():
-                actions += words.rosters(sender, JOIN_PAGES)
+                actions += outbox.rosters(sender, JOIN_PAGES)
             case Views():
-                differ = words.differ(message.sums)
+                differ = outbox.differ(message.sums)
                 self._rng.shuffle(differ)  # not all may have room
-                actions += words.rosters(sender, SYNC_PAGES, differ)
+                actions += outbox.rosters(sender, SYNC_PAGES, differ)
         if message.to_start != mine and not isinstance(message, Join):
-            actions.append(words.join(sender))
-        if isinstance(message, Ping | Ack) and message.view != words.view():
+            actions.append(outbox.join(sender))
+        if isinstance(message, Ping | Ack) and message.view != outbox.view():
             actions += self._sync(now_s, sender)
         return actions
 
@@ -182,7 +182,7 @@
             return []
         self.silent = True
         told = self._probes.some(FAREWELLS, set())
-        return [self._words.roster(name, self._words.own(Status.LEFT)) for name in told]
+        return [self._outbox.roster(name, self._outbox.own(Status.LEFT)) for name in told]
 
     def _stood_still(self, now_s: float) -> None:
         """Blame nobody where the tick is late: what others said meanwhile is unread."""
@@ -197,17 +197,17 @@
             if each.name == self.me.name:
                 actions += self._said(now_s, each)
             elif self._table.merge(now_s, each, listed):
-                self._words.spread(self._table.peers[each.name].news(), once=listed)
+                self._outbox.spread(self._table.peers[each.name].news(), once=listed)
         return actions
 
     def _said(self, now_s: float, news: News) -> list[Action]:
         """What is said of the member itself."""
-        words, gone = self._words, news.status >= Status.DEAD
+        outbox, gone = self._outbox, news.status >= Status.DEAD
         if news.start > self.me.start or (news.start == self.me.start and news.status is Status.LEFT):
             return self._named(now_s, news.start, gone)
         if news.start == self.me.start and news.status:
-            words.incarnation = max(words.incarnation, news.incarnation + 1)
-            words.spread(words.own())  # also what was refuted before: whoever says it has not heard so
+            outbox.incarnation = max(outbox.incarnation, news.incarnation + 1)
+            outbox.spread(outbox.own())  # also what was refuted before: whoever says it has not heard so
         return []
 
     def _named(self, now_s: float, start: int, gone: bool) -> list[Action]:
@@ -220,12 +220,12 @@
             self.silent = True
             self._table.changes.append(Superseded(start))
             return []
-        words = self._words
-        words.me = replace(self.me, start=min(start + 1, START_MOST))
-        words.incarnation, self._known = 0, False
+        outbox = self._outbox
+        outbox.me = replace(self.me, start=min(start + 1, START_MOST))
+        outbox.incarnation, self._known = 0, False
         self._table.changes.append(Restarted(self.me))
-        words.spread(words.own())
-        return [words.join(name) for name in self._probes.some(FAREWELLS, set())]
+        outbox.spread(outbox.own())
+        return [outbox.join(name) for name in self._probes.some(FAREWELLS, set())]
 
     def _try_again(self, now_s: float) -> list[Action]:
         """Ask seeds, and those taken for dead, whether they are there."""
@@ -233,12 +233,12 @@
         self._again_s = now_s + (1 if alone else AGAIN) * self._settings.interval_s
         away = self._probes.away(self._seeds)
         chosen = self._rng.sample(away, min(TRIES if alone else 1, len(away)))
-        words, probes = self._words, self._probes
-        return [words.ping(name, probes.nonce()) if name in peers else words.join(name) for name in chosen]
+        outbox, probes = self._outbox, self._probes
+        return [outbox.ping(name, probes.nonce()) if name in peers else outbox.join(name) for name in chosen]
 
     def _sync(self, now_s: float, name: str) -> list[Action]:
         """Show one who believes otherwise in what; it answers with what is known there."""
         if now_s < self._sync_s:
             return []
         self._sync_s = now_s + self._settings.interval_s
-        return [self._words.views(name)]
+        return [self._outbox.views(name)]
--- a/ringledge/decide/membership_words.py
+++ b/ringledge/decide/membership_outbox.py
@@ -1,4 +1,4 @@
-"""What one member says of itself and others: its messages, with the news that rides on them."""
+"""The messages that one member sends of itself and others, with the news piggybacked on them."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 GONE_TOLD = 32  # of those who are gone, the latest, in Rosters
 
 
-class Words:
+class Outbox:
     """The messages of the member `me`, by its table."""
 
     def __init__(self, me: Member, settings: ProbeConfig, table: Table) -> None:
--- a/ringledge/decide/overload.py
+++ b/ringledge/decide/overload.py
@@ -18,7 +18,7 @@
 from ringledge.decide.overload_costs import CostModel
 from ringledge.decide.overload_messages import Limits, Reason, Rejection, Sample
 from ringledge.decide.overload_pressure import PressureDetector
-from ringledge.decide.shares import Share, Shares
+from ringledge.decide.tenant_shares import TenantShare, TenantShares
 
 RECENT_MS = 1_000.0  # over which the admitted share is told
 REJECTING_WEIGHT = 0.4  # of a new sample of what rejections cost
@@ -33,7 +33,7 @@
         self,
         limits: Limits,
         worths: Sequence[float],
-        shares: Sequence[Share],
+        shares: Sequence[TenantShare],
         over_share_worth: float,
         wait_ms: float,
         rng: random.Random,
@@ -46,7 +46,7 @@
         self._resources = ResourceBands(limits, self._bands.highest)
         self._pressure = PressureDetector(limits)
         self._budget = CpuBudget(HIGHEST_RESERVE)
-        self._shares = Shares(shares)
+        self._shares = TenantShares(shares)
         self._rejecting_share = 0.0  # of a core that rejections take, smoothed
         self._recent: deque[tuple[float, int, bool]] = deque()  # when, band, admitted?
 
--- a/ringledge/decide/releases.py
+++ b/ringledge/decide/releases.py
@@ -15,7 +15,7 @@
 from itertools import count
 from math import inf
 
-from ringledge.decide.reach import Reach
+from ringledge.decide.reachability import Reachability
 
 HEDGE = 0.2  # of the time left after which another is asked too: five fit, and more as it runs out
 LEAST_MS = 30.0  # between two asked: some ways there and back, and a handshake
@@ -62,7 +62,9 @@
 class Releases:
     """All releases of one conductor; at most one call is out to a server, so they share a connection."""
 
-    def __init__(self, let_go_ms: float, reach: Reach, servers: Callable[[], Mapping[str, bool]]) -> None:
+    def __init__(
+        self, let_go_ms: float, reach: Reachability, servers: Callable[[], Mapping[str, bool]]
+    ) -> None:
         """`let_go_ms`: how long a state may be held; `servers`: all listed; may they be asked?."""
         self._let_go_ms, self._reach, self._servers = let_go_ms, reach, servers
         self._open: dict[str, Release] = {}
--- a/ringledge/decide/shares.py
+++ b/ringledge/decide/tenant_shares.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Share:
+class TenantShare:
     """One tenant's part of the service, and its quota here in requests a second, if it has one."""
 
     fraction: float
@@ -34,14 +34,14 @@
         return self.value
 
 
-class Shares:
+class TenantShares:
     """Compares what of each tenant was within its share with all that came.
 
     A tenant may have its quota or its fraction of what comes, whichever is more. Since both are counted over
     the same window, a rush of all tenants together puts none of them over.
     """
 
-    def __init__(self, shares: Sequence[Share]) -> None:
+    def __init__(self, shares: Sequence[TenantShare]) -> None:
         self._shares = shares
         self._within = [Count() for _ in shares]
         self._all = Count()
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -14,8 +14,8 @@
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
 from ringledge.core.records import Attempt, Record
-from ringledge.decide import patience
-from ringledge.decide.reach import Reach
+from ringledge.decide import connect_timeout
+from ringledge.decide.reachability import Reachability
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.answers import (
@@ -60,7 +60,7 @@
 
     lines: Lines
     releaser: Releaser
-    reach: Reach
+    reach: Reachability
     clock: Clock
     metrics: Metrics
     let_go_ms: float  # that a state may be held
@@ -72,7 +72,7 @@
         try:
             connect_s = self.lines.connect_s()
             if record.holders and not attempt.reads:
-                held_s = patience.held_s(self.clock.now_ms(), record.free_ms, self.let_go_ms)
+                held_s = connect_timeout.hold_remaining_s(self.clock.now_ms(), record.free_ms, self.let_go_ms)
                 if held_s <= 0:
                     return await self._let_go(record)
                 connect_s = min(connect_s, held_s)
--- a/ringledge/wire/lines.py
+++ b/ringledge/wire/lines.py
@@ -9,8 +9,8 @@
 
 from crowstand import interface as i
 from ringledge.core.clock import Clock
-from ringledge.decide.patience import Patience
-from ringledge.decide.reach import Reach
+from ringledge.decide.connect_timeout import ConnectTimeout
+from ringledge.decide.reachability import Reachability
 from ringledge.lifecycle.config import Names
 from ringledge.memory.pool import Pool
 from ringledge.observe.logging import log
@@ -24,15 +24,17 @@
 class Lines:
     """Connections to servers, one exchange at a time on each; what comes up tells who can be reached."""
 
-    def __init__(self, names: Names, sockets: int, clock: Clock, reach: Reach, metrics: Metrics) -> None:
+    def __init__(
+        self, names: Names, sockets: int, clock: Clock, reach: Reachability, metrics: Metrics
+    ) -> None:
         # Idle connections go well before the server would close them (half its time).
         self.pool: Pool[Connection] = Pool(sockets, names.keepalive_s / 2, metrics)
-        self._patience = Patience(names.connect_timeout_s)
+        self._connect_timeout = ConnectTimeout(names.connect_timeout_s)
         self._clock, self.reach = clock, reach
 
     def connect_s(self) -> float:
         """How long a connection may take to come up."""
-        return self._patience.connect_s()
+        return self._connect_timeout.timeout_s()
 
     async def take(self, server: str, address: str, connect_s: float, once: bool = False) -> Connection:
         """An idle connection or a new one; OSError or TimeoutError where none comes up."""
@@ -54,7 +56,7 @@
             elif isinstance(error, TimeoutError):
                 self.reach.silent(server, self._clock.now_ms())
             raise
-        self._patience.came_up(time.monotonic() - began)
+        self._connect_timeout.connected(time.monotonic() - began)
         self.reach.heard(server, self._clock.now_ms())
         return conn
 
--- a/ringledge/wire/releases.py
+++ b/ringledge/wire/releases.py
@@ -8,7 +8,7 @@
 import anyio.abc
 
 from ringledge.core.clock import Clock
-from ringledge.decide.reach import Reach
+from ringledge.decide.reachability import Reachability
 from ringledge.decide.releases import Ask, Releases
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
@@ -30,7 +30,7 @@
         servers: ServerList,
         let_go_ms: float,
         clock: Clock,
-        reach: Reach,
+        reach: Reachability,
         metrics: Metrics,
         call: Call,
     ) -> None:
--- a/ringledge/wire/sight.py
+++ b/ringledge/wire/sight.py
@@ -6,7 +6,7 @@
 from crowstand.view import server_views
 from ringledge.core.conductor import Conductor
 from ringledge.decide.cut_off import Seen
-from ringledge.decide.reach import Reach
+from ringledge.decide.reachability import Reachability
 from ringledge.observe.metrics import Metrics
 
 SERVED, NOT = ("served", "broken"), ("refused", "failed")
@@ -15,7 +15,7 @@
 class Sight:
     """Looks through the policy's view and at what connections have met."""
 
-    def __init__(self, conductor: Conductor, reach: Reach, metrics: Metrics) -> None:
+    def __init__(self, conductor: Conductor, reach: Reachability, metrics: Metrics) -> None:
         self._conductor, self._reach, self._metrics = conductor, reach, metrics
 
     def servers(self, now_s: float) -> list[Seen]:
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -11,7 +11,7 @@
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
 from ringledge.core.records import Attempt
-from ringledge.decide.reach import Reach
+from ringledge.decide.reachability import Reachability
 from ringledge.lifecycle.config import Names
 from ringledge.memory.pool import Pool
 from ringledge.memory.servers import ServerList
@@ -44,7 +44,7 @@
         self._tasks, self._servers, self._clock, self._metrics = tasks, servers, clock, metrics
         self._let_go_ms = let_go_ms or LET_GO_MS
         self._live: dict[Attempt, Live] = {}
-        self.reach = Reach(zone)
+        self.reach = Reachability(zone)
         self._lines = Lines(names, sockets, clock, self.reach, metrics)
         self._releaser = Releaser(
             tasks, servers, self._let_go_ms, clock, self.reach, metrics, self._lines.call
--- a/tests/decide/test_arrivals.py
+++ b/tests/decide/test_arrivals.py
@@ -1,11 +1,11 @@
 """Whom to check by a connection, and what is given up behind one that did not come up."""
 
 from ringledge.decide.arrivals import AGAIN_MS, CHECK_MS, Arrivals
-from ringledge.decide.reach import Reach
+from ringledge.decide.reachability import Reachability
 
 
-def world() -> tuple[Reach, Arrivals]:
-    reach = Reach()
+def world() -> tuple[Reachability, Arrivals]:
+    reach = Reachability()
     reach.listed([("s0", 0), ("s1", 0)])
     return reach, Arrivals(reach)
 
--- a/tests/decide/test_overload.py
+++ b/tests/decide/test_overload.py
@@ -9,10 +9,10 @@
 
 from ringledge.decide.overload import Overload
 from ringledge.decide.overload_messages import Limits, Reason, Sample
-from ringledge.decide.shares import Share, Shares
+from ringledge.decide.tenant_shares import TenantShare, TenantShares
 
 WORTHS, OVER = (2.0, 6.0), 0.05
-TENANTS = (Share(0.5), Share(0.3), Share(0.2, quota_per_s=5.0))
+TENANTS = (TenantShare(0.5), TenantShare(0.3), TenantShare(0.2, quota_per_s=5.0))
 STEP_MS = 60.0
 
 
@@ -168,7 +168,7 @@
 
 
 def test_a_tenant_far_over_its_share_takes_nothing_from_the_quiet_ones() -> None:
-    shares = Shares((Share(0.36), Share(0.27), Share(0.14)))
+    shares = TenantShares((TenantShare(0.36), TenantShare(0.27), TenantShare(0.14)))
     over = {0: 0, 1: 0, 2: 0}
     for number in range(4000):
         tenant = (0, 1, 2)[number % 20] if number % 20 < 3 else 0  # the first sends 18 of 20
@@ -178,13 +178,14 @@
 
 
 def test_a_rush_of_all_tenants_together_puts_none_over() -> None:
-    shares, rng = Shares((Share(0.36), Share(0.27), Share(0.23), Share(0.14))), random.Random(1)
+    shares = TenantShares(tuple(map(TenantShare, (0.36, 0.27, 0.23, 0.14))))
+    rng = random.Random(1)
     drawn = rng.choices(range(4), (0.36, 0.27, 0.23, 0.14), k=4000)
     assert sum(shares.over(number * 0.5, tenant) for number, tenant in enumerate(drawn)) < 40
 
 
 def test_a_tenant_inside_its_quota_is_never_over() -> None:
-    shares = Shares((Share(0.01, quota_per_s=20.0), Share(0.99)))
+    shares = TenantShares((TenantShare(0.01, quota_per_s=20.0), TenantShare(0.99)))
     assert not any(shares.over(number * 55.0, 0) for number in range(500))
 
 
--- a/tests/decide/test_reach.py
+++ b/tests/decide/test_reachability.py
@@ -1,14 +1,14 @@
 """Who can be reached, and how long a connection may take."""
 
-from ringledge.decide.patience import ENOUGH, LEAST_S, Patience, held_s
-from ringledge.decide.reach import FADE_MS, GRAIN_MS, REFUSED_MS, Reach
+from ringledge.decide.connect_timeout import MIN_SAMPLES, MIN_TIMEOUT_S, ConnectTimeout, hold_remaining_s
+from ringledge.decide.reachability import CACHE_MS, EXPIRY_MS, REFUSED_MS, Reachability
 
 HALLS = [(f"{zone}{n}", place) for place, zone in enumerate("abc") for n in range(4)]
 HALL_B = {"b0", "b1", "b2", "b3"}
 
 
-def reach() -> Reach:
-    known = Reach(zone=0)
+def reach() -> Reachability:
+    known = Reachability(zone=0)
     known.listed(HALLS)
     return known
 
@@ -61,15 +61,15 @@
     known.heard("b0", 20_000.0)
     known.refused("b0", 30_000.0)
     assert known.silences(30_000.0 + REFUSED_MS - 1) == {"b0"}
-    assert not known.silences(30_000.0 + REFUSED_MS + GRAIN_MS)
+    assert not known.silences(30_000.0 + REFUSED_MS + CACHE_MS)
 
 
 def test_a_silence_fades_so_that_a_hall_that_is_back_is_tried() -> None:
     known = reach()
     known.silent("b0", 0.0)
     known.silent("b1", 0.0)
-    assert known.silences(FADE_MS - 1) == HALL_B
-    assert not known.silences(FADE_MS + GRAIN_MS)
+    assert known.silences(EXPIRY_MS - 1) == HALL_B
+    assert not known.silences(EXPIRY_MS + CACHE_MS)
 
 
 def test_who_answered_last_is_surest_and_else_one_of_our_own_hall() -> None:
@@ -84,21 +84,21 @@
     known.silent("b0", 0.0)
     known.silent("b1", 0.0)
     known.listed([each for each in HALLS if each[0] not in ("b0", "b1")])
-    assert not known.silences(GRAIN_MS) and not known.doubtful("b2", 1.0) and known.doubtful("b0", 1.0)
+    assert not known.silences(CACHE_MS) and not known.doubtful("b2", 1.0) and known.doubtful("b0", 1.0)
 
 
-def test_patience_follows_the_slowest_connection_within_the_setting() -> None:
-    patience = Patience(0.25)
-    assert patience.connect_s() == 0.25
-    for _ in range(ENOUGH):
-        patience.came_up(0.001)
-    assert patience.connect_s() == LEAST_S
-    patience.came_up(0.015)
-    assert patience.connect_s() == 0.15
-    patience.came_up(0.2)
-    assert patience.connect_s() == 0.25
+def test_the_timeout_follows_the_slowest_connection_within_the_setting() -> None:
+    timeout = ConnectTimeout(0.25)
+    assert timeout.timeout_s() == 0.25
+    for _ in range(MIN_SAMPLES):
+        timeout.connected(0.001)
+    assert timeout.timeout_s() == MIN_TIMEOUT_S
+    timeout.connected(0.015)
+    assert timeout.timeout_s() == 0.15
+    timeout.connected(0.2)
+    assert timeout.timeout_s() == 0.25
 
 
 def test_a_state_has_what_is_left_of_its_time() -> None:
-    assert held_s(1_000.0, 1_000.0, 500.0) == 0.4
-    assert held_s(1_400.0, 1_000.0, 500.0) == 0.0
+    assert hold_remaining_s(1_000.0, 1_000.0, 500.0) == 0.4
+    assert hold_remaining_s(1_400.0, 1_000.0, 500.0) == 0.0
--- a/tests/decide/test_releases.py
+++ b/tests/decide/test_releases.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ringledge.decide.reach import Reach
+from ringledge.decide.reachability import Reachability
 from ringledge.decide.releases import AGAIN_MS, WATCH_MS, Ask, Ended, Releases
 
 LET_GO_MS = 500.0
@@ -30,7 +30,7 @@
     """Plays calls and their losses on a clock of its own."""
 
     def __init__(self, boxes: dict[str, Box]) -> None:
-        self.boxes, self.reach, self.heard = boxes, Reach(), list[tuple[float, Ask]]()
+        self.boxes, self.reach, self.heard = boxes, Reachability(), list[tuple[float, Ask]]()
         self.reach.listed((name, box.zone) for name, box in boxes.items())
         self.releases = Releases(LET_GO_MS, self.reach, lambda: dict.fromkeys(self.boxes, True))
         self.ended, self.out, self.most = list[Ended](), Counter[str](), 0
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -6,13 +6,13 @@
 from dataclasses import replace
 
 from crowstand import interface as i
-from ringledge.decide.reach import Reach
+from ringledge.decide.reachability import Reachability
 from tests.world import FLEET, READER, World, entry, finals
 
 ROUTERS = 40
 
 
-def refusals(world: World, reach: Reach, name: str, gone: set[str]) -> int:
+def refusals(world: World, reach: Reachability, name: str, gone: set[str]) -> int:
     """Play a request until it streams or is answered; how many connections were refused to it."""
     refused = 0
     while not finals(world.last):
@@ -37,7 +37,7 @@
     later, ended = 0, 0
     for seed in range(ROUTERS):
         world = World(listed, seed=seed, routers=ROUTERS, router=seed, max_attempts=6)
-        reach = Reach()
+        reach = Reachability()
         reach.listed((each.server, each.zone) for each in listed)
         for number in range(40):
             world.wait(500)
