--- a/ringledge/core/stages/accept.py
+++ b/ringledge/core/stages/accept.py
@@ -31,9 +31,10 @@
         return
     record_outcome.end_request(context, record, "gone")
     context.tell(i.ClientGone(record.name))
-    # An attempt that has begun is not the policy's to cancel: its stream ends with its taker.
+    # An attempt that has begun is not for the policy to cancel: its stream ends with its taker. One that has
+    # not been written whole never runs, so it is dropped also where the settings permit no cancelling.
     for attempt in record.attempts:
-        if attempt.out and attempt.began:
+        if attempt.out and (attempt.began or not attempt.written):
             context.port.abandon(attempt)
             record_outcome.record_outcome(context, attempt, i.Status.CANCELLED)
     record_outcome.remove_if_done(context, record)
--- a/ringledge/wire/chat/answer.py
+++ b/ringledge/wire/chat/answer.py
@@ -9,7 +9,7 @@
 
 from ringledge.memory.sessions import End, Session
 from ringledge.observe.logging import log
-from ringledge.wire.http import MAX_BODY
+from ringledge.wire.messages import MAX_BODY
 
 MOST_ANSWER = 4 * MAX_BODY  # bytes kept of a question and its answer: twice what the protocol lets them have
 
@@ -38,6 +38,10 @@
         """The stream broke; what came of a half event is not kept, so the rest starts clean behind it."""
         self._end(End.BROKEN)
 
+    def gone(self) -> bool:
+        """Never known here: a client may come back to its session, and the front tells when none is left."""
+        return False
+
     async def relay(self, piece: bytes) -> None:
         """Take whole events in; half a line waits for its other half."""
         *lines, self._rest = (self._rest + piece).split(b"\n")
