Let a mixed server prefill by a queue and delay of its own, not by its streams' tokens

At fault: `_prefill_wait_ms` took all tokens that stream at a mixed server for a queue before the prompt, so a few streams made it look seconds behind; `delay` mixed fetches of 30 ms with prefills of 300 to 2,000 ms; the tokens queued for a prefill in place were not counted, so it was called silent after half of the target time and cancelled (27 of 696 on big-4); once streaming it counted its uncached tokens alone as memory held. Ruled out: memory (x0 0.6 at most in the mean), decode queues (x1 near 0), evictions (4 of 1,200 prefills).

Now: uncached tokens not yet prefilled are counted by server (`prefill_tokens`); 0.3 of what streams there comes on top, for its steps come in between; delays of prefills in place are kept apart, and handed over.

--- a/crowstand/estimates.py
+++ b/crowstand/estimates.py
@@ -25,6 +25,7 @@
 PRIOR_STREAMS = 4.0  # usual streams that are credited beforehand: the first few at a server say little
 USUAL_MEMORY_SHARE = 0.5  # share of all decode servers' memory that is held on an ordinary day
 STREAM_DECAY = 0.9  # weight of the streams before with each one that ends: about ten count
+STREAM_LOAD = 0.3  # of the tokens of running streams that count as queued: their steps slow prefills
 DEFAULT_STREAM_MS = 2_000.0  # ms that streams are taken to last until some have ended: 40 tokens at 50 ms
 
 CONNECTION_LOST = (Status.CONNECT_FAILED, Status.RESET)  # `note` 1: an idle connection's end, no failure
@@ -68,11 +69,13 @@
 
     def _prefill_wait_ms(self, server: Server, request: Request) -> float:
         """How long it likely takes until a prompt is prefilled there and its KV cache entry fetched."""
-        tokens = server.pending_tokens + self._uncached_tokens(request, server) + PREFILL_OVERHEAD_TOKENS
+        tokens = server.prefill_tokens + self._uncached_tokens(request, server) + PREFILL_OVERHEAD_TOKENS
+        if server.role != Role.PREFILL:
+            tokens += STREAM_LOAD * server.pending_tokens
         cell = server.entry.cell
         fetch_ms = self.fetch_delays[cell, False].value(self.now_ms)
         fetch_ms += max(0.0, self.spill_chance.get(f"cell {cell}", 0.0)) * self._transfer_penalty_ms(cell)
-        return server.delay.value(self.now_ms) + fetch_ms + tokens * self.prefill_ms_per_token
+        return server.prefill_delay.value(self.now_ms) + fetch_ms + tokens * self.prefill_ms_per_token
 
     def _stream_slowdown(self, server: Server) -> float:
         """How long its streams last relative to the usual, running ones included: the slow ones run on."""
@@ -169,8 +172,8 @@
             self._record_success(job, server, over_ms)
         elif status == Status.OK:
             self._learn_stream(job, server)
-        elif not job.streaming and over_ms > server.delay.value(self.now_ms):
-            server.delay.add(self.now_ms, over_ms)  # it would have taken at least so long
+        elif not job.streaming and over_ms > server.delay_of(job).value(self.now_ms):
+            server.delay_of(job).add(self.now_ms, over_ms)  # it would have taken at least so long
         if status == Status.ERROR and server.role != Role.PREFILL:
             server.failures[SERVER_ERROR].add(self.now_ms, 1.0)
         if status in CONNECTION_LOST and not outcome.note:
@@ -197,7 +200,7 @@
     def _prefill_tokens_in_flight(self) -> float:
         """Uncached tokens of this router at all prefill servers."""
         servers = [server for server in self.prefill_servers if server.role == Role.PREFILL]
-        return sum(each.pending_tokens + PREFILL_OVERHEAD_TOKENS * len(each.in_flight) for each in servers)
+        return sum(each.prefill_tokens + PREFILL_OVERHEAD_TOKENS * len(each.in_flight) for each in servers)
 
     def _learn_prefill_pace(self, job: Job, server: Server, outcome: Outcome) -> None:
         """Seek the pace of an idle prefill server: faster samples count more than slower ones."""
@@ -220,7 +223,7 @@
         """A prefill or an answer's start: it tells the pace of server and role, and clears failures."""
         self.completions[server.role].append(self.now_ms)
         self.usual_delay[server.role].add(self.now_ms, delay_ms)
-        server.delay.add(self.now_ms, delay_ms)
+        server.delay_of(job).add(self.now_ms, delay_ms)
         server.failures.pop(ANY_REQUEST, None)
         self._record_result(job, server, 0.0)
 
@@ -230,6 +233,11 @@
             if failed or scope in server.failures:
                 server.failures[scope].add(self.now_ms, failed)
 
+    def _end_prefill(self, job: Job, server: Server) -> None:
+        """Stop counting what a request had to prefill."""
+        server.prefill_tokens -= job.prefill_tokens
+        job.prefill_tokens = 0.0
+
     def _bind(self, job: Job, server: Server) -> None:
         """Bind a session to the server that answered: a silent one can't keep what it never answered."""
         if job.request.prefix:
--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -74,15 +74,16 @@
 
     def _send(self, job: Job, server: Server) -> None:
         self.readmitted.discard(server.entry.server)
-        decodes = job.kv_server is not None
-        tokens = self._decode_tokens(job) if decodes else self._uncached_tokens(job.request, server)
-        queued = server.pending_tokens + tokens + PREFILL_OVERHEAD_TOKENS
-        job.queued_tokens = queued if server.role == Role.PREFILL else 0.0
-        job.server, job.sent_ms, job.pending_tokens = server, self.now_ms, tokens
+        uncached = self._uncached_tokens(job.request, server)
+        job.prefill_tokens = 0.0 if job.kv_server else uncached
+        job.pending_tokens = uncached if server.role == Role.PREFILL else self._decode_tokens(job)
+        server.prefill_tokens += job.prefill_tokens
+        server.pending_tokens += job.pending_tokens
+        job.queued_tokens = 0.0 if job.kv_server else server.prefill_tokens + PREFILL_OVERHEAD_TOKENS
+        job.server, job.sent_ms = server, self.now_ms
         job.attempts += 1
         server.in_flight.append(job)
         server.start_credit -= 1.0
-        server.pending_tokens += tokens
         timeout_ms = None if self.settings.may_cancel else self._watch_timeout_ms(job, server)
         self.actions.append(Send(job.request.request, server.entry.server, timeout_ms))
 
@@ -117,6 +118,7 @@
         server, job.server = job.server, None
         server.in_flight.remove(job)
         server.pending_tokens -= job.pending_tokens
+        self._end_prefill(job, server)
         self._learn(job, server, outcome)
         if outcome.status == Status.PREFILLED:
             job.kv_server = server
@@ -141,7 +143,9 @@
             penalty_ms = self._transfer_penalty_ms(cell) if remote else 0.0
             self.fetch_delays[cell, remote].add(self.now_ms, event.latency_ms)
         job.streaming, job.stream_start_ms, job.kv_server = True, self.now_ms, None
-        self._record_success(job, job.server, max(0.0, event.latency_ms - penalty_ms))
+        self._end_prefill(job, job.server)
+        queued_ms = job.queued_tokens * self.prefill_ms_per_token
+        self._record_success(job, job.server, max(0.0, event.latency_ms - penalty_ms - queued_ms))
         if job.server.role == Role.MIXED:
             self._bind(job, job.server)
 
--- a/crowstand/records.py
+++ b/crowstand/records.py
@@ -43,8 +43,10 @@
     entry: ServerEntry
     role: Role
     pending_tokens: float = 0.0  # of this router's requests there: to prefill, or prompt and answer to decode
+    prefill_tokens: float = 0.0  # of this router's requests there: uncached and not yet prefilled
     in_flight: list[Job] = field(default_factory=list)  # requests with an attempt there without an outcome
     delay: DecayingMean = field(default_factory=DecayingMean)  # ms to prefill or first token, beyond own load
+    in_place_delay: DecayingMean = field(default_factory=DecayingMean)  # ms to prefill, if it decodes too
     stream_ratio_sum: float = 0.0  # durations of its ended streams, each relative to its class's usual
     stream_count: float = 0.0  # how many ended; both decay with each further one
     cached_prefixes: dict[int, float] = field(default_factory=dict)  # and when prefilled there
@@ -54,6 +56,15 @@
     start_credit_ms: float = 0.0  # when the credit was counted
     warming_since_ms: float = 0.0  # its start, or the end of its exclusion; 0: long ago
 
+    @property
+    def prefill_delay(self) -> DecayingMean:
+        """How long a prefill takes here, beyond own load."""
+        return self.delay if self.role == Role.PREFILL else self.in_place_delay
+
+    def delay_of(self, job: Job) -> DecayingMean:
+        """The delay that its attempt tells of: it is prefilled here, or only fetched and decoded."""
+        return self.prefill_delay if job.queued_tokens else self.delay
+
 
 @dataclass(slots=True, frozen=True)
 class PossibleRun:
@@ -85,7 +96,8 @@
     server: Server | None = None  # where an attempt has no outcome yet
     sent_ms: float = 0.0  # when that was sent
     pending_tokens: float = 0.0  # what it adds to the server's
-    queued_tokens: float = 0.0  # of this router to be prefilled there, its own included
+    prefill_tokens: float = 0.0  # what it adds to the server's
+    queued_tokens: float = 0.0  # of this router to be prefilled there, its own included; 0: it only decodes
     kv_server: Server | None = None  # the prefill server that holds its KV cache entry
     possible_runs: list[PossibleRun] = field(default_factory=list)
     failed_servers: list[Server] = field(default_factory=list)
--- a/crowstand/snapshot.py
+++ b/crowstand/snapshot.py
@@ -45,6 +45,7 @@
         ]
         for name, server in servers
     )
+    yield "in_place", ([name, *_mean_fields(server.in_place_delay)] for name, server in servers)
     yield "blame", (
         [name, scope, *_mean_fields(mean)]
         for name, server in servers
@@ -102,6 +103,8 @@
                 server.stream_ratio_sum, server.stream_count = ratio_sum, count
                 server.start_credit, server.start_credit_ms = credit, credit_ms
                 server.warming_since_ms = warming_ms
+        case "in_place", [name, mean, at_ms]:
+            _known_server(policy, name).in_place_delay = DecayingMean(mean, at_ms)
         case "blame", [name, scope, mean, at_ms]:
             failures = _known_server(policy, name).failures[scope]
             failures.mean, failures.updated_ms = mean, at_ms
