--- /dev/null
+++ b/tests/test_client_pace.py
@@ -0,0 +1,116 @@
+"""Clients that send at once, bit by bit, or ahead; what their servers are told; events as they come."""
+
+from __future__ import annotations
+
+import socket
+
+from tests.loopback import WAIT_S, Node, event, read, take
+
+BODY = b'{"model":"chat","stream":true,"messages":[]}'
+END = b"0\r\n\r\n"
+
+
+def request(name: str) -> bytes:
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Call-Id: {name}\r\nX-Call-Class: query\r\n"
+        "X-Caller: farm\r\nX-Route-Hash: 7f3a9c21e0b4d655\r\nX-Budget-Ms: 4800\r\n"
+        f"X-Call-Info: prompt_len=9,max_out=80\r\nContent-Length: {len(BODY)}\r\n\r\n"
+    )
+    return head.encode() + BODY
+
+
+def dial(node: Node) -> socket.socket:
+    host, port = node.listening["platform"].split(":")
+    return socket.create_connection((host, int(port)), WAIT_S)
+
+
+def until(sock: socket.socket, text: bytes, times: int = 1) -> bytes:
+    """What comes until a text has come so many times."""
+    told = b""
+    while told.count(text) < times:
+        data = sock.recv(65536)
+        assert data, told
+        told += data
+    return told
+
+
+def serve(node: Node, name: str) -> None:
+    call = node.reader[0].next()
+    assert call.id == name
+    call.read()
+    call = node.writer[0].next()
+    assert call.id == name
+    call.serve(name)
+
+
+def test_requests_sent_at_once_on_one_connection_are_answered_in_their_order(node: Node) -> None:
+    names = [f"a{number}" for number in range(5)]
+    with dial(node) as sock:
+        sock.sendall(b"".join(map(request, names)))
+        for name in names:
+            serve(node, name)
+            told = until(sock, END)
+            assert told.startswith(b"HTTP/1.1 200") and event(name).encode() in told
+
+
+def test_of_a_flood_whose_client_has_gone_nothing_more_is_sent_on(node: Node) -> None:
+    names = [f"flood{number}" for number in range(200)]
+    with dial(node) as sock:
+        sock.sendall(b"".join(map(request, names)))
+        first = node.reader[0].next()
+        assert first.id == names[0]
+    assert first.closed()
+    first.drop()
+    client, call = read(node, "after")
+    call.serve("x")
+    assert take(client).status == 200
+    assert {call.id for call in node.reader[0].seen if call.method == "POST"} == {"flood0", "after"}
+
+
+def test_a_request_that_comes_byte_by_byte_is_served_and_holds_nobody_up(node: Node) -> None:
+    with dial(node) as sock:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        text = request("slow")
+        for number, byte in enumerate(text):
+            sock.sendall(bytes([byte]))
+            if number == len(text) // 2:
+                client, call = read(node, "beside")
+                call.serve("x")
+                assert take(client).status == 200
+        serve(node, "slow")
+        assert until(sock, END).startswith(b"HTTP/1.1 200")
+
+
+def test_each_event_is_passed_on_before_the_next_is_there(node: Node) -> None:
+    """Half ones, too: what a server has written is held back for no more, but for the first event's end."""
+    with dial(node) as sock:
+        sock.sendall(request("a1"))
+        node.reader[0].next().read()
+        call = node.writer[0].next().begin().token("first")
+        until(sock, event("first").encode())
+        for number in range(5):
+            text = event(f"piece{number}")
+            for half in (text[:20], text[20:]):
+                call.chunk(half)
+                until(sock, half.encode())
+        call.end()
+        until(sock, END)
+
+
+def test_an_attempt_is_told_what_is_left_of_the_clients_time(node: Node) -> None:
+    client = node.post("a1", X_Budget_Ms="4800")
+    first = node.reader[0].next()
+    told = [int(first.headers["X-Budget-Ms"])]
+    first.answer(503, X_Rejected="1")
+    again = node.reader[0].next()
+    told.append(int(again.headers["X-Budget-Ms"]))
+    again.read()
+    call = node.writer[0].next()
+    told.append(int(call.headers["X-Budget-Ms"]))
+    call.serve("x")
+    answer = take(client)
+    assert answer.status == 200
+    ended = node.logged("request_ended")
+    spent_ms = [sum(each[2] for each in ended["attempts"][:number]) for number in range(3)]
+    assert all(left <= 4800 - spent for left, spent in zip(told, spent_ms, strict=True))
+    assert told == sorted(told, reverse=True)
