--- a/ringledge/lifecycle/fronts.py
+++ b/ringledge/lifecycle/fronts.py
@@ -11,10 +11,14 @@
 import h11
 
 from ringledge.lifecycle.config import Config
+from ringledge.lifecycle.descriptors import allowed
 from ringledge.observe.metrics import Metrics
 from ringledge.wire import operator
-from ringledge.wire.front import ErrorBody, Front, Handler, Refused
-from ringledge.wire.http import Budget, Connection, listen
+from ringledge.wire.budget import Budget
+from ringledge.wire.connection import Connection
+from ringledge.wire.front import Front
+from ringledge.wire.request_loop import ErrorBody, Handler, Refused
+from ringledge.wire.sockets import listen
 
 if TYPE_CHECKING:
     from ringledge.decide.doors import Doors
@@ -45,7 +49,7 @@
         self._metrics, self._inherited = metrics, inherited
         # Half for servers, half for clients; each front lets an eighth more in, only to be refused.
         spare = SPARE_SOCKETS + (operator.CONNECTIONS if config.operator else 0)
-        self.sockets = max(8, (config.sockets - spare) // 2)
+        self.sockets = max(8, (allowed(config.sockets) - spare) // 2)
         self._bodies = config.memory / BODIES_PART
         self._budget = Budget(self._bodies)
         self._crowded = 1 + ("chat" in config.extras)  # fronts that any client may call
@@ -87,7 +91,7 @@
             request_s=operator.CALL_S,
             at_once=1,  # each is read before the next comes: half calls are known and make room
         )
-        front.end_with_answers(True)  # one call to a connection
+        front.connections.end_with_answers(True)  # one call to a connection
         self.operators.append((front, self._listen(address)))
 
     def _listen(self, address: str) -> socket.socket:
@@ -115,9 +119,11 @@
         return sum(front.open for front, _ in self.clients)
 
     def drain(self) -> None:
-        """Close what rests, and read no further request behind an answer."""
-        for front, _ in self.clients:
+        """Accept no more, close what rests, and read no further request behind an answer."""
+        for front, listener in self.clients:
             front.drain()
+            for address in [name for name, each in self.listeners.items() if each is listener]:
+                del self.listeners[address]  # a successor that asks from here on binds its own
 
     def listening(self) -> dict[str, str]:
         """The address of each front by its name."""
@@ -128,7 +134,7 @@
         """Divide the limits among the processes that there are of this conductor."""
         self._budget.limit = self._bodies / processes
         for front in self._crowds:
-            front.shrink(self._for_clients(processes))
+            front.connections.shrink(self._for_clients(processes))
 
     def leave(self, addresses: set[str]) -> None:
         """A successor serves at those."""
--- a/ringledge/wire/chat/front.py
+++ b/ringledge/wire/chat/front.py
@@ -25,7 +25,10 @@
 from ringledge.wire.chat.replies import Replies
 from ringledge.wire.chat_settings import ChatConfig
 from ringledge.wire.client import converse
-from ringledge.wire.http import MAX_BODY, Connection, HttpError, header, only, read_body, respond
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError
+from ringledge.wire.headers import header
+from ringledge.wire.messages import MAX_BODY, only, read_body, respond
 from ringledge.wire.platform import shed
 
 if TYPE_CHECKING:
@@ -195,7 +198,7 @@
         asked = question | {"stream": True, "max_tokens": int(request.max_output_tokens)}
         asked.pop("max_completion_tokens", None)
         payload = Payload(PATH, orjson.dumps(asked))
-        session.record = self._conductor.take(request, payload, Answer(session))
+        session.record = self._conductor.accept(request, payload, Answer(session))
 
     def _safe(self, class_index: int) -> bool:
         return self._settings.classes[class_index].effect is i.Effect.SAFE
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -4,6 +4,7 @@
 
 import re
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import h11
@@ -11,26 +12,18 @@
 
 from ringledge.core.conductor import Conductor
 from ringledge.core.port import Payload
-from ringledge.core.stages.take_in import DuplicateError
+from ringledge.core.stages.accept import DuplicateError
 from ringledge.lifecycle.config import Names
 from ringledge.wire.client import STREAM_HEAD, Exchange, converse
-from ringledge.wire.http import (
-    MAX_BODY,
-    Connection,
-    Headers,
-    HttpError,
-    ShedError,
-    fields,
-    header,
-    only,
-    read_body,
-    respond,
-)
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError, ShedError
+from ringledge.wire.headers import Headers, fields, header
+from ringledge.wire.messages import MAX_BODY, only, read_body, respond
 from ringledge.wire.platform_request import read_request
 
 if TYPE_CHECKING:
     from ringledge.core.gate import Gate
-    from ringledge.decide.overload import No
+    from ringledge.decide.overload_messages import Rejection
     from ringledge.memory.held import Held
     from ringledge.wire.turns import Turns
 
@@ -84,11 +77,13 @@
         payload = Payload(head.target, body, header(head, b"content-type") or b"application/json")
         exchange = Exchange(conn, self._held)
         try:
-            record = self._conductor.take(request, payload, exchange)
+            record = self._conductor.accept(request, payload, exchange)
         except DuplicateError as error:
             raise HttpError(400, f"request {error} is open already") from error
         try:
-            await converse(conn, self._answer(conn, exchange))
+            await converse(
+                conn, self._answer(conn, exchange), partial(self._conductor.client_gone, record)
+            )
         finally:
             exchange.forget()
             self._conductor.client_gone(record)  # for a request that is over it changes nothing
@@ -149,7 +144,7 @@
         if no is not None:
             raise shed(no)
 
-    def _decide(self, gate: Gate, name: bytes, caller: bytes, length: int) -> No | None:
+    def _decide(self, gate: Gate, name: bytes, caller: bytes, length: int) -> Rejection | None:
         """What names no class is not the gate's matter."""
         names = self._names
         class_index = names.index(names.classes, name.decode("latin1"))
@@ -166,7 +161,7 @@
         names = self._names.classes
         index = self._names.index(names, name.decode("latin1"))
         if index < len(names):
-            self._conductor.desk.metrics.answers.labels("refused", str(index)).inc()
+            self._conductor.context.metrics.answers.labels("refused", str(index)).inc()
 
     async def _answer(self, conn: Connection, exchange: Exchange) -> None:
         """Write the one answer, as it comes."""
@@ -174,16 +169,16 @@
         if exchange.end == "served":
             await conn.send(*([] if exchange.begun else [STREAM_HEAD]), h11.EndOfMessage())
         elif exchange.end == "broken":
-            conn.close()  # without the last chunk: a clean end would pass for a whole answer
+            return  # the connection ends without the last chunk: a clean end would pass for a whole answer
         elif exchange.end == "refused":
             text = b'{"error":"overloaded, nothing has run"}'
             await respond(conn, 503, text, retry_after(exchange.come_back_ms, self._names))
         else:
             await respond(conn, 500, b'{"error":"failed, it may have run"}')
 
-def shed(no: No) -> ShedError:
+def shed(no: Rejection) -> ShedError:
     """What a client that the gate turned away is told: when to come back, and whose limit it met."""
-    headers: Headers = [(b"Retry-After", b"%.3f" % (no.come_back_ms / 1000))]
+    headers: Headers = [(b"Retry-After", b"%.3f" % (no.retry_after_ms / 1000))]
     if no.over_share:
         reason = "overloaded, and this caller is over its share; nothing has run"
         return ShedError(429, reason, "rate_limit_exceeded", headers=headers)
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -10,7 +10,7 @@
 from crowstand import interface as i
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
-from ringledge.core.ledger import Attempt
+from ringledge.core.records import Attempt
 from ringledge.decide.reach import Reach
 from ringledge.lifecycle.config import Names
 from ringledge.memory.pool import Pool
@@ -18,8 +18,8 @@
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.answers import reusable
+from ringledge.wire.connection import Connection
 from ringledge.wire.exchange import End, Exchanges, Live
-from ringledge.wire.http import Connection
 from ringledge.wire.lines import Lines
 from ringledge.wire.releases import Releaser
 from ringledge.wire.silence import Silence
--- a/ringledge/wire/xds.py
+++ b/ringledge/wire/xds.py
@@ -22,7 +22,9 @@
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.client import converse
-from ringledge.wire.http import Connection, HttpError, only, read_body, respond
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError
+from ringledge.wire.messages import only, read_body, respond
 from ringledge.wire.xds_settings import XdsConfig
 
 CLUSTERS = {i.Role.PREFILL: "readers", i.Role.DECODE: "writers", i.Role.MIXED: "mixed"}
@@ -69,7 +71,7 @@
         with anyio.move_on_after(self._config.poll_s):
             while now.name == has:
                 with anyio.move_on_after(LOOK_S):
-                    await self._conductor.desk.servers.changed.wait()
+                    await self._conductor.context.servers.changed.wait()
                 now = self._version(kind, wanted)
         if now.name == has:
             return await conn.send(h11.Response(status_code=304, headers=[]), h11.EndOfMessage())
@@ -106,7 +108,7 @@
     def _assignment(self, role: i.Role) -> dict[str, Any]:
         """The servers of a role by hall and rack, with the module's weights."""
         places: dict[tuple[int, int], list[dict[str, Any]]] = {}
-        servers = self._conductor.desk.servers
+        servers = self._conductor.context.servers
         for view in server_views(self._conductor.policy, self._conductor.clock.now_ms()):
             address = servers.address(view.server)
             if view.role is not role or address is None:
--- a/tests/wire/queued.py
+++ b/tests/wire/queued.py
@@ -15,7 +15,7 @@
 from crowstand import interface as i
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
-from ringledge.core.ledger import Attempt
+from ringledge.core.records import Attempt
 from ringledge.decide.cut_off import State
 from ringledge.members.sending import Result
 from ringledge.memory.names import Names
@@ -28,7 +28,9 @@
 from ringledge.wire.chat.queued import QueuedChat
 from ringledge.wire.chat.replaying import ReplaySender
 from ringledge.wire.chat_settings import ChatConfig
-from ringledge.wire.http import Connection, HttpError, respond
+from ringledge.wire.connection import Connection
+from ringledge.wire.errors import HttpError
+from ringledge.wire.messages import respond
 
 SETTINGS = i.Settings(
     classes=(i.RequestClass(1200, 5000, i.Effect.SAFE), i.RequestClass(2500, 5000, i.Effect.UNSAFE)),
