--- a/crowstand/eligibility.py
+++ b/crowstand/eligibility.py
@@ -9,6 +9,8 @@
 # Tuned values: unit, and why.
 COLD_ATTEMPTS = 0.75  # of what overloads a cold server, were the usual all that a warm one can do
 COLD_WORK = 0.5  # of the prefills that overload a cold server: the rest is for busy routers, and for chance
+CREDIT_WINDOWS = 2.0  # windows of the settings whose room is saved without traffic: all may come at once then
+MEAN_REQUESTS = 64  # that a mean of their work counts at most: a router's mix changes within a day
 
 
 class Eligibility(Estimates):
@@ -17,6 +19,7 @@
     def _eligible(self, job: Job, servers: list[Server]) -> list[Server]:
         """Those it may be sent to, without those that chance leaves out by their failures, unless all are."""
         allowed = [each for each in servers if self._repeatable(job, each) and self._slow_start(job, each)]
+        allowed = [server for server in allowed if self._draw_cold(job, server)] or allowed
         fresh = [server for server in allowed if server not in job.failed_servers] or allowed
         fresh = [server for server in fresh if server.entry.server not in self.unreachable] or fresh
         if job.request_class.effect == Effect.SAFE:  # a readmitted one is next, once, whatever the chance
@@ -47,10 +50,32 @@
         usual = len(completions) * window_ms / span_ms / self.peak_servers[server.role]
         floor = self.settings.fall_multiple * self.settings.cold_share / self.settings.routers
         if server.role == Role.PREFILL and self.prefill_ms_per_token:
-            prefill_ms = self.prefill_ms_per_token * (job.request.prompt_tokens + PREFILL_OVERHEAD_TOKENS)
+            work = self.mean_work[server.role] or self._work(job, server)
+            prefill_ms = self.prefill_ms_per_token * work
             floor *= max(1.0, COLD_WORK * window_ms / prefill_ms)
         rate = max(COLD_ATTEMPTS * self.settings.fall_multiple * warmth * usual, floor)
-        gained = rate * (self.now_ms - server.start_credit_ms) / max(1.0, window_ms)
+        saved_ms = min(self.now_ms - server.start_credit_ms, CREDIT_WINDOWS * window_ms)
+        gained = rate * saved_ms / max(1.0, window_ms)
         server.start_credit = min(max(1.0, rate), server.start_credit + gained)
         server.start_credit_ms = self.now_ms
         return server.start_credit >= 1.0
+
+    def _draw_cold(self, job: Job, server: Server) -> bool:
+        """Whether chance lets a request go to a cold server: the heavier it is, the less often."""
+        return self.warmth(server) == 1.0 or self.rng.random() * self._relative_work(job, server) < 1.0
+
+    def _work(self, job: Job, server: Server) -> float:
+        """Tokens that a request may cost a server, as if nothing of its prompt were cached."""
+        prefills = server.role == Role.PREFILL
+        return job.request.prompt_tokens + PREFILL_OVERHEAD_TOKENS if prefills else self._decode_tokens(job)
+
+    def _relative_work(self, job: Job, server: Server) -> float:
+        """The same relative to the mean of what completed, one at least: light requests count as well."""
+        mean = self.mean_work[server.role]
+        return max(1.0, self._work(job, server) / mean) if mean else 1.0
+
+    def _record_success(self, job: Job, server: Server, delay_ms: float) -> None:
+        super()._record_success(job, server, delay_ms)
+        work, mean = self._work(job, server), self.mean_work[server.role]
+        weight = 1 / min(len(self.completions[server.role]), MEAN_REQUESTS)
+        self.mean_work[server.role] = mean + weight * (work - mean) if mean else work
--- a/crowstand/estimates.py
+++ b/crowstand/estimates.py
@@ -52,6 +52,7 @@
         self.affinities: dict[int | None, Affinity] = {}  # by session
         self.prefill_ms_per_token = 0.0  # uncached tokens, at a server that nobody else keeps busy
         self.completions = {role: deque[float](maxlen=COMPLETIONS_KEPT) for role in Role}  # when
+        self.mean_work = dict.fromkeys(Role, 0.0)  # tokens of a request that completed
         self.usual_delay = {role: DecayingMean() for role in Role}  # ms to prefill or first token
         self.class_stream_ms: dict[int, float] = {}  # how long a class's streams usually last
         self.fetch_delays = defaultdict[tuple[int, bool], DecayingMean](DecayingMean)  # by cell, remote?
--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -83,7 +83,7 @@
         job.server, job.sent_ms = server, self.now_ms
         job.attempts += 1
         server.in_flight.append(job)
-        server.start_credit -= 1.0
+        server.start_credit -= self._relative_work(job, server)
         timeout_ms = None if self.settings.may_cancel else self._watch_timeout_ms(job, server)
         self.actions.append(Send(job.request.request, server.entry.server, timeout_ms))
 
--- a/crowstand/snapshot.py
+++ b/crowstand/snapshot.py
@@ -16,6 +16,7 @@
 from crowstand.settings import Role
 
 ROWS_PER_PART = 200
+SERVER_TABLES = ("servers", "in_place", "blame", "prefixes")  # whose rows begin with a server's name
 
 
 def _mean_fields(mean: DecayingMean) -> list[float]:
@@ -26,6 +27,7 @@
     """Each table's name and rows; keys of 64 bits and more go as hex digits."""
     servers = policy.servers.items()
     yield "done", ([role.value, at_ms] for role, times in policy.completions.items() for at_ms in times)
+    yield "work", ([role.value, tokens] for role, tokens in policy.mean_work.items())
     yield "usual", ([role.value, *_mean_fields(value)] for role, value in policy.usual_delay.items())
     yield "peak", ([role.value, most] for role, most in policy.peak_servers.items())
     yield "streams", ([index, lasts_ms] for index, lasts_ms in policy.class_stream_ms.items())
@@ -75,13 +77,18 @@
     """Load a part; ValueError, TypeError or KeyError where it can't be read."""
     for name, rows in part.items():
         for row in rows:
-            _load_row(policy, name, row)
+            if name in SERVER_TABLES:
+                _load_server_row(policy, name, row)
+            else:
+                _load_row(policy, name, row)
 
 
 def _load_row(policy: Policy, table: str, row: list[Any]) -> None:
     match table, row:
         case "pace", [pace, arrived, at_ms]:
             policy.prefill_ms_per_token, policy.recent_arrivals = pace, (arrived, at_ms)
+        case "work", [role, tokens]:
+            policy.mean_work[Role(role)] = tokens
         case "done", [role, at_ms]:
             policy.completions[Role(role)].append(at_ms)
         case "usual", [role, mean, at_ms]:
@@ -96,6 +103,13 @@
             policy.quota_buckets[tenant] = (room, at_ms)
         case "recalled", [name]:
             policy.readmitted.add(name)
+        case "homes", [key, name, cached, at_ms]:
+            if name in policy.servers:
+                policy.affinities[int(key, 16)] = Affinity(policy.servers[name], cached, at_ms)
+
+
+def _load_server_row(policy: Policy, table: str, row: list[Any]) -> None:
+    match table, row:
         case "servers", [name, started_ms, mean, at_ms, ratio_sum, count, credit, credit_ms, warming_ms]:
             server = policy.servers.get(name)
             if server is not None and server.entry.started_ms == started_ms:
@@ -110,9 +124,6 @@
             failures.mean, failures.updated_ms = mean, at_ms
         case "prefixes", [name, key, at_ms]:
             _known_server(policy, name).cached_prefixes[int(key, 16)] = at_ms
-        case "homes", [key, name, cached, at_ms]:
-            if name in policy.servers:
-                policy.affinities[int(key, 16)] = Affinity(policy.servers[name], cached, at_ms)
 
 
 def _known_server(policy: Policy, name: str) -> Server:
