Give cold servers their part early in a process's life, and don't hammer a full one

On five of the decode and mixed servers came back cold at 2.7 s; from 4.5 to 8.2 s the one warm one got 152 attempts, the cold ones 2 to 10 each, and from 8.2 s on, when it had died, 743 more: 390 full, 305 connects failed. 216 requests used up six attempts at it. Ruled out: the list (told at 3.95 s everywhere), the client side (retries 1.2 a try). At fault, crowstand/eligibility.py: _slow_start spread the completions of the two seconds since the start over all the time that a server warms (13 s), so a cold one got a sixth of its part; _eligible came back to the same failed server as often as attempts were left. Change: completions count over the time in which they came, the window that overloads at least; two failed attempts of a request at one server at most, then it is given up at once. Each test fails without its part.

--- a/crowstand/eligibility.py
+++ b/crowstand/eligibility.py
@@ -8,6 +8,7 @@
 
 # Tuned values: unit, and why.
 COLD_ATTEMPTS = 0.75  # of what overloads a cold server, were the usual all that a warm one can do
+MAX_ATTEMPTS_PER_SERVER = 2  # of a request that fail: one may be chance, a full server stays full for a while
 COLD_WORK = 0.5  # of the prefills that overload a cold server: the rest is for busy routers, and for chance
 CREDIT_WINDOWS = 2.0  # windows of the settings whose room is saved without traffic: all may come at once then
 MEAN_REQUESTS = 64  # that a mean of their work counts at most: a router's mix changes within a day
@@ -19,6 +20,8 @@
     def _eligible(self, job: Job, servers: list[Server]) -> list[Server]:
         """Those it may be sent to, without those that chance leaves out by their failures, unless all are."""
         allowed = [each for each in servers if self._repeatable(job, each) and self._slow_start(job, each)]
+        tried = job.failed_servers.count
+        allowed = [server for server in allowed if tried(server) < MAX_ATTEMPTS_PER_SERVER]
         allowed = [server for server in allowed if self._draw_cold(job, server)] or allowed
         fresh = [server for server in allowed if server not in job.failed_servers] or allowed
         fresh = [server for server in fresh if server.entry.server not in self.unreachable] or fresh
@@ -46,8 +49,7 @@
             return True
         window_ms, completions = self.settings.overload_for_ms, self.completions[server.role]
         known_ms = self.now_ms - completions[0] if completions else 0.0
-        span_ms = max(window_ms, self.settings.warm_after_ms, known_ms)
-        usual = len(completions) * window_ms / span_ms / self.peak_servers[server.role]
+        usual = len(completions) * window_ms / max(window_ms, known_ms) / self.peak_servers[server.role]
         floor = self.settings.fall_multiple * self.settings.cold_share / self.settings.routers
         if server.role == Role.PREFILL and self.prefill_ms_per_token:
             work = self.mean_work[server.role] or self._work(job, server)
--- a/tests/crowstand/test_slow_start.py
+++ b/tests/crowstand/test_slow_start.py
@@ -106,3 +106,35 @@
     assert all(reads.count(server) <= 1 for server in ("r0", "r1", "r2", "r3"))
     world.now_ms += 2000
     assert any(sends(world.request(f"c{n}", session=n)) for n in range(20))
+
+
+def test_a_router_that_has_just_begun_gives_cold_decode_servers_their_part() -> None:
+    """Two seconds of completions were spread over the time that a server warms: cold ones starved."""
+    world = World(routers=4, warm_after_ms=10_000, overload_for_ms=1000)
+    for number in range(40):  # 20 a second, 5 at each of four decode servers
+        world.wait(50)
+        world.serve(f"a{number}", session=number)
+    cold = tuple(replace(each, started_ms=world.now_ms) for each in FLEET if each.server == "w0")
+    world.give(i.Members(i.ListForm.CHANGES, 2, cold))
+    used = 0
+    for number in range(40):  # 2 s
+        world.wait(50)
+        world.read(f"b{number}", session=1000 + number)
+        used += world.at[f"b{number}"] == "w0"
+        world.first(f"b{number}")
+        world.outcome(f"b{number}", i.Status.OK, over=True)
+    assert used >= 4  # of 10 that a warm one gets, and 0.75 x 4 x 0.3 x 5 a second that it may
+
+
+@pytest.mark.parametrize("status", [i.Status.FULL, i.Status.CONNECT_FAILED])
+def test_a_request_does_not_hammer_the_only_decode_server(status: i.Status) -> None:
+    """One server was left that was not cold, and each request tried it six times within milliseconds."""
+    fleet = tuple(each for each in FLEET if each.server in ("r0", "w0"))
+    world = World(fleet, max_attempts=6)
+    world.read("a")
+    attempts = 0
+    while world.at["a"] == "w0" and not finals(world.last):
+        attempts += 1
+        world.outcome("a", status)
+    assert attempts == 2
+    assert isinstance(finals(world.last)[0], i.Refuse)  # at once: it has never run
