Send nothing to a server whose drain is told while the attempt connects

By the protocol a send counts from its first byte. At fault: Exchanges.run, no look at the list behind lines.take. The stand-in conductor of test_abandoned.py got may_send, its tests are as they were.

--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -84,6 +84,11 @@
         """Which servers that do both get nothing new of one role."""
         self._tell(roles)
 
+    def may_send(self, server: str) -> bool:
+        """Whether a server may still get something new: its drain may be told while an attempt connects."""
+        known = self.policy.servers.get(server)
+        return known is not None and self.policy.availability(known) == i.Availability.UP
+
     def first(self, attempt: Attempt) -> bool:
         """An answer has started; False where nobody takes it any more."""
         return relay.begin(self.context, attempt)
--- a/tests/wire/test_abandoned.py
+++ b/tests/wire/test_abandoned.py
@@ -40,7 +40,10 @@
         self.upstream = Upstream(tasks, servers, NAMES, 8, 500.0, 0, clock, metrics)
         self.outcomes = list[i.Status]()
         self.ended = anyio.Event()
-        self.upstream.conductor = SimpleNamespace(clock=clock, outcome=self._outcome)  # type: ignore[assignment]
+        self.may_send = True
+        self.upstream.conductor = SimpleNamespace(  # type: ignore[assignment]
+            clock=clock, outcome=self._outcome, may_send=lambda _: self.may_send
+        )
         self.clock = clock
         self.caller: Any = SimpleNamespace(gone=lambda: False)
         ours, self.theirs = socket.socketpair()
@@ -185,3 +188,29 @@
             assert at.written() == b"" and not attempt.written
 
     anyio.run(run)
+
+
+def test_one_whose_server_is_told_to_drain_while_it_connects_is_not_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A connection may wait in a queue for longer than the grace, and a send counts from its first byte."""
+
+    async def run() -> None:
+        async with rig() as at:
+            up = anyio.Event()
+            attempt = at.attempt()
+
+            async def connect(*_: Any) -> Connection:
+                await up.wait()
+                return at.conn
+
+            monkeypatch.setattr(lines, "connect", connect)
+            at.upstream.send(attempt)
+            while not up.statistics().tasks_waiting:
+                await anyio.sleep(0)
+            at.may_send = False
+            up.set()
+            await at.ended.wait()
+            assert at.written() == b"" and at.outcomes == [i.Status.NOT_SENT]
+
+    anyio.run(run)
