Write no repeat once its window has passed while the attempt connected

Change: Conductor.may_repeat, asked before the first byte, with 20 ms for the way. tests/core/test_may_repeat.py fails with the check taken out.

--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -28,6 +28,7 @@
 from ringledge.observe.metrics import Metrics
 from ringledge.observe.stalls import stalls
 
+ARRIVAL_MS = 20.0  # that a written request may take to its server: some times what a connection takes
 LOOK_S = 1.0  # timers are looked at this often, though none falls due
 
 
@@ -89,6 +90,18 @@
         known = self.policy.servers.get(server)
         return known is not None and self.policy.availability(known) == i.Availability.UP
 
+    def may_repeat(self, attempt: Attempt) -> bool:
+        """Whether a repeat still reaches its servers within the window in which they drop it.
+
+        It was within when the server was chosen, but the connection may have taken longer than what was left.
+        """
+        request_class = self.context.settings.classes[attempt.record.request.class_index]
+        if request_class.effect is not i.Effect.KEYED or attempt.reads:
+            return True
+        arrives_ms = self.clock.now_ms() + ARRIVAL_MS
+        earlier = [each for each in attempt.record.attempts if each is not attempt and each.may_have_run]
+        return all(arrives_ms < each.sent_ms + request_class.dedup_window_ms for each in earlier)
+
     def first(self, attempt: Attempt) -> bool:
         """An answer has started; False where nobody takes it any more."""
         return relay.begin(self.context, attempt)
--- a/ringledge/core/records.py
+++ b/ringledge/core/records.py
@@ -7,6 +7,8 @@
 from crowstand import interface as i
 from ringledge.core.port import Caller, Payload
 
+NEVER_RAN = (i.Status.PREFILLED, i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.NOT_SENT)
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -32,6 +34,11 @@
         """Whether its outcome has yet to come."""
         return self.outcome is None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether it was written to a server that answers, and is not proved never to have run."""
+        return self.written and not self.reads and self.outcome not in NEVER_RAN
+
 
 @dataclass(slots=True, eq=False)
 class Record:
@@ -68,5 +75,4 @@
     @property
     def may_have_run(self) -> bool:
         """Whether an attempt was written to a server that answers, and is not proved never to have run."""
-        never = (i.Status.PREFILLED, i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.NOT_SENT)
-        return any(a.written and not a.reads and a.outcome not in never for a in self.attempts)
+        return any(attempt.may_have_run for attempt in self.attempts)
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -87,8 +87,8 @@
             self.conductor.client_gone(record)
         if live.scope.cancel_called:  # only the next wait would tell, and to write may take none
             return End(i.Status.CONNECT_FAILED)
-        if not self.conductor.may_send(attempt.server):  # a send counts from its first byte, and none is out
-            return End(i.Status.NOT_SENT)
+        if not (self.conductor.may_send(attempt.server) and self.conductor.may_repeat(attempt)):
+            return End(i.Status.NOT_SENT)  # a send counts from its first byte, and none is out
         left_ms = max(0, int(attempt.ends_ms - self.clock.now_ms()))
         payload = record.payload
         request = h11.Request(
