--- a/tests/test_platform_spoilt.py
+++ b/tests/test_platform_spoilt.py
@@ -28,6 +28,14 @@
     assert take(client).status == 200
 
 
+def test_a_booking_whose_decode_server_answers_as_if_it_had_prefilled_is_not_sent_again(node: Node) -> None:
+    """Such an answer counted as proof that it never ran, and the booking went to another server."""
+    client, call = read(node, X_Call_Class="booking")
+    call.answer(202, '{"cached_tokens":0}')
+    assert take(client).status == 500
+    assert [each.method for each in node.writer[0].seen].count("POST") == 1
+
+
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
