Look for a stream's first event only behind what holds none

Seen by tests/test_platform_endless.py: a 200 whose chunks hold blank lines and no event kept the whole process at work for 6 to 7 s before its 64 KiB were up; a booking's answer came 7.3 s after its request of 4.8 s. Checked: endless heads, interim answers, error bodies, chunk sizes and extensions, one chunk without end and trailers are all ended within 1.1 s, so neither h11 nor the reading of the socket is it. At fault: ringledge/wire/answers.py opening_event, which searched the whole opening again at each blank line (and copied it at each piece), with no wait between the pieces of one read. Change: a blank line without a match proves that no data line stands before it, so the next search starts there; the opening grows in place.

--- a/ringledge/wire/answers.py
+++ b/ringledge/wire/answers.py
@@ -31,17 +31,19 @@
 
 async def opening_event(conn: Connection, chunked: bool) -> bytes:
     """A stream's first event, in whole chunks: what is spoilt before costs its attempt, not its client."""
-    opening = b""
+    opening, searched = bytearray(), 0
     while len(opening) <= MAX_CHUNK:
         event = await conn.next_event()
         if not isinstance(event, h11.Data):
             raise h11.RemoteProtocolError("the stream ended before its first event")
-        opening += bytes(event.data)
-        whole = opening.endswith((b"\n\n", b"\r\n\r\n")) and (event.chunk_end or not chunked)
-        if whole and (first := EVENT.search(opening)):
+        opening += event.data
+        if not opening.endswith((b"\n\n", b"\r\n\r\n")) or not (event.chunk_end or not chunked):
+            continue
+        if first := EVENT.search(opening, searched):
             if not as_object(first[1]):
                 raise h11.RemoteProtocolError("the first event can't be read")
-            return opening
+            return bytes(opening)
+        searched = len(opening)  # a data line before this blank line would have matched
     raise h11.RemoteProtocolError("the opening holds no event")
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -4,8 +4,11 @@
 
 import json
 import queue
+import select
 import socket
+import struct
 import threading
+import time
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
@@ -77,6 +80,35 @@
         self._handler.close_connection = True
         self.done.set()
 
+    def say_without_end(self, opening: bytes, piece: bytes, pause_s: float = 0.0) -> bytes:
+        """Say the piece again and again until the other side closes; give what that side said meanwhile.
+
+        A pause ends early when something comes. TimeoutError if the other side neither reads nor closes.
+        """
+        sock, until = self._handler.connection, time.monotonic() + 2 * WAIT_S
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(WAIT_S)
+        heard = b""
+        try:
+            sock.sendall(opening)
+            while time.monotonic() < until:
+                sock.sendall(piece)
+                if select.select([sock], [], [], pause_s)[0]:
+                    if not (said := sock.recv(65536)):
+                        return heard
+                    heard += said
+            raise TimeoutError("the other side still listens")
+        except (ConnectionResetError, BrokenPipeError):
+            return heard
+        finally:
+            self.drop()
+
+    def reset(self) -> None:
+        """Reset the connection: what was on its way is lost."""
+        linger = struct.pack("ii", 1, 0)
+        self._handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.drop()
+
     def hang_up_after(self) -> Call:
         """Close the connection after the answer, without a word of it before."""
         self._handler.close_connection = True
