Test answers that never end, trickle, break off within a line or come twice

Not covered: a second answer that arrives under the next request on the same connection looks like that one's answer.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -76,6 +76,10 @@
         self._handler.wfile.write(text)
         self.done.set()
 
+    def say(self, text: bytes) -> None:
+        """Say just that; more may follow."""
+        self._handler.wfile.write(text)
+
     def drop(self) -> None:
         self._handler.close_connection = True
         self.done.set()
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -2,19 +2,29 @@
 
 from __future__ import annotations
 
+import http.client
 import time
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 
 import pytest
 
-from tests.loopback import Call, Node, read, take
+from tests.loopback import Call, Node, event, read, take
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+PREFILLED = b"HTTP/1.1 202 Accepted\r\n"
 ERROR = b"HTTP/1.1 500 Oops\r\n"
 LENGTH = b"Content-Length: 200000000\r\n\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 LINE = b"X-More: " + b"y" * 90 + b"\r\n"
+CUT_S = 4.0  # until an answer past all bounds is cut off, on a busy machine; its client would wait longer
+BYTE_S = 0.005  # between two bytes of a trickle
+BUDGET_S = 1.2  # that a client of a trickle waits
+SLACK_S = 0.5  # past its time an answer still counts
+
+
+def chunk(text: str) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(text), text.encode())
 
 
 @pytest.fixture
@@ -29,6 +39,11 @@
     return pool.submit(call.say_without_end, opening, piece, pause_s)
 
 
+def runs(node: Node, name: str = "a1") -> int:
+    """How often a request was sent to the writer."""
+    return sum(call.method == "POST" and call.id == name for call in node.writer[0].seen)
+
+
 def serves_another(node: Node, spoilt: Call) -> None:
     """Whether the next request is served, over a connection that was not spoilt."""
     client, call = read(node, "next")
@@ -57,13 +72,134 @@
 def test_a_writers_endless_answer_costs_its_attempt_and_its_connection(
     node: Node, pool: ThreadPoolExecutor, name: str, how: str
 ) -> None:
-    client, call = read(node, X_Call_Class=name)
+    client, call = read(node, X_Call_Class=name, X_Budget_Ms="60000")
     began = time.monotonic()
     heard = endless(pool, call, *WRITERS[how])
     if name == "query":
         node.writer[0].next().serve("x")
     assert take(client).status == (200 if name == "query" else 500)
-    assert time.monotonic() - began < 4.8
+    assert time.monotonic() - began < CUT_S
     assert heard.result() == b""  # closed, and nothing else was sent over it
-    assert len(node.writer[0].seen) == (2 if name == "query" else 1)
+    assert runs(node) == (2 if name == "query" else 1)
+    serves_another(node, call)
+
+
+READERS = {
+    "body-by-length": (PREFILLED + LENGTH, b"x" * 1000),
+    "body-by-chunks": (PREFILLED + CHUNKED, b"5\r\nxxxxx\r\n" * 100),
+    "body-to-the-close": (PREFILLED + b"\r\n", b"x" * 1000),
+    "head": (PREFILLED, LINE),
+    "error": (ERROR + CHUNKED, b"5\r\nxxxxx\r\n" * 100),
+}
+
+
+@pytest.mark.parametrize("how", READERS)
+def test_a_readers_endless_answer_costs_its_attempt_and_its_connection(
+    node: Node, pool: ThreadPoolExecutor, how: str
+) -> None:
+    client = node.post("a1", X_Budget_Ms="60000")
+    call = node.reader[0].next()
+    began = time.monotonic()
+    heard = endless(pool, call, *READERS[how])
+    again = node.reader[0].next()
+    assert time.monotonic() - began < CUT_S
+    assert again.port != call.port
+    again.read()
+    node.writer[0].next().serve("x")
+    assert take(client).status == 200
+    assert heard.result() == b""
+
+
+@pytest.mark.parametrize("name", ["query", "booking"])
+@pytest.mark.parametrize("how", ["head", "error-by-length", "error-to-the-close", "chunk-extension", "chunk"])
+def test_an_answer_that_comes_byte_by_byte_keeps_no_client_past_its_time(
+    node: Node, pool: ThreadPoolExecutor, name: str, how: str
+) -> None:
+    began = time.monotonic()
+    client, call = read(node, X_Call_Class=name, X_Budget_Ms=str(int(BUDGET_S * 1000)))
+    heard = endless(pool, call, WRITERS[how][0], b"y", BYTE_S)
+    if name == "query":
+        node.writer[0].next().serve("x")
+    assert take(client).status == (200 if name == "query" else 500)
+    assert time.monotonic() - began < BUDGET_S + SLACK_S
+    assert heard.result() == b""
+    assert runs(node) == (2 if name == "query" else 1)
+    serves_another(node, call)
+
+
+@pytest.mark.parametrize(
+    ("opening", "piece", "pause_s"),
+    [
+        (b"c0000000\r\n", b"x" * 1000, 0.0),
+        (b"c0000000\r\n", b"x", BYTE_S),
+        (b"5;", b"y", BYTE_S),
+        (b"0\r\n", LINE, 0.0),
+    ],
+    ids=["chunk", "chunk-trickled", "extension-trickled", "trailer"],
+)
+def test_a_begun_stream_that_never_ends_a_chunk_is_broken_off(
+    node: Node, pool: ThreadPoolExecutor, opening: bytes, piece: bytes, pause_s: float
+) -> None:
+    client, call = read(node)
+    heard = endless(pool, call, HEAD + chunk(event("one")) + opening, piece, pause_s)
+    with pytest.raises(http.client.IncompleteRead) as broken:
+        take(client)
+    assert broken.value.partial.startswith(event("one").encode())
+    assert heard.result() == b""
+    assert runs(node) == 1
     serves_another(node, call)
+
+
+@pytest.mark.parametrize("name", ["query", "booking"])
+@pytest.mark.parametrize("how", ["closed", "reset"])
+@pytest.mark.parametrize(
+    "half",
+    [
+        b"HTTP/1.1 20",
+        b"HTTP/1.1 200 OK\r\nContent-Ty",
+        HEAD + b"1",
+        HEAD + b'ff\r\ndata: {"choi',
+        ERROR + LENGTH + b"{",
+    ],
+    ids=["status", "header", "size", "event", "error"],
+)
+def test_an_answer_that_breaks_off_within_a_line_costs_its_attempt(
+    node: Node, name: str, how: str, half: bytes
+) -> None:
+    client, call = read(node, X_Call_Class=name)
+    call.say(half)
+    call.drop() if how == "closed" else call.reset()
+    if name == "query":
+        again = node.writer[0].next()
+        assert again.port != call.port
+        again.serve("x")
+    assert take(client).status == (200 if name == "query" else 500)
+    assert runs(node) == (2 if name == "query" else 1)
+    serves_another(node, call)
+
+
+def test_a_begun_stream_that_breaks_off_within_a_line_is_not_run_again(node: Node) -> None:
+    client, call = read(node)
+    call.say(HEAD + chunk(event("one")) + b'ff\r\ndata: {"choi')
+    call.drop()
+    with pytest.raises(http.client.IncompleteRead) as broken:
+        take(client)
+    assert broken.value.partial.startswith(event("one").encode())
+    assert runs(node) == 1
+    serves_another(node, call)
+
+
+SECOND = HEAD + chunk(event("another's")) + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize("second", [SECOND, SECOND[:9], b"\r\n"], ids=["whole", "half", "blank"])
+def test_a_second_answer_that_comes_late_is_nobodys(node: Node, second: bytes) -> None:
+    """The first client has its answer already; the connection rests when the second comes."""
+    client, call = read(node)
+    call.begin().token("mine").end()
+    assert event("mine").encode() in take(client).body
+    call.say(second)
+    client, fresh = read(node, "a2", X_Call_Class="booking")
+    assert fresh.port != call.port
+    fresh.serve("two")
+    assert take(client).body.startswith(event("two").encode())
