Give what must not run twice only connections that have been idle for 50 ms

Seen by reading, and named by tests/test_platform_endless.py as not covered: a server's second answer that comes some milliseconds after the first, under the next request on the same connection, is taken for that one's. "Turned away" then proves that a booking never ran, and it is sent again: a duplicate. Checked: Pool.take looks for bytes that are there already, which says nothing of those to come. Change: ringledge/memory/pool.py, SETTLED_S, for attempts that must not run twice. What may be repeated still takes the youngest one, for a rest for all would open more connections; its harm there is a wrong answer, and stays. tests/memory/test_pool.py fails without it; the rig of tests/wire/test_abandoned.py lets its connection rest first.

--- a/ringledge/memory/pool.py
+++ b/ringledge/memory/pool.py
@@ -8,6 +8,9 @@
 
 from ringledge.observe.metrics import Metrics
 
+# A second answer to the last request may come some milliseconds late. Read as the next one's it would
+# "prove" that what must not run twice never ran, so such requests take connections that have been idle for longer.
+SETTLED_S = 0.05
 DISTRUST_S = 30.0  # after a kept connection broke, new ones are opened for what must not run twice
 
 
@@ -40,11 +43,15 @@
         """An idle connection that can still be trusted; what must not run twice asks for more trust."""
         if once and time.monotonic() < self.distrusted_until:
             return None
-        idle = self._idle.get(address)
+        idle, now_s = self._idle.get(address), time.monotonic()
+        if once and idle:
+            idle = [conn for conn in idle if now_s - conn.idle_since >= SETTLED_S]
         while idle:
             conn = idle.pop()
+            if once:
+                self._idle[address].remove(conn)
             # One that the server may close under the request would end as a reset, which may have run.
-            if time.monotonic() - conn.idle_since < self.max_idle_s and not conn.readable():
+            if now_s - conn.idle_since < self.max_idle_s and not conn.readable():
                 return conn
             self.drop(conn)
         return None
--- /dev/null
+++ b/tests/memory/test_pool.py
@@ -0,0 +1,68 @@
+"""Which idle connections a request gets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import pytest
+
+from ringledge.memory import pool as pooling
+from ringledge.memory.pool import SETTLED_S, Pool
+from ringledge.observe.metrics import Metrics
+
+ADDRESS = "127.0.0.1:1"
+
+
+@dataclass(eq=False)
+class Idle:
+    """A connection as the pool sees it."""
+
+    idle_since: float = 0.0
+    kept: bool = False
+    closed: bool = False
+
+    def readable(self) -> bool:
+        return False
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class Clock:
+    """Stands in for the module's monotonic clock."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    monkeypatch.setattr(pooling, "time", clock)
+    return clock
+
+
+def test_what_must_not_run_twice_gets_no_connection_on_which_a_second_answer_may_be_due(clock: Clock) -> None:
+    """A second answer "turned away" came under a booking, which was then sent to another server as well."""
+    pool, conn = Pool[Idle](8, 30.0, Metrics()), Idle()
+    pool.put(ADDRESS, conn)
+    clock.now_s += SETTLED_S / 2
+    assert pool.take(ADDRESS, once=True) is None
+    assert pool.take(ADDRESS) is conn
+    pool.put(ADDRESS, conn)
+    clock.now_s += SETTLED_S * 1.01
+    assert pool.take(ADDRESS, once=True) is conn
+    assert pool.take(ADDRESS) is None
+
+
+def test_of_several_the_youngest_settled_one_is_taken(clock: Clock) -> None:
+    pool, first, second, third = Pool[Idle](8, 30.0, Metrics()), Idle(), Idle(), Idle()
+    for conn in (first, second, third):
+        pool.put(ADDRESS, conn)
+        clock.now_s += SETTLED_S * 0.7
+    assert pool.take(ADDRESS, once=True) is second
+    assert pool.take(ADDRESS) is third
+    assert pool.take(ADDRESS) is first
--- a/tests/wire/test_abandoned.py
+++ b/tests/wire/test_abandoned.py
@@ -18,6 +18,7 @@
 from ringledge.core.port import Payload
 from ringledge.core.records import Attempt, Record
 from ringledge.lifecycle.config import Names
+from ringledge.memory.pool import SETTLED_S
 from ringledge.memory.servers import ServerList
 from ringledge.observe.metrics import Metrics
 from ringledge.wire import lines
@@ -123,6 +124,7 @@
             at.upstream.conductor.client_gone = client_gone  # type: ignore[method-assign]
             at.upstream.pool.reserve()
             at.upstream.pool.put(ADDRESS, at.conn)
+            at.conn.idle_since -= 2 * SETTLED_S
             attempt = at.attempt()
             at.upstream.send(attempt)
             client.sendall(ahead)
@@ -138,6 +140,7 @@
         async with rig() as at, client_of(at) as client:
             at.upstream.pool.reserve()
             at.upstream.pool.put(ADDRESS, at.conn)
+            at.conn.idle_since -= 2 * SETTLED_S
             client.sendall(b"GET /ready HTTP/1.1\r\n")
             attempt = at.attempt()
             at.upstream.send(attempt)
@@ -156,6 +159,7 @@
         async with rig() as at:
             at.upstream.pool.reserve()
             at.upstream.pool.put(ADDRESS, at.conn)
+            at.conn.idle_since -= 2 * SETTLED_S
             attempt = at.attempt()
             at.upstream.send(attempt)
             at.upstream.abandon(attempt)  # before the loop came round
