--- a/ringledge/memory/pool.py
+++ b/ringledge/memory/pool.py
@@ -9,7 +9,7 @@
 from ringledge.observe.metrics import Metrics
 
 # A second answer to the last request may come some milliseconds late. Read as the next one's it would
-# "prove" that what must not run twice never ran, so such requests take connections that have been idle for longer.
+# "prove" that what must not run twice never ran: such requests take connections that were idle for longer.
 SETTLED_S = 0.05
 DISTRUST_S = 30.0  # after a kept connection broke, new ones are opened for what must not run twice
 
