Let a start wait for the answer to a second call before it serves by a stale list

Seen by tests/test_platform_restart.py: with discovery accepting the first call of a new process in vain, the process served by its file's list at 1.0 s, just when that call was given up, and clients that had come before were sent to a reader that the next call's first word, some 20 ms later, told as leaving. Checked: a first word that comes within the second, in two pieces, as a whole list or as changes, is waited for; beside a discovery that stays silent the process is ready after its bound and obeys the word when it comes. At fault: ringledge/lifecycle/serve.py, LIST_S equal to ANSWER_S of wire/discovery.py. Change: LIST_S is ANSWER_S and half a second. A watch that begins and then tells no first line is not covered: an empty list of changes may take it 2 s.

--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -26,11 +26,13 @@
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
-from ringledge.wire.discovery import Discovery
+from ringledge.wire.discovery import ANSWER_S, Discovery
 from ringledge.wire.upstream import Upstream
 
 TAKEN_AT_ONCE = ("discovery", "discovery_in_file", "seed", "known")  # on SIGHUP; seed and list start a run
-LIST_S = 1.0  # discovery may be silent: after so long the last list known has to do
+# Discovery may be silent: after so long the last list known has to do. A first call that is accepted in vain
+# is given up after ANSWER_S; the answer to the next has to come before a stale list is gone by.
+LIST_S = ANSWER_S + 0.5
 
 
 class Program:
--- /dev/null
+++ b/tests/test_platform_restart.py
@@ -0,0 +1,138 @@
+"""A restart whose configuration tells a stale list, beside a discovery that is slow or silent at first."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from ringledge.lifecycle.serve import LIST_S
+from tests.loopback import WAIT_S, Call, Node, Process, StandIn
+from tests.test_client_pace import request
+
+REQUESTS = 8
+BUSY_S = 2.0  # that a busy machine may add to a bound
+LOOK_S = 0.01  # how often a condition is looked at
+
+
+@pytest.fixture
+def node(tmp_path: Path) -> Iterator[Node]:
+    """The program, killed; its file still tells the list of its start, and discovery is the test's."""
+    with Node(tmp_path, readers=2, writers=2) as node:
+        node.configure(listen=node.listening["platform"])
+        node.kill()
+        yield node
+
+
+class Restart:
+    """The program's new process while it starts."""
+
+    def __init__(self, node: Node, discovery: StandIn) -> None:
+        node.configure(discovery=discovery.address)
+        self.node, self.process = node, Process()
+        node.later.append(self.process)
+        self._began = time.monotonic()
+        self._thread = threading.Thread(target=self.process.start, args=(node.folder,), daemon=True)
+        self._thread.start()
+
+    def wait_ready(self) -> list[str]:
+        """Wait until it is; the events that it has logged before."""
+        self._thread.join(WAIT_S)
+        assert not self._thread.is_alive()
+        self.took_s = time.monotonic() - self._began
+        return [line["event"] for line in self.process.passed]
+
+    def dial(self) -> socket.socket:
+        """A client that knows the address from before."""
+        host, port = self.node.listening["platform"].split(":")
+        until = time.monotonic() + WAIT_S
+        while True:
+            try:
+                return socket.create_connection((host, int(port)), WAIT_S)
+            except ConnectionRefusedError:
+                assert time.monotonic() < until
+                time.sleep(LOOK_S)
+
+    def ask(self) -> list[socket.socket]:
+        """Send requests of several sessions, each over its own connection."""
+        clients = [self.dial() for _ in range(REQUESTS)]
+        for number, client in enumerate(clients):
+            session = f"{number:016x}".encode()
+            client.sendall(request(f"a{number}").replace(b"7f3a9c21e0b4d655", session))
+        return clients
+
+
+def play(server: StandIn, answer: Callable[[Call], None]) -> None:
+    """Have a server answer all calls that come; one that was given up meanwhile takes no answer."""
+
+    def run() -> None:
+        while True:
+            with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+                answer(server.calls.get())
+
+    threading.Thread(target=run, daemon=True).start()
+
+
+def first_word(node: Node, how: str) -> str:
+    """The list that discovery has: r1 and w0 are not to be used any more."""
+    status = "left" if how == "left" else "leaving"
+    told = node.listing(9, r1=status, w0=status)
+    if how == "absent":
+        told["endpoints"] = [each for each in told["endpoints"] if each["status"] == "active"]
+    told["snapshot"] = how != "left"
+    return json.dumps(told) + "\n"
+
+
+def all_by_the_others(node: Node, clients: list[socket.socket]) -> bool:
+    """Whether all are served, and nothing was sent to a server that leaves."""
+    play(node.reader[0], Call.read)
+    play(node.writer[1], lambda call: call.serve("x"))
+    for client in clients:
+        with client:
+            if not client.recv(65536).startswith(b"HTTP/1.1 200"):
+                return False
+    return not (node.reader[1].seen or node.writer[0].seen)
+
+
+@pytest.mark.parametrize("how", ["leaving", "absent", "left"])
+def test_clients_that_come_before_a_slow_first_word_go_by_it(node: Node, how: str) -> None:
+    discovery = StandIn()
+    restart = Restart(node, discovery)
+    clients = restart.ask()
+    watch = discovery.next().begin()
+    watch.chunk(first_word(node, how)[:30])  # a piece of it is no word
+    watch.chunk(first_word(node, how)[30:])
+    assert all_by_the_others(node, clients)
+    assert "list_late" not in restart.wait_ready()
+    assert restart.took_s < LIST_S + BUSY_S
+
+
+def test_clients_that_come_while_the_first_call_is_answered_in_vain_go_by_the_second(node: Node) -> None:
+    discovery = StandIn()
+    restart = Restart(node, discovery)
+    clients = restart.ask()
+    discovery.next()  # accepted, and no word
+    discovery.next().begin().chunk(first_word(node, "leaving"))
+    assert all_by_the_others(node, clients)
+    assert "list_late" not in restart.wait_ready()
+    assert restart.took_s < LIST_S + BUSY_S
+
+
+def test_beside_a_silent_discovery_it_is_ready_in_time_and_obeys_the_first_word(node: Node) -> None:
+    discovery = StandIn()
+    restart = Restart(node, discovery)
+    assert "list_late" in restart.wait_ready()
+    assert LIST_S < restart.took_s < LIST_S + BUSY_S
+    call = discovery.next()
+    while not call.closed():
+        pass
+    discovery.next().begin().chunk(first_word(node, "leaving"))
+    while restart.process.logged("list")["index"] != 9:
+        pass
+    assert all_by_the_others(node, restart.ask())
