--- a/benchmarks/fleet_plays.py
+++ b/benchmarks/fleet_plays.py
@@ -72,8 +72,8 @@
 
 
 def read_days(report: dict[str, Any]) -> Iterator[Day]:
-    """The days of one report."""
-    for told in report["days"]:
+    """The days of one report: of a score, or the one row of a single day."""
+    for told in report["days"] if "days" in report else [report["row"]]:
         yield Day(
             told["name"],
             told["seed"],
--- a/tests/benchmarks/test_fleet_plays.py
+++ b/tests/benchmarks/test_fleet_plays.py
@@ -47,6 +47,11 @@
     assert day.row().endswith(f"| {'; '.join(faults) or 'rules kept'} |")
 
 
+def test_a_single_days_report_has_one_row() -> None:
+    (day,) = read_days({"row": DAY, "text": "a report for people"})
+    assert (day.name, day.seed, day.faults) == ("herd", 7, ())
+
+
 @pytest.mark.parametrize(("broken", "exit_code"), [(0, 0), (1, 1)])
 def test_every_kind_and_panel_is_played_on_every_seed(tmp_path: Path, broken: int, exit_code: int) -> None:
     calls, bench, site = tmp_path / "calls", tmp_path / "bench", tmp_path / "site.toml"
