Take settled connections from the pool in one walk, without a copy of the list

Reading again: Pool.take filtered a copy of an address's idle connections for what must not run twice and then removed each from the list beside it. The list is in the order of rest, so one walk from the youngest does both. The hand-over's peer still called the registry of requests a ledger.

--- a/ringledge/lifecycle/handover.py
+++ b/ringledge/lifecycle/handover.py
@@ -27,7 +27,7 @@
 
     def __init__(self, sock: socket.socket, registry: RequestRegistry) -> None:
         self.ids: set[str] = set()
-        self._sock, self._ledger = sock, registry
+        self._sock, self._registry = sock, registry
         self._untold = dict.fromkeys(registry.records, True)
         self._news = anyio.Event()
         self._sending = anyio.Lock()  # two tasks may not wait for the same socket
@@ -56,7 +56,7 @@
                         heard(message[0])
                 tasks.cancel_scope.cancel()
         finally:
-            self._ledger.peers.remove(self)
+            self._registry.peers.remove(self)
             channel.close(self._sock)
 
     async def _tell(self) -> None:
--- a/ringledge/memory/pool.py
+++ b/ringledge/memory/pool.py
@@ -43,13 +43,12 @@
         """An idle connection that can still be trusted; what must not run twice asks for more trust."""
         if once and time.monotonic() < self.distrusted_until:
             return None
-        idle, now_s = self._idle.get(address), time.monotonic()
-        if once and idle:
-            idle = [conn for conn in idle if now_s - conn.idle_since >= SETTLED_S]
-        while idle:
-            conn = idle.pop()
-            if once:
-                self._idle[address].remove(conn)
+        idle, now_s = self._idle.get(address, []), time.monotonic()
+        settled_s = SETTLED_S if once else 0.0
+        for place in reversed(range(len(idle))):
+            if now_s - idle[place].idle_since < settled_s:
+                continue
+            conn = idle.pop(place)
             # One that the server may close under the request would end as a reset, which may have run.
             if now_s - conn.idle_since < self.max_idle_s and not conn.readable():
                 return conn
