--- a/tests/standins.py
+++ b/tests/standins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import queue
 import select
@@ -193,3 +194,14 @@
     def close(self) -> None:
         for sock in [*self._queue, self._door]:
             sock.close()
+
+
+def play(server: StandIn, answer: Callable[[Call], None]) -> None:
+    """Have a server answer all calls that come; one that was given up meanwhile takes no answer."""
+
+    def run() -> None:
+        while True:
+            with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+                answer(server.calls.get())
+
+    threading.Thread(target=run, daemon=True).start()
--- a/tests/test_platform_restart.py
+++ b/tests/test_platform_restart.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
 from ringledge.lifecycle.serve import LIST_S
 from tests.loopback import WAIT_S, Call, Node, Process, StandIn
+from tests.standins import play
 from tests.test_client_pace import request
 
 REQUESTS = 8
@@ -68,17 +68,6 @@
         return clients
 
 
-def play(server: StandIn, answer: Callable[[Call], None]) -> None:
-    """Have a server answer all calls that come; one that was given up meanwhile takes no answer."""
-
-    def run() -> None:
-        while True:
-            with contextlib.suppress(BrokenPipeError, ConnectionResetError):
-                answer(server.calls.get())
-
-    threading.Thread(target=run, daemon=True).start()
-
-
 def first_word(node: Node, how: str) -> str:
     """The list that discovery has: r1 and w0 are not to be used any more."""
     status = "left" if how == "left" else "leaving"
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-import contextlib
 import http.client
 import signal
 import socket
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
 from ringledge.lifecycle.drain import END_S, LONGEST_S
 from tests.loopback import WAIT_S, Call, Node, StandIn, event, take
+from tests.standins import play
 from tests.test_client_pace import request
 
 BUSY_S = 1.0  # that a busy machine may add to a bound
@@ -28,17 +27,6 @@
     return any(call.headers["X-Call-Id"] == name for call in server.seen)
 
 
-def play(server: StandIn, answer: Callable[[Call], None]) -> None:
-    """Have a server answer all calls that come; one that was given up meanwhile takes no answer."""
-
-    def run() -> None:
-        while True:
-            with contextlib.suppress(BrokenPipeError, ConnectionResetError):
-                answer(server.calls.get())
-
-    threading.Thread(target=run, daemon=True).start()
-
-
 @dataclass
 class Asker:
     """A client that waits for its answer on a thread of its own."""
