--- a/tests/wire/test_abandoned.py
+++ b/tests/wire/test_abandoned.py
@@ -169,6 +169,21 @@
     anyio.run(run)
 
 
+async def connecting(at: Rig, monkeypatch: pytest.MonkeyPatch) -> tuple[anyio.Event, Attempt]:
+    """An attempt that waits for its connection, which comes up once the event is set."""
+    up, attempt = anyio.Event(), at.attempt()
+
+    async def connect(*_: Any) -> Connection:
+        await up.wait()
+        return at.conn
+
+    monkeypatch.setattr(lines, "connect", connect)
+    at.upstream.send(attempt)
+    while not up.statistics().tasks_waiting:
+        await anyio.sleep(0)
+    return up, attempt
+
+
 def test_one_given_up_in_the_turn_in_which_its_connection_came_up_is_not_written(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -176,17 +191,7 @@
 
     async def run() -> None:
         async with rig() as at:
-            up = anyio.Event()
-            attempt = at.attempt()
-
-            async def connect(*_: Any) -> Connection:
-                await up.wait()
-                return at.conn
-
-            monkeypatch.setattr(lines, "connect", connect)
-            at.upstream.send(attempt)
-            while not up.statistics().tasks_waiting:
-                await anyio.sleep(0)
+            up, attempt = await connecting(at, monkeypatch)
             up.set()
             at.upstream.abandon(attempt)
             await at.ended.wait()
@@ -202,17 +207,7 @@
 
     async def run() -> None:
         async with rig() as at:
-            up = anyio.Event()
-            attempt = at.attempt()
-
-            async def connect(*_: Any) -> Connection:
-                await up.wait()
-                return at.conn
-
-            monkeypatch.setattr(lines, "connect", connect)
-            at.upstream.send(attempt)
-            while not up.statistics().tasks_waiting:
-                await anyio.sleep(0)
+            up, attempt = await connecting(at, monkeypatch)
             at.may_send = False
             up.set()
             await at.ended.wait()
