--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import math
-import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import NamedTuple
 
-import anyio
 import h11
 
 from crowstand import interface as i
@@ -19,7 +17,6 @@
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.answers import (
-    MAX_CHUNK,
     answer_head,
     as_object,
     cached_tokens,
@@ -33,9 +30,7 @@
 from ringledge.wire.lines import Lines
 from ringledge.wire.messages import read_body
 from ringledge.wire.releases import Releaser
-
-STREAM_SILENCE_S = 3.0  # a begun stream without a further whole chunk for so long is broken off: it vanished
-TAIL = 2048  # bytes at a stream's end in which usage and the load report stand
+from ringledge.wire.stream_relay import Live, StreamRelay
 
 
 class End(NamedTuple):
@@ -46,17 +41,6 @@
     load: i.Load | None = None
 
 
-@dataclass(slots=True)
-class Live:
-    """An attempt under way."""
-
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
-    conn: Connection | None = None
-    written_ms: float = math.inf  # when its request was written whole
-    silent_at: float = math.inf  # when a begun stream counts as silent, unless a whole chunk comes before
-    passing_on: bool = False  # it waits for its client: the server's silence is ours
-
-
 @dataclass(slots=True)
 class Exchanges:
     """Carries one attempt's exchange out."""
@@ -149,31 +133,13 @@
     async def _stream(self, attempt: Attempt, live: Live, conn: Connection, head: h11.Response) -> End:
         """Pass a stream on as it comes, to its last chunk."""
         chunked = header(head, b"transfer-encoding") is not None
-        tail = piece = await opening_event(conn, chunked)
+        opening = await opening_event(conn, chunked)
         live.scope.deadline = math.inf
         if not self.conductor.first(attempt):
             return End(i.Status.CANCELLED)
-        await self.conductor.piece(attempt, piece)
-        in_chunk = 0
-        live.silent_at = time.monotonic() + STREAM_SILENCE_S
-        while True:
-            event = await conn.next_event()
-            if isinstance(event, h11.Data):
-                piece = bytes(event.data)
-                in_chunk = len(piece) + (0 if event.chunk_start else in_chunk)
-                if in_chunk > MAX_CHUNK:
-                    raise h11.RemoteProtocolError("a chunk is too long for events")
-                tail = (tail + piece)[-TAIL:]
-                live.passing_on = True
-                await self.conductor.piece(attempt, piece)
-                live.passing_on = False
-                if event.chunk_end or not chunked:
-                    live.silent_at = time.monotonic() + STREAM_SILENCE_S
-            elif isinstance(event, h11.EndOfMessage):
-                note, attempt.answer_tokens, load = read_tail(tail)
-                return End(i.Status.OK, note, load or load_report(header(head, b"x-load-report")))
-            else:
-                raise h11.RemoteProtocolError("the stream ended early")
+        tail = await StreamRelay(self.conductor, attempt, live, conn, chunked).run(opening)
+        note, attempt.answer_tokens, load = read_tail(tail)
+        return End(i.Status.OK, note, load or load_report(header(head, b"x-load-report")))
 
     async def _let_go(self, record: Record) -> End:
         """No writer was reached while the read state may be held: it goes, and the prompt is read anew."""
--- a/ringledge/wire/silence.py
+++ b/ringledge/wire/silence.py
@@ -14,9 +14,9 @@
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
 from ringledge.observe.stalls import BEAT_S, stalls
-from ringledge.wire.exchange import Live
 from ringledge.wire.lines import Lines
 from ringledge.wire.releases import Releaser
+from ringledge.wire.stream_relay import Live
 
 SILENCE_LOOK_S = BEAT_S  # how often it is looked for silent streams and servers
 
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -19,10 +19,11 @@
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.answers import reusable
 from ringledge.wire.connection import Connection
-from ringledge.wire.exchange import End, Exchanges, Live
+from ringledge.wire.exchange import End, Exchanges
 from ringledge.wire.lines import Lines
 from ringledge.wire.releases import Releaser
 from ringledge.wire.silence import Silence
+from ringledge.wire.stream_relay import Live
 
 LET_GO_MS = 500.0  # that a state may be held, where the settings don't tell
 
