Run one clock over all watches of the list since it was last known whole

Seen by reading: each watch had 2.5 s of silence of its own, so three in a row that fell silent, trickled or sent empty lines alone took 7.5 s, and a change counts as told after 6 s. At a start a watch that began and held its first line back was waited for beyond the 1.5 s for the list. At fault: decide/watch_clock.py counted from each watch's own beginning. Change: where lists are pushed each further watch gets half of what is left of 5.6 s since the list was known whole (1 s at a start, 3.6 s behind a new configuration), 0.3 s at least; behind that time each has its whole time again. tests/test_platform_restart.py took the second call for the open one; more calls are made now, so it takes the last, as strict as before. Test: tests/decide/test_watch_clock.py, three in a row in all 64 combinations, a start, a new configuration.

--- a/ringledge/decide/watch_clock.py
+++ b/ringledge/decide/watch_clock.py
@@ -5,23 +5,37 @@
 and would never be had if each watch were given up under it. So a line that has begun and still comes in
 pieces has an allowance. The first two watches in a row get no more time for it than for silence, for a new
 watch is mostly a healthy one; from the third on the allowance doubles with each watch.
+
+Where a change counts as told some time after discovery had it, whatever became of the watches, one clock runs
+over all of them: from the last time that the list was known whole. Each further watch gets half of what is
+left of that time, its connection included, so that several in a row can fail before it is over. Behind it
+nothing is left to be gained by haste, and a watch gets its whole time again.
 """
 
 from __future__ import annotations
 
+from math import inf
+
 EQUAL_TRIES = 2  # watches in a row that get no more time for a line that has begun than for silence
 MOST_DOUBLED = 32  # of the first allowance
+SHARE_LEFT = 0.5  # of the time that is left until a change counts as told, for each further watch
+LEAST_S = 0.3  # that any watch gets: a busy process may take that long to read what is there
 
 
 class WatchClock:
     """The deadline of what is waited for on a watch; times in s."""
 
-    def __init__(self, silence_s: float) -> None:
-        """`silence_s`: how long a watch may go without a whole line, or without any byte of a long one."""
-        self._silence_s = silence_s
+    def __init__(self, silence_s: float, told_s: float = inf, known_s: float = 0.0) -> None:
+        """`silence_s`: how long a watch may go without a whole line, or without any byte of a long one.
+
+        `told_s`: after which a change that was missed counts as told; `known_s`: when the list was known
+        whole, as far as anybody knows.
+        """
+        self._silence_s, self._told_s, self._known_s = silence_s, told_s, known_s
         self._slow_lines = 0  # watches in a row that were given up under a line that still came
-        self._began_s = self._line_s = self._byte_s = 0.0
+        self._asked_s = self._began_s = self._line_s = self._byte_s = known_s
         self._line_begun = False
+        self._owes_all = True  # nothing whole has come on this watch
 
     @property
     def allowance_s(self) -> float:
@@ -33,12 +47,24 @@
     def deadline_s(self) -> float:
         """When the watch counts as silent unless something comes before."""
         silent_s = self._byte_s if self._line_begun else self._line_s
-        return min(silent_s + self._silence_s, self._line_s + self.allowance_s)
+        deadline_s = min(silent_s + self._silence_s, self._line_s + self.allowance_s)
+        return min(deadline_s, self.first_line_s) if self._owes_all else deadline_s
+
+    @property
+    def first_line_s(self) -> float:
+        """By when a watch that was just asked for has to have told what it owes, its connection included."""
+        left_s = self._known_s + self._told_s - self._asked_s
+        return self._asked_s + max(LEAST_S, SHARE_LEFT * left_s) if left_s > 0 else inf
+
+    def ask(self, now_s: float) -> None:
+        """A watch is asked for."""
+        self._asked_s = now_s
+        self.begin(now_s)
 
     def begin(self, now_s: float) -> None:
         """A watch has been answered; nothing of its first line has come."""
         self._began_s = self._line_s = self._byte_s = now_s
-        self._line_begun = False
+        self._line_begun, self._owes_all = False, True
 
     def piece(self, now_s: float, told: bool, whole: bool, line_begun: bool) -> None:
         """A piece has come.
@@ -51,7 +77,9 @@
             self._line_s = now_s
         # What a watch owes comes first of all on it: one that lives on with empty lines alone owes nothing.
         if told or (whole and not line_begun and now_s - self._began_s > self._silence_s):
-            self._slow_lines = 0
+            self._slow_lines, self._owes_all = 0, False
+        if whole and not self._owes_all:
+            self._known_s = now_s
 
     def expired(self, now_s: float) -> bool:
         """The watch is given up at its deadline; whether under a line that still came in pieces."""
@@ -60,6 +88,6 @@
             self._slow_lines += 1
         return slow
 
-    def moved(self) -> None:
-        """Discovery is elsewhere: what was slow there says nothing of it."""
-        self._slow_lines = 0
+    def moved(self, known_s: float = 0.0) -> None:
+        """Discovery is elsewhere: what was slow there says nothing of it. `known_s`: as at the start."""
+        self._slow_lines, self._known_s = 0, known_s
--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 
@@ -36,9 +37,13 @@
 # says nothing while discovery is down, and what it gets at the return counts as told at once. Who sleeps then
 # hears it late, who hangs on a watch hears it in time. So a watch is never long away.
 PUSHED_FIRST_S, PUSHED_MOST_S = 0.02, 0.1
-# A change counts as told 6 s after the agent had it, whatever became of the watches meanwhile, so two that
-# fall silent, or trickle, in a row have to be over by then. A new watch costs the agent nothing.
+# A change counts as told 6 s after the agent had it, whatever became of the watches meanwhile. So where lists
+# are pushed one clock runs over all watches in a row; a little is left for the last one to be read. A new
+# watch costs the agent nothing.
 PUSHED_SILENCE_S = 2.5
+PUSHED_TOLD_S = 5.6
+MOVED_TOLD_S = 3.6  # the same behind a new configuration: from then on what discovery has counts after 4 s
+START_TOLD_S = 1.0  # and at a start, where what the agent has counts at once: the first watch gets half of it
 # A watch that doesn't begin to speak within this, its connection included, was accepted in vain.
 ANSWER_S = 1.0
 
@@ -55,7 +60,9 @@
             tier = max(1, settings.routers)
             first_s, most_s = min(FIRST_AT_MOST_S, FIRST_RETRY_S * tier), MOST_RETRY_S * tier
         self._backoff = Backoff(first_s, most_s, rng)
-        self._clock = WatchClock(PUSHED_SILENCE_S if self._pushed else SILENCE_S)
+        self._clock = WatchClock(SILENCE_S)
+        if self._pushed:
+            self._clock = WatchClock(PUSHED_SILENCE_S, PUSHED_TOLD_S, known_ago(START_TOLD_S))
         self.last_heard = time.monotonic()
         self.heard = anyio.Event()  # what it has to tell is known
         self._watching = anyio.CancelScope()
@@ -87,7 +94,7 @@
         """Discovery is at another address: the watch goes on there at once."""
         self.address = address
         self._backoff.succeeded()
-        self._clock.moved()
+        self._clock.moved(known_ago(MOVED_TOLD_S))
         self._watching.cancel()
 
     async def watch(self) -> None:
@@ -115,9 +122,12 @@
         """How long discovery may take to begin an answer; the agent of a pushed list takes no time."""
         return ANSWER_S if self._pushed else SILENCE_S
 
-    async def _ask(self, path: str) -> tuple[Connection, h11.Response]:
-        with anyio.CancelScope(deadline=anyio.current_time() + self._answer_s) as late:
-            conn = await connect(self.address, self._answer_s)
+    async def _ask(self, path: str, by_s: float = math.inf) -> tuple[Connection, h11.Response]:
+        """The connection and the head of an answer; TimeoutError where none begins in time, or by then."""
+        now_s = anyio.current_time()
+        answer_s = min(self._answer_s, by_s - now_s)
+        with anyio.CancelScope(deadline=now_s + answer_s) as late:
+            conn = await connect(self.address, answer_s)
             try:
                 request = h11.Request(method="GET", target=path, headers=[("Host", self.address)])
                 await conn.send(request, h11.EndOfMessage())
@@ -133,7 +143,8 @@
 
     async def _watch_once(self) -> None:
         version = self._conductor.context.servers.version
-        conn, _ = await self._ask(f"/v1/endpoints?watch=1&after={version}")
+        self._clock.ask(anyio.current_time())
+        conn, _ = await self._ask(f"/v1/endpoints?watch=1&after={version}", self._clock.first_line_s)
         try:
             objects = Objects(MOST_LIST)
             self._clock.begin(anyio.current_time())
@@ -183,3 +194,8 @@
             except (*PEER_ERRORS, ListError) as error:
                 log.warning("list_fetch_failed", error=repr(error))
                 self._conductor.members(i.Members(i.ListForm.FAILED), {})
+
+
+def known_ago(left_s: float) -> float:
+    """When the list would have been known whole, for so long to be left of `PUSHED_TOLD_S` now."""
+    return time.monotonic() - PUSHED_TOLD_S + left_s
--- a/tests/decide/test_watch_clock.py
+++ b/tests/decide/test_watch_clock.py
@@ -1,10 +1,13 @@
 """The clock of a watch: what counts as silence, and how long a slow line may take; in virtual time."""
 
 from collections.abc import Callable
+from itertools import product
+from math import inf
 
 import pytest
 
 from ringledge.decide.watch_clock import MOST_DOUBLED, WatchClock
+from ringledge.lifecycle.serve import LIST_S
 from ringledge.wire import discovery
 
 SILENCE_S = 3.0
@@ -92,6 +95,82 @@
     assert at_s < COUNTS_AS_TOLD_S
 
 
+def pushed(known_s: float = 0.0) -> WatchClock:
+    return WatchClock(discovery.PUSHED_SILENCE_S, discovery.PUSHED_TOLD_S, known_s)
+
+
+def asked(how: Callable[[WatchClock, float], float], clock: WatchClock, at_s: float) -> float:
+    """A watch that was asked for and fails; when the next one is asked for at the latest."""
+    clock.ask(at_s)
+    return how(clock, at_s) + discovery.PUSHED_MOST_S
+
+
+def trickle_fast(clock: WatchClock, begin_s: float) -> float:
+    return trickle(clock, begin_s, 0.05)
+
+
+def empty_lines(clock: WatchClock, begin_s: float) -> float:
+    """Nothing but empty lines, where the list is owed first of all."""
+    clock.begin(begin_s)
+    at_s = begin_s + 0.1
+    while at_s < clock.deadline_s:
+        clock.piece(at_s, told=False, whole=True, line_begun=False)
+        at_s += 0.1
+    return clock.deadline_s
+
+
+def in_vain(clock: WatchClock, at_s: float) -> float:
+    """Accepted, and never answered."""
+    return min(at_s + discovery.ANSWER_S, clock.first_line_s)
+
+
+@pytest.mark.parametrize("hows", product([silent, trickle_fast, empty_lines, in_vain], repeat=3))
+def test_three_watches_in_a_row_are_over_in_time_too(
+    hows: tuple[Callable[[WatchClock, float], float], ...],
+) -> None:
+    """The clock runs from the last time that the list was known whole, not from each watch."""
+    clock = pushed()
+    clock.ask(0.0)
+    clock.begin(0.0)
+    clock.piece(0.0, told=True, whole=True, line_begun=False)
+    at_s = clock.deadline_s + discovery.PUSHED_MOST_S
+    for how in hows:
+        at_s = asked(how, clock, at_s)
+    assert at_s < COUNTS_AS_TOLD_S
+
+
+def test_behind_that_time_a_watch_has_its_whole_time_again() -> None:
+    clock = pushed()
+    clock.ask(discovery.PUSHED_TOLD_S)
+    assert clock.first_line_s == inf
+    assert silent(clock, discovery.PUSHED_TOLD_S) == discovery.PUSHED_TOLD_S + discovery.PUSHED_SILENCE_S
+
+
+def test_a_start_asks_three_times_before_it_serves_by_a_list_that_may_be_stale() -> None:
+    clock, at_s = pushed(discovery.START_TOLD_S - discovery.PUSHED_TOLD_S), 0.0
+    for _ in range(2):
+        at_s = asked(silent, clock, at_s)
+    assert at_s + 0.2 < LIST_S
+
+
+def test_behind_a_new_configuration_two_watches_may_fail() -> None:
+    clock = pushed()
+    clock.moved(10.0 + discovery.MOVED_TOLD_S - discovery.PUSHED_TOLD_S)
+    at_s = asked(silent, clock, 10.0)
+    assert asked(trickle_fast, clock, at_s) < 10.0 + 4.0
+
+
+def test_what_a_watch_told_last_starts_the_clock_anew() -> None:
+    clock = pushed()
+    clock.ask(0.0)
+    clock.begin(0.0)
+    clock.piece(0.0, told=True, whole=True, line_begun=False)
+    clock.piece(50.0, told=False, whole=True, line_begun=False)
+    clock.ask(52.5)
+    assert clock.first_line_s < 50.0 + COUNTS_AS_TOLD_S
+    assert clock.first_line_s > 53.5
+
+
 def test_three_that_are_accepted_in_vain_behind_a_silent_one_are_over_in_time_too() -> None:
     waits_s = sum(min(discovery.PUSHED_MOST_S, discovery.PUSHED_FIRST_S * 2**tries) for tries in range(4))
     assert discovery.PUSHED_SILENCE_S + 3 * discovery.ANSWER_S + waits_s < COUNTS_AS_TOLD_S
--- a/tests/test_platform_restart.py
+++ b/tests/test_platform_restart.py
@@ -118,9 +118,9 @@
     restart = Restart(node, discovery)
     assert "list_late" in restart.wait_ready()
     assert LIST_S < restart.took_s < LIST_S + BUSY_S
-    call = discovery.next()
-    while not call.closed():
-        pass
+    while not discovery.calls.empty():  # several were asked in vain by then
+        call = discovery.next()
+    assert call.closed()
     discovery.next().begin().chunk(first_word(node, "leaving"))
     while restart.process.logged("list")["index"] != 9:
         pass
