Ask in one place, in the turn of the write, whether an attempt may begin

Seen by reading: three places asked (Exchanges.run for the client, Conductor.may_send for drains, Conductor.may_repeat beside crowstand/eligibility.py for the window), and nobody asked whether time was left behind a slow handshake or whether the server had been started anew since it was chosen, so that a cold one got calls outside its budget. Change: core/begin.py answers for client, time, list, operators, the server's start and the window for repeats; the window's rule is the policy's own, asked with the time of arrival.

And tell servers what is left since the request's last byte came: a request that lay in the backlog of a start (1.5 s), behind another on its connection, or behind one that was turned away (0.5 s) was told its whole budget. At fault: the time ran from the turn in which it was parsed. wire/arrival_marks.py keeps when each byte came; what comes while nobody reads counts from when reading stopped. Nothing is sent for a request whose time was over before.

--- a/crowstand/eligibility.py
+++ b/crowstand/eligibility.py
@@ -19,7 +19,8 @@
 
     def _eligible(self, job: Job, servers: list[Server]) -> list[Server]:
         """Those it may be sent to, without those that chance leaves out by their failures, unless all are."""
-        allowed = [each for each in servers if self._repeatable(job, each) and self._slow_start(job, each)]
+        repeatable = [each for each in servers if self.repeatable(job, each, self.now_ms)]
+        allowed = [each for each in repeatable if self._slow_start(job, each)]
         tried = job.failed_servers.count
         allowed = [server for server in allowed if tried(server) < MAX_ATTEMPTS_PER_SERVER]
         allowed = [server for server in allowed if self._draw_cold(job, server)] or allowed
@@ -30,13 +31,13 @@
         risk = self._failure_probability
         return [s for s in fresh if not s.failures or self.rng.random() >= risk(job, s)] or fresh
 
-    def _repeatable(self, job: Job, server: Server) -> bool:
-        """No effect twice: what may have run goes again only where the repeat is dropped."""
+    def repeatable(self, job: Job, server: Server, at_ms: float) -> bool:
+        """No effect twice: what may have run goes again only where the repeat, at that time, is dropped."""
         if job.request_class.effect == Effect.SAFE or not job.possible_runs:
             return True
         entry, scope = server.entry, job.request_class.dedup_scope
         return job.request_class.effect == Effect.KEYED and all(
-            self.now_ms < run.sent_ms + job.request_class.dedup_window_ms
+            at_ms < run.sent_ms + job.request_class.dedup_window_ms
             and (scope != DedupScope.ZONE or run.server.entry.zone == entry.zone)
             and (scope != DedupScope.CELL or run.server.entry.cell == entry.cell)
             for run in job.possible_runs
--- /dev/null
+++ b/ringledge/core/begin.py
@@ -0,0 +1,54 @@
+"""The one question before an attempt's first byte: whether it may begin, asked in the turn of the write.
+
+Between the choice of a server and the moment in which its connection is there, the client may leave, its time
+may end, and discovery may say that the server drains or was started anew.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from crowstand import interface as i
+from crowstand.policy import Policy
+from ringledge.core.context import Context
+from ringledge.core.records import Attempt
+
+ARRIVAL_MS = 20.0  # that a written request may take to its server: some times what a connection takes
+LEAST_MS = 1.0  # of the client's time that has to be left: the header tells whole milliseconds
+
+
+class Refusal(Enum):
+    """Why an attempt may not begin."""
+
+    ENDED = "ended"  # it was given up, or its request is over
+    CLIENT_LEFT = "client_left"
+    OUT_OF_TIME = "out_of_time"
+    SERVER_CLOSED = "server_closed"  # it drains, is gone, or was excluded
+    SERVER_RESTARTED = "server_restarted"  # it was chosen as one that is warm, and is cold
+    REPEAT_LATE = "repeat_late"  # servers would no longer drop it as a repeat
+
+
+def refusal(context: Context, policy: Policy, attempt: Attempt) -> Refusal | None:
+    """Why the attempt may not begin now; None where it may."""
+    now_ms = context.clock.now_ms()
+    return _client_refusal(attempt, now_ms) or _server_refusal(policy, attempt, now_ms)
+
+
+def _client_refusal(attempt: Attempt, now_ms: float) -> Refusal | None:
+    """By whom it is for."""
+    if attempt.record.over or not attempt.out:
+        return Refusal.ENDED
+    if attempt.record.caller.gone():
+        return Refusal.CLIENT_LEFT
+    return Refusal.OUT_OF_TIME if attempt.ends_ms - now_ms < LEAST_MS else None
+
+
+def _server_refusal(policy: Policy, attempt: Attempt, now_ms: float) -> Refusal | None:
+    """By whom it goes to."""
+    server, job = policy.servers.get(attempt.server), policy.jobs.get(attempt.record.name)
+    if server is None or policy.availability(server) != i.Availability.UP:
+        return Refusal.SERVER_CLOSED
+    if server.entry.started_ms != attempt.server_started_ms:
+        return Refusal.SERVER_RESTARTED
+    late = job is not None and not attempt.reads and not policy.repeatable(job, server, now_ms + ARRIVAL_MS)
+    return Refusal.REPEAT_LATE if late else None
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -16,6 +16,7 @@
 from crowstand import snapshot
 from crowstand.policy import Policy
 from crowstand.view import server_views
+from ringledge.core import begin
 from ringledge.core.clock import Clock
 from ringledge.core.context import Context
 from ringledge.core.port import Caller, Payload
@@ -28,7 +29,6 @@
 from ringledge.observe.metrics import Metrics
 from ringledge.observe.stalls import stalls
 
-ARRIVAL_MS = 20.0  # that a written request may take to its server: some times what a connection takes
 LOOK_S = 1.0  # timers are looked at this often, though none falls due
 
 
@@ -85,22 +85,15 @@
         """Which servers that do both get nothing new of one role."""
         self._tell(roles)
 
-    def may_send(self, server: str) -> bool:
-        """Whether a server may still get something new: its drain may be told while an attempt connects."""
-        known = self.policy.servers.get(server)
-        return known is not None and self.policy.availability(known) == i.Availability.UP
-
-    def may_repeat(self, attempt: Attempt) -> bool:
-        """Whether a repeat still reaches its servers within the window in which they drop it.
-
-        It was within when the server was chosen, but the connection may have taken longer than what was left.
-        """
-        request_class = self.context.settings.classes[attempt.record.request.class_index]
-        if request_class.effect is not i.Effect.KEYED or attempt.reads:
+    def may_begin(self, attempt: Attempt) -> bool:
+        """Whether an attempt may begin; asked in the very turn in which its first byte is written."""
+        why = begin.refusal(self.context, self.policy, attempt)
+        if why is None:
             return True
-        arrives_ms = self.clock.now_ms() + ARRIVAL_MS
-        earlier = [each for each in attempt.record.attempts if each is not attempt and each.may_have_run]
-        return all(arrives_ms < each.sent_ms + request_class.dedup_window_ms for each in earlier)
+        self.context.metrics.not_begun.labels(why.value).inc()
+        if why is begin.Refusal.CLIENT_LEFT:  # the loop may not have come round to it
+            self.client_gone(attempt.record)
+        return False
 
     def first(self, attempt: Attempt) -> bool:
         """An answer has started; False where nobody takes it any more."""
--- a/ringledge/core/records.py
+++ b/ringledge/core/records.py
@@ -21,6 +21,7 @@
     once: bool  # it must never run twice
     sent_ms: float
     ends_ms: float  # clock reading at which it is timed out, unless it has begun
+    server_started_ms: float = 0.0  # the start of the server's process that was chosen
     written: bool = False  # the request's last byte is on its way: it may run from here on
     arrived: bool = False  # the server was heard since, or its connection was new: it has the request
     began: bool = False  # the first token has come: the attempt is the client's
--- a/ringledge/core/stages/route.py
+++ b/ringledge/core/stages/route.py
@@ -20,6 +20,7 @@
     repeatable = context.settings.classes[record.request.class_index].effect is i.Effect.SAFE
     once = not reads and not repeatable
     attempt = Attempt(record, len(record.attempts), action.server, reads, once, now_ms, now_ms + timeout_ms)
+    attempt.server_started_ms = context.servers.started_ms(action.server)
     another_out = any(each.out for each in record.attempts)
     record.attempts.append(attempt)
     # Two attempts of a request are never out together, whatever was decided, but where the settings allow a
--- a/ringledge/memory/servers.py
+++ b/ringledge/memory/servers.py
@@ -42,6 +42,11 @@
         """Where the server listens, or None once it is gone."""
         return self._addresses.get(server)
 
+    def started_ms(self, server: str) -> float:
+        """When the server's process was started last; 0: long ago, or not known."""
+        entry = self.entries.get(server)
+        return entry.started_ms if entry is not None else 0.0
+
     def may_be_asked(self) -> Mapping[str, bool]:
         """All that are listed, and whether each is up, so that it may be bothered with what another holds."""
         return self._asked
--- a/ringledge/observe/metrics.py
+++ b/ringledge/observe/metrics.py
@@ -22,6 +22,7 @@
             "answers", "Requests ended: served, refused, failed, broken, gone; by class index", "how", "class"
         )
         self.sends = self._counter("sends", "Attempts written whole to servers")
+        self.not_begun = self._counter("attempts_not_begun", "Attempts that were not begun, by reason", "why")
         self.outcomes = self._counter("attempt_outcomes", "Attempts ended, by outcome", "status")
         self.releases = self._counter(
             "releases", "Releases of held state: asked (calls), done, gone, lost", "how"
--- a/ringledge/wire/connection.py
+++ b/ringledge/wire/connection.py
@@ -66,6 +66,12 @@
         """Whether bytes have been read that belong to no message yet."""
         return len(self.buffer) > 0 or len(self.h11.trailing_data[0]) > 0
 
+    def waited_ms(self) -> float:
+        """How long ago the last byte of the message that was read last came."""
+        pending = len(self.buffer) + len(self.h11.trailing_data[0])
+        came_s = None if self.marks is None else self.marks.last_byte_s(pending)
+        return 0.0 if came_s is None else max(0.0, (self._loop.time() - came_s) * 1000)
+
     def rest(self) -> None:
         """Have whoever waits on a connection without anything begun put it to rest."""
         if self._waiter is not None and not self._waiter.done() and not self.pending():
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -67,13 +67,11 @@
         except OSError as error:
             log.info("connect_failed", server=attempt.server, request=record.name, error=str(error))
             return End(i.Status.CONNECT_FAILED)
-        if not live.scope.cancel_called and record.caller.gone():  # the loop may not have come round to it
-            self.conductor.client_gone(record)
         if live.scope.cancel_called:  # only the next wait would tell, and to write may take none
             return End(i.Status.CONNECT_FAILED)
-        if not (self.conductor.may_send(attempt.server) and self.conductor.may_repeat(attempt)):
+        if not self.conductor.may_begin(attempt):
             return End(i.Status.NOT_SENT)  # a send counts from its first byte, and none is out
-        left_ms = max(0, int(attempt.ends_ms - self.clock.now_ms()))
+        left_ms = int(attempt.ends_ms - self.clock.now_ms())
         payload = record.payload
         request = h11.Request(
             method=b"POST",
--- a/ringledge/wire/front.py
+++ b/ringledge/wire/front.py
@@ -17,6 +17,7 @@
 
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
+from ringledge.wire.arrival_marks import ArrivalMarks
 from ringledge.wire.budget import Budget
 from ringledge.wire.connection import Connection
 from ringledge.wire.open_connections import IDLE_S, OpenConnections
@@ -148,7 +149,7 @@
             return self.connections.counted()
         conn = Connection(sock, h11.SERVER)
         conn.budget, conn.last, conn.aged = self._budget, self.connections.closing, self._aged
-        conn.asked, conn.entry = parked.asked, parked.entry
+        conn.asked, conn.entry, conn.marks = parked.asked, parked.entry, ArrivalMarks()
         if parked.entry is not None and self._doors is not None and self._doors.advertises:
             conn.keep_alive = b"timeout=%d" % parked.entry.keep_s
         self.connections.active.add(conn)
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -4,6 +4,7 @@
 
 import re
 import time
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,7 @@
     from ringledge.wire.turns import Turns
 
 PATH = b"/v1/chat/completions"
+OVER = b'{"error":"its time was over before it was read, nothing has run"}'
 # The plainest head that a client may send, and what makes it anything but plain.
 PLAIN = re.compile(
     rb"POST /v1/chat/completions HTTP/1\.1\r\n((?:[!-9;-~]+:[\t -~]*\r\n)*[!-9;-~]+:[\t -~]*)\r\n\r\n"
@@ -72,6 +74,11 @@
             await self._turns.take()
         began = time.perf_counter()
         request = read_request(self._names, head, body)
+        left_ms = request.expires_in_ms - conn.waited_ms()  # its client's time runs from its last byte on
+        if left_ms <= 0:
+            self.refused(head)
+            return await respond(conn, 503, OVER, retry_after(None, self._names))
+        request = replace(request, expires_in_ms=left_ms)
         if self._gate is not None:
             self._gate.checked(len(body), time.perf_counter() - began)
         payload = Payload(head.target, body, header(head, b"content-type") or b"application/json")
--- a/ringledge/wire/socket_reader.py
+++ b/ringledge/wire/socket_reader.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from ringledge.wire.arrival_marks import ArrivalMarks
 from ringledge.wire.buffer import Buffer
 from ringledge.wire.errors import ParkingError
 
@@ -33,6 +34,8 @@
         self.ended = False  # the peer has said its last
         self.aged: Callable[[float], None] | None = None  # the front's: told how long a request lay unread
         self.unread_ms = 0.0  # that the bytes read last had lain in the socket
+        self.marks: ArrivalMarks | None = None  # the front's: when what its client sent came
+        self._deaf_since: float | None = None  # what comes while nobody listens may have come then
         self._resting = False
         self._skipping = 0  # bytes to come that nobody wants
         self._loop = asyncio.get_running_loop()
@@ -99,7 +102,7 @@
     def deafen(self) -> None:
         """Read nothing more until somebody waits for it."""
         if self._heard:
-            self._heard = False
+            self._heard, self._deaf_since = False, self._loop.time()
             self._loop.remove_reader(self.sock)
 
     def _readable(self) -> None:
@@ -109,7 +112,8 @@
             return self._look_for_end()
         if self._skipping:
             return self._skip_some()
-        if self.aged is not None and not len(self.buffer):
+        first = self.marks is not None and not self.marks.total
+        if first or (self.aged is not None and not len(self.buffer)):
             self.unread_ms = unread_ms(self.sock)
         with self.buffer.room() as room:
             try:
@@ -119,6 +123,7 @@
             except OSError as error:
                 self._error, size = error, 0
         self.buffer.filled(size)
+        self._mark(size, self.unread_ms / 1000 if first else 0.0)
         if not size:
             self.ended = self._error is None
             self.deafen()
@@ -127,6 +132,13 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def _mark(self, size: int, age_s: float) -> None:
+        """Note when a piece came: nobody looked at the socket while it was deaf."""
+        deaf_since, self._deaf_since = self._deaf_since, None
+        if self.marks is not None and size:
+            now_s = self._loop.time()
+            self.marks.add(size, now_s - age_s if deaf_since is None else deaf_since)
+
     def on_gone(self, call: Callable[[], None] | None) -> None:
         """Have it called as soon as the peer closes, which a reset is as well; None: no more."""
         self._gone = call
--- /dev/null
+++ b/tests/core/test_begin.py
@@ -0,0 +1,150 @@
+"""Whether an attempt may begin, asked in the turn in which its first byte would be written."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from crowstand import interface as i
+from ringledge.core.begin import ARRIVAL_MS, LEAST_MS, Refusal, refusal
+from ringledge.core.port import Payload
+from ringledge.core.records import Attempt, Record
+from tests.world import FLEET, SAFE, UNSAFE, World
+
+KEYED = replace(SAFE, effect=i.Effect.KEYED, dedup_window_ms=300.0)
+
+
+class Asked:
+    """A request whose decode attempt has a connection now; in a policy's world."""
+
+    def __init__(self, request_class: i.RequestClass = SAFE) -> None:
+        self.world = World(classes=(request_class,))
+        self.world.read("a")
+        self.gone = False
+        caller: Any = SimpleNamespace(gone=lambda: self.gone)
+        self.record = Record(i.Request("a", expires_in_ms=5000), Payload(b"/", b""), caller, self.now_ms)
+        self.attempt = self.next()
+
+    @property
+    def now_ms(self) -> float:
+        return self.world.now_ms
+
+    def next(self) -> Attempt:
+        """The attempt that the policy has chosen last."""
+        server, number = self.world.at["a"], len(self.record.attempts)
+        attempt = Attempt(self.record, number, server, False, True, self.now_ms, self.record.deadline_ms)
+        self.record.attempts.append(attempt)
+        return attempt
+
+    def refusal(self) -> Refusal | None:
+        context: Any = SimpleNamespace(clock=SimpleNamespace(now_ms=lambda: self.world.now_ms))
+        return refusal(context, self.world.policy, self.attempt)
+
+    def list_says(self, **changed: Any) -> None:
+        """News of the server that the attempt goes to."""
+        told = next(each for each in FLEET if each.server == self.attempt.server)
+        self.world.give(i.Members(i.ListForm.CHANGES, 2, (replace(told, **changed),)))
+
+
+def test_one_that_nothing_speaks_against_may_begin() -> None:
+    assert Asked().refusal() is None
+
+
+def test_one_whose_client_has_left_may_not() -> None:
+    asked = Asked()
+    asked.gone = True
+    assert asked.refusal() is Refusal.CLIENT_LEFT
+
+
+@pytest.mark.parametrize("how", ["request over", "attempt given up"])
+def test_one_that_has_ended_may_not(how: str) -> None:
+    asked = Asked()
+    if how == "request over":
+        asked.record.over = True
+    else:
+        asked.attempt.outcome = i.Status.CANCELLED
+    assert asked.refusal() is Refusal.ENDED
+
+
+@pytest.mark.parametrize(
+    ("left_ms", "may"), [(LEAST_MS, True), (LEAST_MS / 2, False), (0, False), (-9, False)]
+)
+def test_one_whose_time_ended_during_a_slow_handshake_may_not(left_ms: float, may: bool) -> None:
+    asked = Asked()
+    asked.world.now_ms = asked.attempt.ends_ms - left_ms
+    assert asked.refusal() is (None if may else Refusal.OUT_OF_TIME)
+
+
+@pytest.mark.parametrize("state", [i.Availability.DRAINING, i.Availability.GONE])
+def test_one_to_a_server_that_drains_or_is_gone_may_not(state: i.Availability) -> None:
+    asked = Asked()
+    asked.list_says(availability=state)
+    assert asked.refusal() is Refusal.SERVER_CLOSED
+
+
+def test_one_to_a_server_that_the_list_never_named_may_not() -> None:
+    asked = Asked()
+    asked.attempt.server = "nobody"
+    assert asked.refusal() is Refusal.SERVER_CLOSED
+
+
+def test_one_to_a_server_that_operators_excluded_may_not_until_it_is_back() -> None:
+    asked = Asked()
+    asked.world.give(i.OperatorOverride(asked.attempt.server, True))
+    assert asked.refusal() is Refusal.SERVER_CLOSED
+    asked.world.give(i.OperatorOverride(asked.attempt.server, False))
+    assert asked.refusal() is None
+
+
+def test_one_to_a_server_that_was_restarted_meanwhile_may_not() -> None:
+    """It was chosen as a warm one: what it is sent now is no part of what a cold one may get."""
+    asked = Asked()
+    asked.list_says(started_ms=asked.now_ms - 5.0)
+    assert asked.refusal() is Refusal.SERVER_RESTARTED
+
+
+def repeat(request_class: i.RequestClass, outcome: i.Status, after_ms: float) -> Refusal | None:
+    """A second decode attempt behind a first one that ended so; `after_ms`: when its connection is there."""
+    asked = Asked(request_class)
+    sent_ms = asked.now_ms
+    asked.attempt.outcome = outcome
+    asked.world.outcome("a", outcome)
+    asked.attempt = asked.next()
+    asked.world.now_ms = sent_ms + after_ms
+    return asked.refusal()
+
+
+@pytest.mark.parametrize(
+    ("after_ms", "may"),
+    [
+        (KEYED.dedup_window_ms / 2, True),
+        (KEYED.dedup_window_ms - ARRIVAL_MS - 1, True),
+        (KEYED.dedup_window_ms - ARRIVAL_MS, False),
+        (KEYED.dedup_window_ms, False),
+    ],
+)
+def test_a_repeat_has_to_arrive_within_the_window(after_ms: float, may: bool) -> None:
+    assert repeat(KEYED, i.Status.RESET, after_ms) is (None if may else Refusal.REPEAT_LATE)
+
+
+@pytest.mark.parametrize("outcome", [i.Status.CONNECT_FAILED, i.Status.NOT_SENT])
+@pytest.mark.parametrize("request_class", [KEYED, UNSAFE])
+def test_what_never_ran_is_no_repeat(request_class: i.RequestClass, outcome: i.Status) -> None:
+    assert repeat(request_class, outcome, 2 * KEYED.dedup_window_ms) is None
+
+
+def test_what_may_run_twice_has_no_window() -> None:
+    assert repeat(SAFE, i.Status.RESET, 2 * KEYED.dedup_window_ms) is None
+
+
+def test_what_must_not_run_twice_may_not_begin_again_whoever_chose_it() -> None:
+    asked = Asked(UNSAFE)
+    asked.world.outcome("a", i.Status.CONNECT_FAILED)
+    asked.attempt = asked.next()
+    asked.world.policy.jobs["a"].possible_runs.append(SimpleNamespace(sent_ms=0.0, server=None))  # type: ignore[arg-type]
+    assert asked.refusal() is Refusal.REPEAT_LATE
+
+
--- a/tests/core/test_route.py
+++ b/tests/core/test_route.py
@@ -24,7 +24,9 @@
         may_cancel=True,
         second_copies=second_copies,
     )
-    servers = SimpleNamespace(role=lambda _: i.Role.PREFILL, address=lambda _: "127.0.0.1:1")
+    servers = SimpleNamespace(
+        role=lambda _: i.Role.PREFILL, address=lambda _: "127.0.0.1:1", started_ms=lambda _: 0.0
+    )
     registry = RequestRegistry()
     told = list[i.Event]()
     clock = SimpleNamespace(now_ms=lambda: 10.0)
--- a/tests/wire/test_abandoned.py
+++ b/tests/wire/test_abandoned.py
@@ -14,7 +14,9 @@
 import pytest
 
 from crowstand import interface as i
+from crowstand.policy import Policy
 from ringledge.core.clock import Clock
+from ringledge.core.conductor import Conductor
 from ringledge.core.port import Payload
 from ringledge.core.records import Attempt, Record
 from ringledge.lifecycle.config import Names
@@ -27,6 +29,7 @@
 from ringledge.wire.upstream import Upstream
 
 SERVER, ADDRESS = "w0", "127.0.0.1:9"
+WRITES = i.ServerKind(i.Role.DECODE)
 NAMES = Names(("east",), ("decode",), ("query",), (), 30.0, 0.25, 0.0)
 
 
@@ -35,17 +38,17 @@
 
     def __init__(self, tasks: Any) -> None:
         clock, metrics = Clock(), Metrics()
-        servers = ServerList((i.ServerKind(i.Role.DECODE),))
+        servers = ServerList((WRITES,))
         entry = i.ServerEntry(SERVER, 0, 0, 0, i.Availability.UP)
         servers.apply(i.Members(i.ListForm.FULL, 1, (entry,)), {SERVER: ADDRESS})
         self.upstream = Upstream(tasks, servers, NAMES, 8, 500.0, 0, clock, metrics)
         self.outcomes = list[i.Status]()
         self.ended = anyio.Event()
-        self.may_send = True
         self.upstream.conductor = SimpleNamespace(  # type: ignore[assignment]
-            clock=clock, outcome=self._outcome, may_send=lambda _: self.may_send,
-            may_repeat=lambda _: True
+            clock=clock, outcome=self._outcome, may_begin=self._may_begin
         )
+        self.policy = Policy(i.Settings((i.RequestClass(1200, 5000, i.Effect.SAFE),), (WRITES,)), 1)
+        self.policy.handle(clock.now_ms(), i.Members(i.ListForm.PERSISTED, 1, (entry,)))
         self.clock = clock
         self.caller: Any = SimpleNamespace(gone=lambda: False)
         ours, self.theirs = socket.socketpair()
@@ -53,6 +56,20 @@
             sock.setblocking(False)
         self.conn = Connection(ours, h11.CLIENT)
 
+    def _may_begin(self, attempt: Attempt) -> bool:
+        """The real question, asked of this policy and this list."""
+        at: Any = SimpleNamespace(
+            context=SimpleNamespace(clock=self.clock, metrics=Metrics()),
+            policy=self.policy,
+            client_gone=lambda record: self.upstream.conductor.client_gone(record),
+        )
+        return Conductor.may_begin(at, attempt)
+
+    def drain(self) -> None:
+        """The list says that the server drains."""
+        entry = i.ServerEntry(SERVER, 0, 0, 0, i.Availability.DRAINING)
+        self.policy.handle(self.clock.now_ms(), i.Members(i.ListForm.CHANGES, 2, (entry,)))
+
     def _outcome(self, _: Attempt, status: i.Status, *__: Any) -> None:
         self.outcomes.append(status)
         self.ended.set()
@@ -208,7 +225,7 @@
     async def run() -> None:
         async with rig() as at:
             up, attempt = await connecting(at, monkeypatch)
-            at.may_send = False
+            at.drain()
             up.set()
             await at.ended.wait()
             assert at.written() == b"" and at.outcomes == [i.Status.NOT_SENT]
--- /dev/null
+++ b/tests/wire/test_arrival_marks.py
@@ -0,0 +1,24 @@
+"""When the last byte of each request came, however late it is read."""
+
+from ringledge.wire.arrival_marks import ArrivalMarks
+
+
+def test_nothing_read_has_no_time() -> None:
+    assert ArrivalMarks().last_byte_s(0) is None
+
+
+def test_each_of_several_requests_ends_where_its_own_last_byte_came() -> None:
+    marks = ArrivalMarks()
+    marks.add(100, 1.0)  # the first, and half of the second
+    marks.add(20, 2.0)  # the rest of the second
+    marks.add(50, 3.0)  # the third
+    assert marks.last_byte_s(pending=120) == 1.0
+    assert marks.last_byte_s(pending=50) == 2.0
+    assert marks.last_byte_s(pending=0) == 3.0
+
+
+def test_requests_of_one_piece_came_together() -> None:
+    marks = ArrivalMarks()
+    marks.add(300, 5.0)
+    marks.add(10, 9.0)
+    assert [marks.last_byte_s(pending) for pending in (210, 110, 10, 0)] == [5.0, 5.0, 5.0, 9.0]
