Refuse what is read in a drain instead of closing on it

Seen by reading: RequestLoop read no further request behind an answer in a drain, though its bytes had been read ahead, and closed on it without a word; and what was read late in a drain began streams that the kill would cut. Change: a request that is read while draining gets its 503 at once, then its connection is closed in order.

--- a/ringledge/lifecycle/channel.py
+++ b/ringledge/lifecycle/channel.py
@@ -80,8 +80,11 @@
     return folder / f"ringledge-{quote(name, safe='')}.sock"
 
 
-async def ask(path: Path) -> tuple[socket.socket | None, dict[str, socket.socket]]:
-    """The channel to a predecessor and its listening sockets by address; nothing where none answers."""
+async def ask(path: Path, settings: str) -> tuple[socket.socket | None, dict[str, socket.socket]]:
+    """The channel to a predecessor and its listening sockets by address; nothing where none answers.
+
+    `settings`: our fingerprint; a process under other settings is no predecessor.
+    """
     if not path.exists():
         return None, {}
     channel = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
@@ -89,12 +92,16 @@
     try:
         with anyio.fail_after(ANSWER_S), _short(path) as short:
             channel.connect(short)
-            await send(channel, {"want": "listeners"})
+            await send(channel, {"want": "listeners", "settings": settings})
             message = await receive(channel)
         if message is None:
             raise OSError("it ended the channel")
         told, descriptors = message
         listeners = [socket.socket(fileno=each) for each in descriptors]
+        if told.get("settings") != settings:
+            for listener in listeners:
+                listener.close()
+            raise OSError("it serves under other settings")
         for listener in listeners:
             listener.setblocking(False)
         return channel, dict(zip(told["listeners"], listeners, strict=True))
--- a/ringledge/lifecycle/config.py
+++ b/ringledge/lifecycle/config.py
@@ -16,6 +16,7 @@
 from crowstand import interface as i
 from crowstand import wirehost
 from ringledge.lifecycle import strict
+from ringledge.lifecycle.fingerprint import fingerprint
 from ringledge.memory.listing import ListError, Listing, convert
 from ringledge.memory.names import Names as Names
 from ringledge.wire.chat_settings import ChatConfig as ChatConfig
@@ -86,6 +87,11 @@
     extras: dict[str, msgspec.Struct]  # by file, without its ending: what is enabled
     peers: dict[str, Any]  # of other conductors, as PEERS names it
 
+    @property
+    def fingerprint(self) -> str:
+        """Whose settings these are, for what is handed over and kept."""
+        return fingerprint(self.settings, self.names)
+
     @property
     def memory(self) -> float:
         """Bytes that the process may use."""
--- a/ringledge/lifecycle/handover.py
+++ b/ringledge/lifecycle/handover.py
@@ -84,11 +84,14 @@
     def __init__(
         self,
         path: Path,
+        settings: str,
         fronts: Fronts,
         conductor: Conductor,
         told: Told,
     ) -> None:
+        """`settings`: the fingerprint of ours; nothing is handed to a process under others."""
         self.left = False  # a successor serves
+        self._settings = settings
         self._path, self._fronts, self._conductor, self._told = path, fronts, conductor, told
         self._listeners = fronts.listeners
         self._processes = 1
@@ -134,10 +137,14 @@
         """One successor, from its question to its end; whether it served, and so has taken the path."""
         try:
             with anyio.fail_after(channel.ANSWER_S):
-                if await channel.receive(sock) is None:
+                message = await channel.receive(sock)
+                if message is None:
                     raise OSError("it ended the channel")
+                if message[0].get("settings") != self._settings:
+                    raise OSError("it serves under other settings")
                 fds = [each.fileno() for each in self._listeners.values()]
-                await channel.send(sock, {"listeners": list(self._listeners)}, fds)
+                told = {"listeners": list(self._listeners), "settings": self._settings}
+                await channel.send(sock, told, fds)
                 for part in list(self._conductor.learned()):  # all at once: it goes on learning meanwhile
                     await channel.send(sock, {"learned": part})
         except channel.BROKEN as error:
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -47,6 +47,7 @@
         self.parts = parts.make(self.shared)
         self.handover = handover.Handover(
             channel.path_for(config.folder, config.name),
+            config.fingerprint,
             self.shared.fronts,
             self.shared.conductor,
             handover.Told(self._share, self._left),
@@ -63,7 +64,7 @@
         upstream = Upstream(tasks, servers, names, fronts.sockets, let_go_ms, zone, clock, metrics)
         conductor = Conductor(settings, config.seed, clock, servers, metrics, upstream)
         upstream.conductor = conductor
-        by_hand = ByHand(config.folder, config.name, conductor.by_hand)
+        by_hand = ByHand(config.folder, config.name, config.fingerprint, conductor.by_hand)
         by_hand.look()  # before the first send
         discovery = Discovery(config.discovery, names, conductor, random.Random(config.seed))
         discovery.apply(config.known, i.ListForm.PERSISTED)
@@ -189,7 +190,9 @@
 
 async def serve(config: Config) -> None:
     """Serve until a signal asks for a stop."""
-    predecessor, inherited = await channel.ask(channel.path_for(config.folder, config.name))
+    predecessor, inherited = await channel.ask(
+        channel.path_for(config.folder, config.name), config.fingerprint
+    )
     async with anyio.create_task_group() as tasks:
         program = Program(config, tasks, inherited)
         for unwanted in inherited.values():
--- a/ringledge/memory/byhand.py
+++ b/ringledge/memory/byhand.py
@@ -6,6 +6,7 @@
 import os
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 from urllib.parse import quote
 
 import anyio
@@ -21,8 +22,12 @@
 class ByHand:
     """The servers that are out, as the file has them."""
 
-    def __init__(self, folder: Path, name: str, tell: Callable[[str, bool], None]) -> None:
+    def __init__(
+        self, folder: Path, name: str, settings: str, tell: Callable[[str, bool], None]
+    ) -> None:
+        """`settings`: the fingerprint of ours; a file written under others is not used."""
         self.out: frozenset[str] = frozenset()
+        self._settings = settings
         self._path = folder / f"ringledge-{quote(name, safe='')}.out.json"
         self._tell = tell  # told of each server that goes out (True) or comes back
         self._text: bytes | None = None  # what was read last
@@ -34,10 +39,10 @@
             if text == self._text:
                 return
             self._text = text
-            out = frozenset(each for each in orjson.loads(text) if isinstance(each, str))
+            out = frozenset(each for each in self._names(orjson.loads(text)) if isinstance(each, str))
         except FileNotFoundError:  # nobody was ever left out
             return
-        except (OSError, ValueError, TypeError) as error:
+        except (OSError, ValueError, TypeError, KeyError) as error:
             log.error("by_hand_unreadable", file=str(self._path), error=str(error))
             return
         before, self.out = self.out, out
@@ -45,6 +50,15 @@
             log.info("by_hand", server=server, out=server in out)
             self._tell(server, server in out)
 
+    def _names(self, told: Any) -> list[Any]:
+        """The servers that a file tells; a bare list is the form that had no fingerprint yet."""
+        if isinstance(told, list):
+            return told
+        if told["settings"] != self._settings:
+            raise ValueError("it was written under other settings")
+        names: list[Any] = told["out"]
+        return names
+
     async def change(self, server: str, out: bool) -> None:
         """Leave a server out or call it back; on disk when this returns, OSError where it could not be."""
         with self._path.with_suffix(".lock").open("ab") as lock:
@@ -54,7 +68,7 @@
             self.look()  # another process may have been first
             changed = self.out | {server} if out else self.out - {server}
             if changed != self.out:
-                self._write(orjson.dumps(sorted(changed)))
+                self._write(orjson.dumps({"settings": self._settings, "out": sorted(changed)}))
                 self.look()
 
     def _write(self, text: bytes) -> None:
--- a/ringledge/wire/request_loop.py
+++ b/ringledge/wire/request_loop.py
@@ -81,6 +81,8 @@
                 return False
             if crowded:
                 await self._need_room(conn, head)
+            if self._connections.draining:
+                await self._refuse_at_stop(conn, head)
             await self._answering.handler(conn, head)
         except ShedError as error:
             assert head is not None
@@ -98,16 +100,19 @@
             return False
         if rejected:
             await self._pause(conn)
-        # One more that came meanwhile is answered as well, but not in a drain: it may end before the answer.
-        connections = self._connections
-        more = not connections.closing or (not connections.draining and (conn.pending() or conn.readable()))
-        return not conn.closed and more
+        # One more that came meanwhile is answered as well.
+        return not conn.closed and (not self._connections.closing or conn.pending() or conn.readable())
 
     def _turn_away_unread(self, conn: Connection) -> int | None:
         """Turn a request away before it is parsed, if it has to be: bytes of its body to come."""
         quick = self._answering.quick
         return None if quick is None or self._connections.closing else quick(conn)
 
+    async def _refuse_at_stop(self, conn: Connection, head: h11.Request) -> None:
+        """HttpError for a request that is read in a drain: its stream might outlast the process."""
+        await read_body(conn, head)  # half a request is none
+        raise HttpError(503, "stopping, nothing has run", "stopping", headers=[(b"Retry-After", b"0")])
+
     async def _need_room(self, conn: Connection, head: h11.Request) -> None:
         """HttpError for a request past the limit that finds no place."""
         keeps, connections = self._answering.keeps, self._connections
