--- a/tests/crowstand/test_cold_servers.py
+++ b/tests/crowstand/test_cold_servers.py
@@ -37,6 +37,12 @@
     "larger ones come, a writer": Case(30, mean_tokens=300.0, writers=True, **LARGER),
     "all at once": Case(30, quiet_ms=9_000, **AT_ONCE),
     "all at once, two hundred": Case(200, warm_after_ms=30_000, quiet_ms=25_000, **AT_ONCE),
+    "three, all at once": Case(3, quiet_ms=9_000, **AT_ONCE),
+    "twenty": Case(20, **BURST),
+    "twenty, all at once": Case(20, quiet_ms=9_000, **AT_ONCE),
+    "twenty, few calls each": Case(20, mean_tokens=12_000.0, quiet_ms=9_000, **AT_ONCE),
+    "two hundred, few calls": Case(200, mean_tokens=12_000.0, quiet_ms=9_000, **AT_ONCE),
+    "two hundred, many calls": Case(200, mean_tokens=150.0, quiet_ms=9_000, **AT_ONCE),
     "nothing known": Case(30, calm_ms=500.0, **BURST),
 }  # fmt: skip
 
