Hear of a client's end behind all that it sent ahead, and cut a flood off with 429

Seen by reading and by test: 16 KB were read ahead, and behind more unread bytes than the system buffers a client's end never came; its attempts went on (300 KB and 900 KB sent ahead: never heard within 10 s). Change: while somebody waits to hear of the end, up to 1 MB is read ahead, an eighth of the free memory for bodies at most. Who sends more gets 429 and its connection ends in order, unless its answer has begun; nothing more is sent on for it. The look at the socket every 50 ms goes. The chat front tells a departure in the turn of the event, and a session knows its followers, so that the question before an attempt's first byte finds them gone, too.

--- a/ringledge/memory/sessions.py
+++ b/ringledge/memory/sessions.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 
@@ -23,6 +23,13 @@
     GONE = "gone"  # its client left before the first token
 
 
+class Follower(Protocol):
+    """A connection that follows a session."""
+
+    def peer_gone(self) -> bool:
+        """Whether its client has closed it."""
+
+
 @dataclass(slots=True, eq=False)
 class Session:
     """One answer. Its events are kept by number, so that any of them can be sent again, none twice."""
@@ -41,9 +48,15 @@
     come_back_ms: float | None = None
     created: int = field(default_factory=lambda: int(time.time()))
     touched: float = field(default_factory=time.monotonic)
-    readers: int = 0  # connections that follow it now
+    followers: set[Follower] = field(default_factory=set)  # connections that follow it now
     news: anyio.Event = field(default_factory=anyio.Event)
 
+    @property
+    def abandoned(self) -> bool:
+        """Whether it has not begun and all that followed it have left: it is given up."""
+        begun = self.record is not None and self.record.began
+        return self.end is None and not begun and all(each.peer_gone() for each in self.followers)
+
     @property
     def text(self) -> str:
         """The answer so far."""
@@ -114,7 +127,7 @@
                 self._drop(each)
 
     def _ended(self) -> Iterator[Session]:
-        return (each for each in self._sessions.values() if each.end and not each.readers)
+        return (each for each in self._sessions.values() if each.end and not each.followers)
 
     def _drop(self, session: Session) -> None:
         del self._sessions[session.name]
--- a/ringledge/wire/chat/answer.py
+++ b/ringledge/wire/chat/answer.py
@@ -39,8 +39,8 @@
         self._end(End.BROKEN)
 
     def gone(self) -> bool:
-        """Never known here: a client may come back to its session, and the front tells when none is left."""
-        return False
+        """Whether all that follow its session have left; one that has begun runs on for their return."""
+        return bool(self._session.followers) and self._session.abandoned
 
     async def relay(self, piece: bytes) -> None:
         """Take whole events in; half a line waits for its other half."""
--- a/ringledge/wire/chat/front.py
+++ b/ringledge/wire/chat/front.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING, Any
 from uuid import uuid4
 
@@ -85,13 +86,13 @@
                 return  # it is queued, and its client has been told
             session, seen = started, 0
             whole = not session.question["stream"]
-        session.readers += 1
+        session.followers.add(conn)
         try:
             replies = self._replies
             follow = replies.whole(conn, session) if whole else replies.stream(conn, session, seen)
-            await converse(conn, follow)
+            await converse(conn, follow, partial(self._left, session))
         finally:
-            session.readers -= 1
+            session.followers.discard(conn)
             self._left(session)
 
     def _look(self, head: h11.Request) -> None:
@@ -122,7 +123,7 @@
         ever sent again, and its client can come back for it. One that has not begun is given up.
         """
         record = session.record
-        if session.end is None and not session.readers and record is not None and not record.began:
+        if record is not None and session.abandoned:
             self._conductor.client_gone(record)
             session.end = End.GONE
             log.info("chat_ended", session=session.name, how=End.GONE.value, events=0)
--- a/ringledge/wire/client.py
+++ b/ringledge/wire/client.py
@@ -9,6 +9,7 @@
 import h11
 
 from ringledge.wire.connection import Connection
+from ringledge.wire.errors import FloodError
 
 if TYPE_CHECKING:
     from ringledge.memory.held import Held
@@ -111,20 +112,30 @@
     """Write the answer while watching for the client's disconnect, also when nothing is written.
 
     `left` is called in the very turn of the loop that hears of a disconnect: before the cancelled task comes
-    round, others might still send something for that client.
+    round, others might still send something for that client. One that sends without end ahead of its answer
+    could leave unheard; unless its answer has begun, it gets its refusal instead.
     """
+    floods = False
 
     def gone() -> None:
         left()
         scope.cancel()
 
+    def flooded() -> None:
+        nonlocal floods
+        if conn.h11.our_state is h11.SEND_RESPONSE:  # nothing of the answer is written
+            floods = True
+            gone()
+
     with anyio.CancelScope() as scope:
-        conn.on_gone(gone)
+        conn.on_gone(gone, flooded)
         try:
             await answer
         except (OSError, anyio.ClosedResourceError):
             conn.close()  # the client has gone while it was written to
         finally:
             conn.on_gone(None)
+    if scope.cancelled_caught and floods:
+        raise FloodError
     if scope.cancelled_caught:
         conn.close()
--- a/ringledge/wire/connection.py
+++ b/ringledge/wire/connection.py
@@ -12,12 +12,13 @@
 from ringledge.wire.budget import Budget
 from ringledge.wire.errors import HttpError
 from ringledge.wire.headers import Headers, closing, keeping
-from ringledge.wire.socket_reader import SocketReader
+from ringledge.wire.socket_reader import READ_AHEAD, SocketReader
 
 if TYPE_CHECKING:
     from ringledge.decide.doors import Entry
 
 MAX_HEAD = 32 * 1024  # bytes of a head that h11 may collect
+AHEAD_PART = 8  # of the memory for bodies that is free: what one peer may send ahead, at most
 STALL_S = 20.0  # a peer that takes nothing for so long has gone
 
 
@@ -119,6 +120,13 @@
                     await anyio.wait_writable(self.sock)
                 self._stuck = False
 
+    def most_ahead(self) -> int:
+        """How many bytes may be read that nobody waits for: not more than a part of what is free."""
+        most = super().most_ahead()
+        if self.budget is None:
+            return most
+        return max(READ_AHEAD, min(most, int((self.budget.limit - self.budget.used) / AHEAD_PART)))
+
     def hold(self, size: int) -> None:
         """Count more of a body against the budget; HttpError where it is used up."""
         if self.budget is not None:
--- a/ringledge/wire/errors.py
+++ b/ringledge/wire/errors.py
@@ -24,6 +24,13 @@
         self.headers: Headers = headers or []
 
 
+class FloodError(HttpError):
+    """A client sends without end ahead of its answer: it is told so, and its connection ends."""
+
+    def __init__(self) -> None:
+        super().__init__(429, "too much was sent ahead of the answer", "rate_limit_exceeded")
+
+
 class ParkingError(Exception):
     """Nobody spoke on a connection for a while: it is put to rest."""
 
--- a/ringledge/wire/request_loop.py
+++ b/ringledge/wire/request_loop.py
@@ -13,7 +13,7 @@
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.connection import Connection
-from ringledge.wire.errors import HttpError, ParkingError, ShedError
+from ringledge.wire.errors import FloodError, HttpError, ParkingError, ShedError
 from ringledge.wire.headers import header
 from ringledge.wire.messages import MAX_BODY, read_body, respond
 from ringledge.wire.open_connections import OpenConnections
@@ -93,7 +93,8 @@
             rejected = True
             if head is not None and self._answering.refused is not None and error.status in (429, 503):
                 self._answering.refused(head)
-            await self._reject(conn, error, crowded or self._connections.closing)
+            closing = crowded or self._connections.closing or isinstance(error, FloodError)
+            await self._reject(conn, error, closing)
         except h11.RemoteProtocolError as error:
             await self._reject(conn, HttpError(error.error_status_hint, str(error)), True)
         if conn.closed or not conn.next_cycle():
--- a/ringledge/wire/socket_reader.py
+++ b/ringledge/wire/socket_reader.py
@@ -15,7 +15,9 @@
 from ringledge.wire.errors import ParkingError
 
 READ_AHEAD = 16 * 1024  # bytes read while nobody waits for them, of a next request say
-END_LOOK_S = 0.05  # how often the end of a peer is looked for behind bytes that nobody reads yet
+# The same while somebody waits to hear of the peer's end, which comes behind all that it has sent: some of
+# the longest requests. A peer that sends more than this ahead of its answer is a flood.
+MOST_AHEAD = 1024 * 1024
 SCRATCH = bytearray(256 * 1024)  # names a size to the system; nothing is written to it
 LAST_DATA_RECEIVED = 52  # offset in Linux's struct tcp_info: ms since a segment with data came
 
@@ -43,7 +45,7 @@
         self._waiter: asyncio.Future[None] | None = None  # of who waits for it
         self._error: OSError | None = None
         self._gone: Callable[[], None] | None = None
-        self._end_look: asyncio.TimerHandle | None = None
+        self._flooded: Callable[[], None] | None = None
 
     async def fill(self) -> int:
         """Wait for more of what the peer sends to be in the buffer; 0 at its end."""
@@ -107,9 +109,11 @@
 
     def _readable(self) -> None:
         """Read once: a peer that sends without end keeps no others waiting."""
-        if self._waiter is None and len(self.buffer) >= READ_AHEAD:
+        if self._waiter is None and len(self.buffer) >= self.most_ahead():
             self.deafen()
-            return self._look_for_end()
+            if self._flooded is not None:
+                self._flooded()
+            return
         if self._skipping:
             return self._skip_some()
         first = self.marks is not None and not self.marks.total
@@ -139,15 +143,22 @@
             now_s = self._loop.time()
             self.marks.add(size, now_s - age_s if deaf_since is None else deaf_since)
 
-    def on_gone(self, call: Callable[[], None] | None) -> None:
-        """Have it called as soon as the peer closes, which a reset is as well; None: no more."""
-        self._gone = call
+    def most_ahead(self) -> int:
+        """How many bytes may be read that nobody waits for."""
+        return READ_AHEAD if self._gone is None else MOST_AHEAD
+
+    def on_gone(
+        self, call: Callable[[], None] | None, flooded: Callable[[], None] | None = None
+    ) -> None:
+        """Have it called as soon as the peer closes, which a reset is as well; None: no more.
+
+        `flooded` is called where the peer sends so much that its end would not be heard behind it.
+        """
+        self._gone, self._flooded = call, flooded
         if call is None:
-            return self._stop_looking()
+            return
         if self.ended or self._error is not None or self.closed:
             call()
-        elif len(self.buffer) >= READ_AHEAD:
-            self._look_for_end()
         elif not self._heard:
             self._hear()
 
@@ -155,20 +166,6 @@
         """Whether the peer has closed, asked of the system: its end may not have come to the loop yet."""
         return self.ended or self._error is not None or self.closed or has_ended(self.sock)
 
-    def _look_for_end(self) -> None:
-        """What the socket has stays there, so its end is looked for, as long as somebody asks for it."""
-        self._stop_looking()
-        if self._gone is None or self.closed or self._heard:
-            return
-        if has_ended(self.sock):
-            return self._gone()
-        self._end_look = self._loop.call_later(END_LOOK_S, self._look_for_end)
-
-    def _stop_looking(self) -> None:
-        if self._end_look is not None:
-            self._end_look.cancel()
-            self._end_look = None
-
     def readable(self) -> bool:
         """Whether the peer has closed or said something unasked: such an idle connection is stale."""
         if self.ended or self._error is not None or len(self.buffer):
--- a/tests/memory/test_held.py
+++ b/tests/memory/test_held.py
@@ -8,8 +8,16 @@
 from ringledge.memory.sessions import End, Session, Sessions
 
 
-def session(name: str, size: int, touched: float, end: End | None, readers: int = 0) -> Session:
-    return Session(name, {}, 0, 100.0, size=size, touched=touched, end=end, readers=readers)
+class There:
+    """A client that follows an answer."""
+
+    def peer_gone(self) -> bool:
+        return False
+
+
+def session(name: str, size: int, touched: float, end: End | None, followers: int = 0) -> Session:
+    followed = {There() for _ in range(followers)}
+    return Session(name, {}, 0, 100.0, size=size, touched=touched, end=end, followers={*followed})
 
 
 def test_kept_answers_go_oldest_first_and_running_ones_never() -> None:
@@ -17,7 +25,7 @@
     held.keeps(sessions.size, sessions.give_up)
     for each in (
         session("running", 500, 1.0, None),
-        session("followed", 500, 2.0, End.SERVED, readers=1),
+        session("followed", 500, 2.0, End.SERVED, followers=1),
         session("young", 100, 9.0, End.SERVED),
         session("old", 100, 3.0, End.BROKEN),
         session("middle", 100, 5.0, End.SERVED),
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -2,11 +2,15 @@
 
 import http.client
 import signal
+import socket
+import threading
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
 
-from tests.loopback import Node, read, take
+from tests.loopback import WAIT_S, Node, read, take
+from tests.test_client_pace import END, dial, request, until
 
 ROUNDS = 8  # the order in which the loop hears of two things is the system's
 
@@ -67,7 +71,7 @@
         assert node.deleted.get(timeout=10).path.endswith("/a1") and sent(node, "a1") == 1
 
 
-@pytest.mark.parametrize("size", [1_000, 40_000])
+@pytest.mark.parametrize("size", [1_000, 40_000, 300_000, 900_000])
 def test_the_end_is_heard_behind_what_a_client_sent_ahead(node: Node, size: int) -> None:
     """More than is read ahead stays in the socket, and with it the end.
 
@@ -81,6 +85,48 @@
     assert ended(node) == "gone"
 
 
+def test_a_flood_ahead_of_an_answer_is_cut_off_and_harms_no_other(node: Node) -> None:
+    """Its end could not be heard behind it, so nothing more is sent on for it, and it is told so."""
+    with dial(node) as flood:
+        flood.sendall(request("flood"))
+        call = node.reader[0].next()
+        sender = threading.Thread(target=send_without_end, args=(flood,))
+        sender.start()
+        assert until(flood, b"sent ahead").startswith(b"HTTP/1.1 429")
+        assert call.closed()
+        call.drop()
+        assert ended(node) == "gone" and sent(node, "flood") == 1
+        client, beside = read(node, "beside")
+        beside.serve("x")
+        assert take(client).status == 200
+        sender.join(WAIT_S)
+        assert not sender.is_alive()
+
+
+def test_a_flood_behind_a_begun_stream_takes_nothing_of_it(node: Node) -> None:
+    with dial(node) as flood:
+        flood.sendall(request("flood"))
+        node.reader[0].next().read()
+        call = node.writer[0].next().begin().token("first")
+        until(flood, b"first")
+        sender = threading.Thread(target=send_without_end, args=(flood,))
+        sender.start()
+        client, beside = read(node, "beside")
+        beside.serve("x")
+        assert take(client).status == 200
+        call.token("last").end()
+        assert b"last" in until(flood, END)
+        flood.shutdown(socket.SHUT_RDWR)
+        sender.join(WAIT_S)
+
+
+def send_without_end(sock: socket.socket) -> None:
+    """Further requests until the connection ends, or far more than any buffer takes is sent."""
+    with suppress(OSError):
+        for number in range(200):
+            sock.sendall(request(f"more{number}").replace(b"Host: a", b"Host: " + b"a" * 20_000) * 5)
+
+
 def send_ahead(client: http.client.HTTPConnection, size: int) -> None:
     head = f"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: {2 * size}\r\n\r\n"
     client.sock.sendall(head.encode() + b"x" * size)
