--- a/tests/test_stream_pieces.py
+++ b/tests/test_stream_pieces.py
@@ -60,3 +60,14 @@
         call.say(b"%x\r\n%s\r\nnonsense\r\n" % (len(whole), whole))
         assert b"0\r\n\r\n" not in until(client, whole)
         assert client.recv(1) == b""  # the stream broke
+
+
+def test_a_stream_that_breaks_off_behind_its_last_event_has_no_last_chunk(node: Node) -> None:
+    client, call = begin(node)
+    with client:
+        until(client, b"first")
+        call.chunk("data: [DONE]\n\n").drop()
+        got = until(client, b"[DONE]\n\n")
+        while piece := client.recv(65536):
+            got += piece
+        assert not got.endswith(b"0\r\n\r\n")
