--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(BIN)/python -m ringledge lab demo
 
 check: $(STAMP)
-	$(BIN)/ruff check . && $(BIN)/mypy && $(BIN)/python -m pytest -n 4
+	$(BIN)/ruff check . && $(BIN)/ruff format --check . && $(BIN)/mypy && $(BIN)/python -m pytest -n 4
 
 $(STAMP): requirements.txt requirements-lab.txt requirements-dev.txt
 	test -d .venv || python3 -m venv .venv
--- a/benchmarks/collapse.py
+++ b/benchmarks/collapse.py
@@ -36,6 +36,7 @@
 
 def told(seconds: list[defaultdict[str, float]]) -> dict[str, Any]:
     """The share served in time after the trouble began, seconds until nine in ten are, and each second."""
+
     def share(some: list[defaultdict[str, float]]) -> float:
         got = sum(s["in time"] for s in some)
         return got / max(1.0, got + sum(s["late"] + s["unserved"] for s in some))
@@ -43,8 +44,12 @@
     end = int((TROUBLE_MS + BURST_MS) / 1000)
     back = next((n - end for n in range(end, len(seconds) - 3) if share(seconds[n : n + 3]) >= 0.9), None)
     lines = [{name: round(value, 1) for name, value in s.items()} for s in seconds]
-    return {"before": round(share(seconds[5:15]), 3), "after": round(share(seconds[15:]), 3),
-            "seconds until 0.9 after the burst": back, "seconds": lines}
+    return {
+        "before": round(share(seconds[5:15]), 3),
+        "after": round(share(seconds[15:]), 3),
+        "seconds until 0.9 after the burst": back,
+        "seconds": lines,
+    }
 
 
 @click.command()
--- a/benchmarks/collapse_fleet.py
+++ b/benchmarks/collapse_fleet.py
@@ -117,8 +117,21 @@
         client.tries += 1
         name, router = f"{client.name}.{client.tries}", self.rng.randrange(ROUTERS)
         self.clients[name], left_ms = client, min(left_ms, TRY_SHARE * kind.deadline_ms)
-        self.give(router, i.Request(name, left_ms, client.kind, 0, client.session, client.prefix or None,
-                                    client.prefix_tokens, client.tokens, 300, retry=client.tries > 1))
+        self.give(
+            router,
+            i.Request(
+                name,
+                left_ms,
+                client.kind,
+                0,
+                client.session,
+                client.prefix or None,
+                client.prefix_tokens,
+                client.tokens,
+                300,
+                retry=client.tries > 1,
+            ),
+        )
         self.at_ms(self.now_ms + left_ms, lambda: self._gone(router, name))
 
     def _gone(self, router: int, name: str) -> None:
@@ -178,8 +191,18 @@
             self._tell(router, name, attempt, i.Status.FULL)
             return
         again = attempt > 0 or client.tries > 1
-        read = Read(router, name, attempt, client.session, client.prefix, client.prefix_tokens, client.tokens,
-                    CLASSES[client.kind].worth, self.now_ms, again)
+        read = Read(
+            router,
+            name,
+            attempt,
+            client.session,
+            client.prefix,
+            client.prefix_tokens,
+            client.tokens,
+            CLASSES[client.kind].worth,
+            self.now_ms,
+            again,
+        )
         self.reads[name, attempt] = read
         self.seconds[-1]["reads"] += 1
         self.seconds[-1]["repeats"] += again
--- a/benchmarks/collapse_servers.py
+++ b/benchmarks/collapse_servers.py
@@ -23,10 +23,22 @@
     i.RequestClass(2500, 12000, i.Effect.UNSAFE, 6, 0.3, target_token_ms=80, target_per_1000_tokens_ms=120),
 )
 SETTINGS = i.Settings(
-    classes=CLASSES, kinds=(i.ServerKind(i.Role.PREFILL), i.ServerKind(i.Role.DECODE)), routers=ROUTERS,
-    may_cancel=True, max_retry_after_ms=1000, max_attempts=6, tick_ms=2, ask_every_ms=10_000,
-    drain_grace_ms=250, cold_share=0.35, warm_after_ms=9_000, fall_multiple=3, overload_for_ms=3_000,
-    release_within_ms=500, decode_may_prefill=False, over_share_worth=0.05,
+    classes=CLASSES,
+    kinds=(i.ServerKind(i.Role.PREFILL), i.ServerKind(i.Role.DECODE)),
+    routers=ROUTERS,
+    may_cancel=True,
+    max_retry_after_ms=1000,
+    max_attempts=6,
+    tick_ms=2,
+    ask_every_ms=10_000,
+    drain_grace_ms=250,
+    cold_share=0.35,
+    warm_after_ms=9_000,
+    fall_multiple=3,
+    overload_for_ms=3_000,
+    release_within_ms=500,
+    decode_may_prefill=False,
+    over_share_worth=0.05,
 )
 
 
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -98,8 +98,11 @@
 @click.option("--runs", default=1, show_default=True, help="Runs of each, with seeds from 1 on.")
 @click.option("--core", default=0, show_default=True, help="The conductor's core.")
 @click.option("--off", is_flag=True, help="Without overload.toml.")
-@click.option("--against", type=click.Path(exists=True, path_type=Path),
-              help="A checkout measured in turn with this one, with no gate; the capacity is its own.")
+@click.option(
+    "--against",
+    type=click.Path(exists=True, path_type=Path),
+    help="A checkout measured in turn with this one, with no gate; the capacity is its own.",
+)
 @click.option("--low", default=20.0, show_default=True, help="Where the search for the capacity begins.")
 @click.option("--high", default=1500.0, show_default=True, help="Where it ends.")
 def main(tree: Path | None, known: float | None, kb: float, seconds: float, times: str, runs: int, core: int,
--- a/crowstand/snapshot.py
+++ b/crowstand/snapshot.py
@@ -34,34 +34,46 @@
     yield "fetches", ([*key, *_mean_fields(value)] for key, value in policy.fetch_delays.items())
     yield "room", ([tenant, *room] for tenant, room in policy.quota_buckets.items())
     yield "recalled", ([name] for name in policy.readmitted)
-    yield "servers", (
-        [
-            name,
-            server.entry.started_ms,
-            *_mean_fields(server.delay),
-            server.stream_ratio_sum,
-            server.stream_count,
-            server.start_credit,
-            server.start_credit_ms,
-            server.warming_since_ms,
-        ]
-        for name, server in servers
+    yield (
+        "servers",
+        (
+            [
+                name,
+                server.entry.started_ms,
+                *_mean_fields(server.delay),
+                server.stream_ratio_sum,
+                server.stream_count,
+                server.start_credit,
+                server.start_credit_ms,
+                server.warming_since_ms,
+            ]
+            for name, server in servers
+        ),
     )
     yield "in_place", ([name, *_mean_fields(server.in_place_delay)] for name, server in servers)
-    yield "blame", (
-        [name, scope, *_mean_fields(mean)]
-        for name, server in servers
-        for scope, mean in server.failures.items()
+    yield (
+        "blame",
+        (
+            [name, scope, *_mean_fields(mean)]
+            for name, server in servers
+            for scope, mean in server.failures.items()
+        ),
     )
-    yield "prefixes", (
-        [name, f"{prefix:x}", used_ms]
-        for name, server in servers
-        for prefix, used_ms in server.cached_prefixes.items()
+    yield (
+        "prefixes",
+        (
+            [name, f"{prefix:x}", used_ms]
+            for name, server in servers
+            for prefix, used_ms in server.cached_prefixes.items()
+        ),
     )
-    yield "homes", (
-        [f"{session:x}", affinity.server.entry.server, affinity.cached_tokens, affinity.used_ms]
-        for session, affinity in policy.affinities.items()
-        if session is not None
+    yield (
+        "homes",
+        (
+            [f"{session:x}", affinity.server.entry.server, affinity.cached_tokens, affinity.used_ms]
+            for session, affinity in policy.affinities.items()
+            if session is not None
+        ),
     )
 
 
--- a/ringledge/memory/byhand.py
+++ b/ringledge/memory/byhand.py
@@ -22,9 +22,7 @@
 class ByHand:
     """The servers that are out, as the file has them."""
 
-    def __init__(
-        self, folder: Path, name: str, settings: str, tell: Callable[[str, bool], None]
-    ) -> None:
+    def __init__(self, folder: Path, name: str, settings: str, tell: Callable[[str, bool], None]) -> None:
         """`settings`: the fingerprint of ours; a file written under others is not used."""
         self.out: frozenset[str] = frozenset()
         self._settings = settings
--- a/ringledge/store/looks.py
+++ b/ringledge/store/looks.py
@@ -24,9 +24,7 @@
     count = "SELECT count(*) FROM entries INDEXED BY waiting WHERE state = 0 AND tenant = ?"
     oldest = """SELECT created_s FROM entries INDEXED BY waiting
         WHERE state = 0 AND tenant = ? ORDER BY seq LIMIT 1"""
-    return [
-        Waiting(tenant, _first(db, count, tenant), _first(db, oldest, tenant)) for tenant in _tenants(db)
-    ]
+    return [Waiting(tenant, _first(db, count, tenant), _first(db, oldest, tenant)) for tenant in _tenants(db)]
 
 
 def heads(db: sqlite3.Connection, each: int) -> list[Head]:
--- a/ringledge/store/schema.py
+++ b/ringledge/store/schema.py
@@ -138,6 +138,3 @@
     if code == sqlite3.SQLITE_IOERR:
         return StoreError(Why.FAILED, f"{path}: the disk failed: {error}")
     return StoreError(Why.CLOSED, f"{path}: {error}")
-
-
-
--- a/ringledge/wire/chat/replaying.py
+++ b/ringledge/wire/chat/replaying.py
@@ -70,9 +70,7 @@
 class ReplaySender:
     """Sends queued entries through the conductor."""
 
-    def __init__(
-        self, config: ChatConfig, settings: i.Settings, names: Names, conductor: Conductor
-    ) -> None:
+    def __init__(self, config: ChatConfig, settings: i.Settings, names: Names, conductor: Conductor) -> None:
         self._config, self._settings, self._names, self._conductor = config, settings, names, conductor
 
     def __call__(self, entry: Entry, ended: Callable[[Result], None]) -> Sending | None:
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -35,9 +35,7 @@
     rb"POST /v1/chat/completions HTTP/1\.1\r\n((?:[!-9;-~]+:[\t -~]*\r\n)*[!-9;-~]+:[\t -~]*)\r\n\r\n"
 )
 UNUSUAL = {b"transfer-encoding", b"expect", b"connection", b"upgrade"}
-NO = (
-    b"HTTP/1.1 %d \r\nContent-Type: application/json\r\nContent-Length: %d\r\nRetry-After: %s\r\n%s\r\n"
-)
+NO = b"HTTP/1.1 %d \r\nContent-Type: application/json\r\nContent-Length: %d\r\nRetry-After: %s\r\n%s\r\n"
 
 
 class Platform:
@@ -88,9 +86,7 @@
         except DuplicateError as error:
             raise HttpError(400, f"request {error} is open already") from error
         try:
-            await converse(
-                conn, self._answer(conn, exchange), partial(self._conductor.client_gone, record)
-            )
+            await converse(conn, self._answer(conn, exchange), partial(self._conductor.client_gone, record))
         finally:
             exchange.forget()
             self._conductor.client_gone(record)  # for a request that is over it changes nothing
@@ -183,6 +179,7 @@
         else:
             await respond(conn, 500, b'{"error":"failed, it may have run"}')
 
+
 def shed(no: Rejection) -> ShedError:
     """What a client that the gate turned away is told: when to come back, and whose limit it met."""
     headers: Headers = [(b"Retry-After", b"%.3f" % (no.retry_after_ms / 1000))]
--- a/ringledge/wire/socket_reader.py
+++ b/ringledge/wire/socket_reader.py
@@ -147,9 +147,7 @@
         """How many bytes may be read that nobody waits for."""
         return READ_AHEAD if self._gone is None else MOST_AHEAD
 
-    def on_gone(
-        self, call: Callable[[], None] | None, flooded: Callable[[], None] | None = None
-    ) -> None:
+    def on_gone(self, call: Callable[[], None] | None, flooded: Callable[[], None] | None = None) -> None:
         """Have it called as soon as the peer closes, which a reset is as well; None: no more.
 
         `flooded` is called where the peer sends so much that its end would not be heard behind it.
--- a/ringledge/wire/sockets.py
+++ b/ringledge/wire/sockets.py
@@ -14,7 +14,6 @@
 UNHEARD_MS = 30_000  # that what was sent to a peer, questions too, may stay unacknowledged
 
 
-
 async def connect(address: str, timeout_s: float) -> Connection:
     """Open a connection; OSError if it is refused, TimeoutError if it doesn't come up."""
     host, _, port = address.rpartition(":")
--- a/tests/conformance/test_policy.py
+++ b/tests/conformance/test_policy.py
@@ -30,6 +30,7 @@
 
 def by(key: Callable[[Any, i.Request], Any]) -> Any:
     """A ranking by another key."""
+
     def ranking(self: Any, request: i.Request) -> list[Server]:
         text = f"{key(self, request)}"
         return sorted(self.prefill_servers, key=lambda server: random_weight(text, server))
@@ -66,9 +67,13 @@
     ("hash-agrees", {"_ranking": by(lambda self, request: (self.settings.router, request.prefix))}),
     ("hash-session", {"_ranking": by(lambda self, request: (self.settings.router, request.session))}),
     ("hash-leaver hash-comer", {"_ranking": by_remainder}),
-    ("late-leaver late-comer", {
-        "_accept": chosen_ahead, "_choose_decode": lambda self, job, _: self.chosen[job.request],
-    }),
+    (
+        "late-leaver late-comer",
+        {
+            "_accept": chosen_ahead,
+            "_choose_decode": lambda self, job, _: self.chosen[job.request],
+        },
+    ),
     ("near-alike", {"_choose_decode": lambda self, *_: self.rng.choice(self.decode_servers)}),
     ("near-slightly", {"_choose_decode": least_pending}),
     ("far-clearly far-else-any", {"_choose_decode": in_cell}),
--- a/tests/core/test_begin.py
+++ b/tests/core/test_begin.py
@@ -146,5 +146,3 @@
     asked.attempt = asked.next()
     asked.world.policy.jobs["a"].possible_runs.append(SimpleNamespace(sent_ms=0.0, server=None))  # type: ignore[arg-type]
     assert asked.refusal() is Refusal.REPEAT_LATE
-
-
--- a/tests/core/test_gate.py
+++ b/tests/core/test_gate.py
@@ -176,6 +176,7 @@
 def test_a_process_that_stood_still_for_a_second_does_not_shed_for_long() -> None:
     with stage(("--read-ms", "1", "--stream-ms", "5"), {"overload.toml": "enabled = true\n"}) as on:
         plan = LoadPlan(on.listening["platform"], 30.0, 2.0, 0.2, 2.0, 0.0, parse_shares(""), seed=4)
+
         def stop() -> None:
             os.kill(on.pid, signal.SIGSTOP)
             time.sleep(1.0)
--- a/tests/crowstand/test_batching_servers.py
+++ b/tests/crowstand/test_batching_servers.py
@@ -17,7 +17,10 @@
 BOTH = (*FLEET[:4], *MIXED_FLEET)
 WORTHY = replace(SAFE, worth=3.0, effect=i.Effect.UNSAFE)
 NONSENSE = (
-    None, i.Load(), i.Load(memory_share=-3.0, pending_kilotokens=-50.0), i.Load(1e9, 1e9, 1e9, 1e9, 1e9, 1e9),
+    None,
+    i.Load(),
+    i.Load(memory_share=-3.0, pending_kilotokens=-50.0),
+    i.Load(1e9, 1e9, 1e9, 1e9, 1e9, 1e9),
     i.Load(memory_share=math.nan, pending_kilotokens=math.inf),
 )
 
@@ -146,8 +149,13 @@
 
 def scaled_play(times: float) -> list[str]:
     """Where requests go when all times, paces, targets and deadlines too, are so many times as long."""
-    slow = replace(SAFE, target_ms=times * 1000, deadline_ms=times * 5000, target_token_ms=times * 50,
-                   target_per_1000_tokens_ms=times * 85)
+    slow = replace(
+        SAFE,
+        target_ms=times * 1000,
+        deadline_ms=times * 5000,
+        target_token_ms=times * 50,
+        target_per_1000_tokens_ms=times * 85,
+    )
     w = warmed(World(BOTH, classes=(slow,), tick_ms=times * 2), times * 0.05)
     rng, went = random.Random(5), list[str]()
     for number in range(120):
--- a/tests/crowstand/test_final_answers.py
+++ b/tests/crowstand/test_final_answers.py
@@ -1,6 +1,5 @@
 """Rule 1: exactly one final answer, in time, by one router alone."""
 
-
 from crowstand import interface as i
 from tests.world import FLEET, SAFE, UNSAFE, World, cancelled, entry, finals, released, sends
 
--- a/tests/crowstand/test_slow_servers.py
+++ b/tests/crowstand/test_slow_servers.py
@@ -36,8 +36,12 @@
 
 
 def test_states_leave_a_cell_whose_writers_are_too_few() -> None:
-    fleet = (*(entry(f"r{n}", READER, 0) for n in range(3)), entry("near", WRITER, 0), entry("s", READER, 1),
-             *(entry(f"far{n}", WRITER, 1) for n in range(3)))
+    fleet = (
+        *(entry(f"r{n}", READER, 0) for n in range(3)),
+        entry("near", WRITER, 0),
+        entry("s", READER, 1),
+        *(entry(f"far{n}", WRITER, 1) for n in range(3)),
+    )
     at = []
     for seed in range(60):
         world = World(fleet, seed=seed)
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -165,6 +165,7 @@
 
     def begun(self, duty: str, above: int = 0) -> tuple[str, int]:
         """Wait until a member logs that it holds a duty under a token above that; who, and the token."""
+
         def token(line: dict[str, Any]) -> int | None:
             mine = line["event"] == "duty" and (line["duty"], line["what"]) == (duty, "begun")
             return line["token"] if mine and line["token"] > above else None
--- a/tests/store/test_kills.py
+++ b/tests/store/test_kills.py
@@ -68,5 +68,3 @@
         db.execute("UPDATE entries SET seal = ? WHERE name = ?", (_seal(tuple(row)), name))
     db.close()
     assert any(each.startswith(told) for each in faults(world, read(path, list(world.taken))))
-
-
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -47,8 +47,10 @@
 
 
 def test_a_read_is_followed_by_a_write() -> None:
-    read = "ROUND wall_ms=1050\nAT dispatcher=3\nRESOLVED op_id=t/a shot=0 host=10.0.0.1:5000 outcome=100 " \
+    read = (
+        "ROUND wall_ms=1050\nAT dispatcher=3\nRESOLVED op_id=t/a shot=0 host=10.0.0.1:5000 outcome=100 "
         "cost_time_ms=49 note=3 server_stats=x0:0.5,x1:2.5,new:1\nEOB\n"
+    )
     code, out, err = talk(START + BATCH + REQUEST + "EOB\n" + read)
     assert (code, err) == (0, "")
     assert "DISPATCH op_id=t/a host=10.0.0.2:5000" in out
@@ -63,8 +65,16 @@
 
 @pytest.mark.parametrize(
     "line",
-    ["NONSENSE a=b", "NEW_REQUEST op_id", "RESOLVED op_id=t/a shot=x host=h outcome=1", "RING", "M host=h",
-     "RESOLVED op_id=t/a shot=0 host=h outcome=99", "ROUND wall_ms=5", "AT dispatcher=9\nRING cookie=x"],
+    [
+        "NONSENSE a=b",
+        "NEW_REQUEST op_id",
+        "RESOLVED op_id=t/a shot=x host=h outcome=1",
+        "RING",
+        "M host=h",
+        "RESOLVED op_id=t/a shot=0 host=h outcome=99",
+        "ROUND wall_ms=5",
+        "AT dispatcher=9\nRING cookie=x",
+    ],
 )
 def test_a_malformed_line_stops_with_one_plain_message(line: str) -> None:
     code, _, err = talk(START + BATCH + line + "\nEOB\n")
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -63,7 +63,7 @@
     assert told.returncode == 2 and told.stderr.count("\n") == 1 and reason in told.stderr
 
 
-@pytest.mark.parametrize("text", ["enabled = true\nlisten = ", 'enabled = true\nport = 1\n'])
+@pytest.mark.parametrize("text", ["enabled = true\nlisten = ", "enabled = true\nport = 1\n"])
 def test_a_bad_deploy_file_is_told_in_one_line(tmp_path: Path, text: str) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(GOOD))
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -103,8 +103,11 @@
 
 def test_mixed_server_answers_in_place_but_long_unkept_prompts_go_to_readers() -> None:
     world = World((entry("m", MIXED), entry("r", READER), entry("w", WRITER)))
-    key = next(key for key in range(100) if World((entry("m", MIXED), entry("r", READER))).serve(
-        "x", session=key) == "m")
+    key = next(
+        key
+        for key in range(100)
+        if World((entry("m", MIXED), entry("r", READER))).serve("x", session=key) == "m"
+    )
     world.request("a", session=key)
     assert world.at["a"] == "m"
     world.first("a")
--- a/tests/test_told_deadline.py
+++ b/tests/test_told_deadline.py
@@ -97,5 +97,3 @@
         first.end()
         assert b"HTTP/1.1 503" in until(client, b"has run")
     assert [call.id for call in node.reader[0].seen] == ["a1"]
-
-
--- a/tests/world.py
+++ b/tests/world.py
@@ -38,8 +38,14 @@
 
 
 FLEET = (
-    entry("r0", READER, 0), entry("r1", READER, 0), entry("r2", READER, 1), entry("r3", READER, 1),
-    entry("w0", WRITER, 0), entry("w1", WRITER, 0), entry("w2", WRITER, 1), entry("w3", WRITER, 1),
+    entry("r0", READER, 0),
+    entry("r1", READER, 0),
+    entry("r2", READER, 1),
+    entry("r3", READER, 1),
+    entry("w0", WRITER, 0),
+    entry("w1", WRITER, 0),
+    entry("w2", WRITER, 1),
+    entry("w3", WRITER, 1),
 )
 
 
