--- a/tests/core/test_begin.py
+++ b/tests/core/test_begin.py
@@ -9,6 +9,7 @@
 import pytest
 
 from crowstand import interface as i
+from crowstand.records import PossibleRun
 from ringledge.core.begin import ARRIVAL_MS, LEAST_MS, Refusal, refusal
 from ringledge.core.port import Payload
 from ringledge.core.records import Attempt, Record
@@ -144,5 +145,6 @@
     asked = Asked(UNSAFE)
     asked.world.outcome("a", i.Status.CONNECT_FAILED)
     asked.attempt = asked.next()
-    asked.world.policy.jobs["a"].possible_runs.append(SimpleNamespace(sent_ms=0.0, server=None))  # type: ignore[arg-type]
+    policy = asked.world.policy
+    policy.jobs["a"].possible_runs.append(PossibleRun(policy.servers["w0"], asked.now_ms))
     assert asked.refusal() is Refusal.REPEAT_LATE
