--- a/tests/test_stream_pieces.py
+++ b/tests/test_stream_pieces.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import socket
+import threading
+from contextlib import suppress
 
 import pytest
 
@@ -12,10 +14,10 @@
 EVENT = event("abcdefgh")
 
 
-def begin(node: Node) -> tuple[socket.socket, Call]:
+def begin(node: Node, name: str = "a1") -> tuple[socket.socket, Call]:
     host, port = node.listening["platform"].split(":")
     client = socket.create_connection((host, int(port)), WAIT_S)
-    client.sendall(request("a1"))
+    client.sendall(request(name))
     node.reader[0].next().read()
     return client, node.writer[0].next().begin().token("first")
 
@@ -71,3 +73,25 @@
         while piece := client.recv(65536):
             got += piece
         assert not got.endswith(b"0\r\n\r\n")
+
+
+def test_a_client_that_takes_nothing_holds_up_no_event_of_another(node: Node) -> None:
+    """Both streams come from one server; the slow one's is far more than any buffer takes."""
+    slow, filling = begin(node)
+    fast, call = begin(node, "a2")
+    with slow, fast:
+        until(fast, b"first")
+
+        def fill() -> None:
+            with suppress(OSError):
+                for _ in range(2_000):
+                    filling.chunk(event("x" * 8_000))
+
+        filler = threading.Thread(target=fill, daemon=True)
+        filler.start()
+        for number in range(50):
+            call.token(f"piece{number}")
+            until(fast, event(f"piece{number}").encode())
+        call.end()
+        until(fast, b"0\r\n\r\n")
+        assert filler.is_alive()  # its client has taken nothing, so neither has the program
