--- a/benchmarks/fleet_counts.py
+++ b/benchmarks/fleet_counts.py
@@ -101,8 +101,8 @@
     window.requests[f"{name} {ended['how']}"] += 1
     if ended.get("first_ms") is not None:
         window.first_ms[name].append(ended["first_ms"])
-    outcomes, at_s = [str(outcome) for _, outcome, _ in ended["attempts"]], arrived_s
-    for server, outcome, took_ms in ended["attempts"]:
+    outcomes, at_s = [str(outcome) for _, outcome, *_ in ended["attempts"]], arrived_s
+    for server, outcome, took_ms, *_ in ended["attempts"]:
         window.attempts[str(outcome)] += 1
         if server in starts and at_s - starts[server] < COLD_S:
             window.cold_sends[server] += 1
--- a/crowstand/actions.py
+++ b/crowstand/actions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 
@@ -23,6 +23,19 @@
     EXPIRE = "reap"  # drop what is old
 
 
+class GiveUpReason(StrEnum):
+    """Why a request was refused or failed."""
+
+    UNKNOWN_CLASS = "unknown_class"
+    NO_SERVER = "no_server"  # none that is up may get it: none listed, all cold, or all have failed it
+    MEMORY_SHORT = "memory_short"  # of the decode servers
+    TOKENS_IN_FLIGHT = "tokens_in_flight"  # the concurrency limit
+    WAIT_TOO_LONG = "wait_too_long"  # at the prefill servers
+    ATTEMPTS_USED = "attempts_used"
+    OUT_OF_TIME = "out_of_time"
+    SHUTDOWN = "shutdown"
+
+
 @dataclass(slots=True, frozen=True)
 class SetTimer:
     """Ask for a `Timer` event at a clock reading."""
@@ -37,6 +50,7 @@
 
     request: str
     retry_after_ms: float | None = None
+    why: GiveUpReason = field(default=GiveUpReason.NO_SERVER, compare=False)  # for the log alone
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,6 +58,7 @@
     """Final answer: failed, with nothing promised about the effect."""
 
     request: str
+    why: GiveUpReason = field(default=GiveUpReason.NO_SERVER, compare=False)  # for the log alone
 
 
 @dataclass(slots=True, frozen=True)
--- a/crowstand/interface.py
+++ b/crowstand/interface.py
@@ -10,6 +10,7 @@
 from crowstand.actions import AskMembers as AskMembers
 from crowstand.actions import Cancel as Cancel
 from crowstand.actions import Fail as Fail
+from crowstand.actions import GiveUpReason as GiveUpReason
 from crowstand.actions import Log as Log
 from crowstand.actions import Probe as Probe
 from crowstand.actions import Refuse as Refuse
--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -5,7 +5,17 @@
 from math import exp
 from typing import Any
 
-from crowstand.actions import Action, Fail, Refuse, Release, Send, SetTimer, Subscribe, TimerName
+from crowstand.actions import (
+    Action,
+    Fail,
+    GiveUpReason,
+    Refuse,
+    Release,
+    Send,
+    SetTimer,
+    Subscribe,
+    TimerName,
+)
 from crowstand.control import OperatorOverride, RolePlan, Shutdown, Unreachable
 from crowstand.decode import DecodeChoice
 from crowstand.estimates import CONNECTION_LOST, PREFILL_OVERHEAD_TOKENS
@@ -48,7 +58,7 @@
     def _accept(self, request: Request) -> None:
         classes = self.settings.classes
         if request.class_index >= len(classes):
-            return self.actions.append(Refuse(request.request))
+            return self.actions.append(Refuse(request.request, why=GiveUpReason.UNKNOWN_CLASS))
         arrivals, counted_ms = self.recent_arrivals
         self.recent_arrivals = (arrivals * exp((counted_ms - self.now_ms) / ARRIVALS_MS) + 1, self.now_ms)
         request_class = classes[request.class_index]
@@ -65,10 +75,13 @@
 
     def _proceed(self, job: Job) -> None:
         """Take the next step of a request with no attempt in flight: prefill, decode, or give up."""
+        job.shed_why = GiveUpReason.NO_SERVER
         server = self._choose_decode(job, job.kv_server) if job.kv_server else self._choose_prefill(job)
         # A prefill needs one more attempt, for the decode.
-        if server is None or job.attempts + (server.role == Role.PREFILL) >= self.settings.max_attempts:
-            self._give_up(job)
+        if server is None:
+            self._give_up(job, job.shed_why)
+        elif job.attempts + (server.role == Role.PREFILL) >= self.settings.max_attempts:
+            self._give_up(job, GiveUpReason.ATTEMPTS_USED)
         else:
             self._send(job, server)
 
@@ -99,7 +112,7 @@
             return
         end_ms = next_ms = job.deadline_ms - self.settings.tick_ms
         if self.now_ms >= end_ms:
-            return self._give_up(job)
+            return self._give_up(job, GiveUpReason.OUT_OF_TIME)
         if job.server is not None:
             next_ms = job.sent_ms + self._watch_timeout_ms(job, job.server)
             if self.now_ms >= next_ms:
@@ -149,7 +162,7 @@
         if job.server.role == Role.MIXED:
             self._bind(job, job.server)
 
-    def _give_up(self, job: Job) -> None:
+    def _give_up(self, job: Job, why: GiveUpReason) -> None:
         """Answer at once: refuse where a repeat is harmless, else fail; release what is held."""
         # An attempt still in flight proves nothing, a prefill neither.
         ran = bool(job.possible_runs) or job.server is not None
@@ -157,9 +170,9 @@
         if not ran or effect == Effect.SAFE or (effect == Effect.KEYED and scope == DedupScope.ALL):
             longest_ms = self.settings.max_retry_after_ms
             retry_after_ms = RETRY_AFTER_SHARE * longest_ms if self.settings.retry_after else None
-            self.actions.append(Refuse(job.request.request, retry_after_ms))
+            self.actions.append(Refuse(job.request.request, retry_after_ms, why))
         else:
-            self.actions.append(Fail(job.request.request))
+            self.actions.append(Fail(job.request.request, why))
         self._end(job)
 
     def _end(self, job: Job) -> None:
@@ -177,7 +190,7 @@
     def _shut_down(self, _: Shutdown) -> None:
         """Give up all that has not begun while there is time to say so and to release what is held."""
         for job in [job for job in self.jobs.values() if not (job.streaming or job.ended)]:
-            self._give_up(job)
+            self._give_up(job, GiveUpReason.SHUTDOWN)
 
     def _client_gone(self, event: ClientGone) -> None:
         if event.request in self.jobs:
--- a/crowstand/prefill.py
+++ b/crowstand/prefill.py
@@ -5,6 +5,7 @@
 from hashlib import blake2b
 from math import inf
 
+from crowstand.actions import GiveUpReason
 from crowstand.eligibility import Eligibility
 from crowstand.estimates import FIRST_PREFILLS, PREFILL_OVERHEAD_TOKENS
 from crowstand.events import Request
@@ -36,7 +37,7 @@
             order = [bound, *(server for server in order if server is not bound)]
         ready = self._eligible(job, order)
         if not ready:
-            return None
+            return self._shed(job, GiveUpReason.NO_SERVER)
         waits, server = {server: self._prefill_wait_ms(server, request) for server in ready}, ready[0]
         if server is not bound and self._uncached_tokens(request, order[0]) > LONG_TOKENS:
             order = [each for each in order if each.role == Role.PREFILL] or order
@@ -48,13 +49,20 @@
             calm = [each for each in ready if waits[each] < CLEARLY_LESS * waits[server]]
             server = next((each for each in calm if each in order), calm[0] if calm else server)
         if not job.attempts and self._fleet_memory_use(job) > MEMORY_SHORT + (1 - MEMORY_SHORT) * job.value:
-            return None  # its KV cache entry would wait for memory, or evict a newer answer
+            return self._shed(job, GiveUpReason.MEMORY_SHORT)  # its entry would wait, or evict a newer answer
         if self.concurrency_limit.limit_tokens < inf and not job.attempts:
             tokens, in_flight = self._uncached_tokens(request, server), self._prefill_tokens_in_flight()
             tokens += PREFILL_OVERHEAD_TOKENS
             if not self.concurrency_limit.admits(in_flight, tokens, job.value, self.rng.random()):
-                return None
-        return server if self._bears(job, server, waits[server], target_ms) else None
+                return self._shed(job, GiveUpReason.TOKENS_IN_FLIGHT)
+        if self._bears(job, server, waits[server], target_ms):
+            return server
+        return self._shed(job, GiveUpReason.WAIT_TOO_LONG)
+
+    @staticmethod
+    def _shed(job: Job, why: GiveUpReason) -> None:
+        """No server for a request; the reason is kept for its final answer."""
+        job.shed_why = why
 
     def _bears(self, job: Job, server: Server, wait_ms: float, target_ms: float) -> bool:
         """Whether a request is worth its wait, else it is shed.
--- a/crowstand/records.py
+++ b/crowstand/records.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from math import exp
 
+from crowstand.actions import GiveUpReason
 from crowstand.events import Request
 from crowstand.fleet import ServerEntry
 from crowstand.settings import RequestClass, Role
@@ -104,3 +105,4 @@
     streaming: bool = False  # its answer has started
     stream_start_ms: float = 0.0
     ended: bool = False
+    shed_why: GiveUpReason = GiveUpReason.NO_SERVER  # of the last choice that found no server
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -7,7 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Iterator
-from itertools import count
+from itertools import count, islice
 from typing import Any
 
 import anyio
@@ -19,6 +19,7 @@
 from ringledge.core import begin
 from ringledge.core.clock import Clock
 from ringledge.core.context import Context
+from ringledge.core.invariants import Invariants
 from ringledge.core.port import Caller, Payload
 from ringledge.core.records import Attempt, Record
 from ringledge.core.registry import RequestRegistry
@@ -29,6 +30,7 @@
 from ringledge.observe.metrics import Metrics
 from ringledge.observe.stalls import stalls
 
+MOST_NAMED = 20  # servers that a line names
 LOOK_S = 1.0  # timers are looked at this often, though none falls due
 
 
@@ -47,7 +49,8 @@
         self.policy = Policy(settings, seed)
         self.clock = clock
         self.registry = RequestRegistry()
-        self.context = Context(settings, clock, self.registry, servers, metrics, port, self._tell)
+        invariants = Invariants(settings, clock, servers, metrics)
+        self.context = Context(settings, clock, self.registry, servers, metrics, port, self._tell, invariants)
         self._events: deque[i.Event] = deque()
         self._busy = False
         self._silent = frozenset[str]()  # as the policy was told
@@ -71,7 +74,9 @@
 
     def members(self, members: i.Members, addresses: dict[str, str]) -> None:
         """News of the list; it goes before all else that waits, so that a drain is never overtaken."""
-        self.context.servers.apply(members, addresses)
+        changed = self.context.servers.apply(members, addresses)
+        if changed:
+            log.info("servers_changed", version=members.version, **_some(changed))
         self.context.port.listed()
         self._events.appendleft(members)
         self._work()
@@ -85,12 +90,17 @@
         """Which servers that do both get nothing new of one role."""
         self._tell(roles)
 
+    def sending(self, attempt: Attempt, told_ms: float) -> None:
+        """An attempt is being written; `told_ms`: the time that its server is told."""
+        self.context.invariants.sent(attempt, told_ms)
+
     def may_begin(self, attempt: Attempt) -> bool:
         """Whether an attempt may begin; asked in the very turn in which its first byte is written."""
         why = begin.refusal(self.context, self.policy, attempt)
         if why is None:
             return True
         self.context.metrics.not_begun.labels(why.value).inc()
+        log.info("attempt_not_begun", request=attempt.record.name, server=attempt.server, why=why.value)
         if why is begin.Refusal.CLIENT_LEFT:  # the loop may not have come round to it
             self.client_gone(attempt.record)
         return False
@@ -131,7 +141,8 @@
     # Time.
 
     async def run_timers(self) -> None:
-        """Ring each timer when it falls due."""
+        """Ring each timer when it falls due, and look over the open requests now and then."""
+        looked_s = -math.inf
         while True:
             self._looked_s, now_ms = time.monotonic(), self.clock.now_ms()
             while self._timers and self._timers[0][0] <= now_ms:
@@ -139,6 +150,9 @@
                 self.context.metrics.lag.set((now_ms - due_ms) / 1000)
                 self._late_ms = max(self._late_ms, now_ms - due_ms)
                 self._tell(i.Timer(token))
+            if self._looked_s - looked_s >= LOOK_S:
+                looked_s = self._looked_s
+                self.context.invariants.look(self.registry.records.values())
             self._wake = anyio.Event()
             wait_s = (self._timers[0][0] - self.clock.now_ms()) / 1000 if self._timers else LOOK_S
             with anyio.move_on_after(min(LOOK_S, max(0.0, wait_s))):
@@ -210,3 +224,8 @@
                 pass  # discovery is watched from the start, whether or not it is asked for
             case i.Log(text):
                 log.info("policy", text=text)
+
+
+def _some(changed: dict[str, str]) -> dict[str, object]:
+    """Some of the servers whose state has changed, and how many there are."""
+    return {"count": len(changed), "changed": dict(islice(changed.items(), MOST_NAMED))}
--- a/ringledge/core/context.py
+++ b/ringledge/core/context.py
@@ -7,6 +7,7 @@
 
 from crowstand import interface as i
 from ringledge.core.clock import Clock
+from ringledge.core.invariants import Invariants
 from ringledge.core.observer import Observer
 from ringledge.core.registry import RequestRegistry
 from ringledge.core.server_port import Servers
@@ -25,4 +26,5 @@
     metrics: Metrics
     port: Servers
     tell: Callable[[i.Event], None]  # gives an event to the policy
+    invariants: Invariants
     observer: Observer | None = None  # told of what passes, where a part wants to know
--- /dev/null
+++ b/ringledge/core/invariants.py
@@ -0,0 +1,111 @@
+"""What has to hold whatever the guards and the decisions do: checked beside each act, and counted.
+
+A guard (`begin.refusal`, `repeats.may_refuse`) keeps an act from happening. These checks see the act that
+does happen. They go by the request's record and the list alone, never by the decisions that chose the act, so
+a fault in one does not hide in the other. Each count has to stay 0; one that does not is an alert.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import StrEnum
+
+from crowstand import interface as i
+from ringledge.core import repeats
+from ringledge.core.clock import Clock
+from ringledge.core.records import Attempt, Record
+from ringledge.memory.servers import ServerList
+from ringledge.observe.logging import log
+from ringledge.observe.metrics import Metrics
+
+OVERDUE_MS = 500.0  # behind its time a final answer earns nothing; later it counts as never given
+HELD_SLACK_MS = (
+    350.0  # that a KV cache entry may be held beyond the setting: 50 ms of sockets, 300 of the fleet
+)
+TOLD_SLACK_MS = 150.0  # that a server may be told beyond what its client has left
+
+
+class Invariant(StrEnum):
+    """What was found not to hold."""
+
+    ANSWER_OVERDUE = "answer_overdue"  # a request is still owed its final answer
+    CLOSED_UNANSWERED = "closed_unanswered"  # a connection was closed under a request that was read
+    REFUSED_AFTER_RUN = "refused_after_run"  # a retry was called harmless, and is not
+    REPEATED_RUN = "repeated_run"  # an attempt was sent behind one that may have run
+    SECOND_COPY = "second_copy"  # an attempt was sent beside another one
+    TOO_MANY_ATTEMPTS = "too_many_attempts"
+    SENT_AFTER_END = "sent_after_end"  # an attempt was sent for a request that is over
+    SENT_TO_CLOSED = "sent_to_closed"  # an attempt was sent to a server that drains or is not listed
+    TOLD_TOO_MUCH = "told_too_much"  # a server was told more time than its client has left
+    HELD_TOO_LONG = "held_too_long"  # a KV cache entry is held, and no attempt of its request has arrived
+    HANDLING_FAILED = "handling_failed"  # an exception in the decisions or in carrying them out
+
+
+class Invariants:
+    """The checks of one conductor; what they find is logged, and counted by invariant."""
+
+    def __init__(self, settings: i.Settings, clock: Clock, servers: ServerList, metrics: Metrics) -> None:
+        self._settings, self._clock, self._servers, self._metrics = settings, clock, servers, metrics
+        self._held_ms = settings.release_within_ms + HELD_SLACK_MS if settings.release_within_ms else None
+        for invariant in Invariant:
+            metrics.violations.labels(invariant.value)  # a figure of 0 from the start on
+
+    def violated(self, invariant: Invariant, request: str = "", **facts: object) -> None:
+        """Count one violation, and tell what is known of it."""
+        self._metrics.violations.labels(invariant.value).inc()
+        log.error("invariant_violated", invariant=invariant.value, request=request, **facts)
+
+    def sent(self, attempt: Attempt, told_ms: float) -> None:
+        """Check an attempt in the turn in which it is written; `told_ms`: the time told to its server."""
+        record, now_ms = attempt.record, self._clock.now_ms()
+        for invariant in self._found_at_send(attempt, told_ms, now_ms):
+            self.violated(invariant, record.name, server=attempt.server, attempt=attempt.number)
+
+    def _found_at_send(self, attempt: Attempt, told_ms: float, now_ms: float) -> Iterable[Invariant]:
+        record, settings = attempt.record, self._settings
+        request_class = settings.classes[record.request.class_index]
+        others = [each for each in record.attempts if each is not attempt]
+        if record.over or not attempt.out:
+            yield Invariant.SENT_AFTER_END
+        copies = settings.second_copies and request_class.effect is i.Effect.SAFE
+        if not copies and any(each.out and each.written for each in others):
+            yield Invariant.SECOND_COPY
+        if attempt.number >= settings.max_attempts:
+            yield Invariant.TOO_MANY_ATTEMPTS
+        if not attempt.reads and not repeats.may_repeat(request_class, others, now_ms):
+            yield Invariant.REPEATED_RUN
+        entry = self._servers.entries.get(attempt.server)
+        if entry is None or entry.availability is not i.Availability.UP:
+            yield Invariant.SENT_TO_CLOSED
+        if told_ms > record.deadline_ms - now_ms + TOLD_SLACK_MS:
+            yield Invariant.TOLD_TOO_MUCH
+
+    def refused(self, record: Record) -> None:
+        """Check a refusal, however it is worded, as it is given."""
+        if not repeats.may_refuse(self._settings.classes[record.request.class_index], record):
+            self.violated(Invariant.REFUSED_AFTER_RUN, record.name, attempts=record.history())
+
+    def look(self, records: Iterable[Record]) -> None:
+        """Look over the open requests, now and then: what should have happened by now, and did not."""
+        now_ms = self._clock.now_ms()
+        for record in records:
+            if not (record.over or record.began) and now_ms > record.deadline_ms + OVERDUE_MS:
+                self._once(record, Invariant.ANSWER_OVERDUE)
+            if (
+                self._held_ms is not None
+                and record.holders
+                and self._held_for_ms(record, now_ms) > self._held_ms
+            ):
+                self._once(record, Invariant.HELD_TOO_LONG)
+
+    @staticmethod
+    def _held_for_ms(record: Record, now_ms: float) -> float:
+        """For how long no attempt of the request that has arrived was out."""
+        arrived = any(attempt.out and attempt.arrived for attempt in record.attempts)
+        return 0.0 if arrived else now_ms - record.free_ms
+
+    def _once(self, record: Record, invariant: Invariant) -> None:
+        """Count a violation that lasts once for its request."""
+        if invariant.value not in record.violations:
+            record.violations.add(invariant.value)
+            self.violated(invariant, record.name, attempts=record.history())
--- a/ringledge/core/records.py
+++ b/ringledge/core/records.py
@@ -57,6 +57,21 @@
     how: str = ""  # what the final answer was
     began: bool = False
     first_ms: float | None = None  # from its arrival to the first token
+    why: str = ""  # the reason of the final answer, where there is one to tell
+    violations: set[str] = field(default_factory=set)  # lasting ones that were counted
+
+    def history(self) -> list[list[object]]:
+        """Each attempt's server, outcome and time in ms, and whether it was written and has arrived."""
+        return [
+            [
+                each.server,
+                each.outcome and each.outcome.value,
+                round(each.took_ms, 1),
+                each.written,
+                each.arrived,
+            ]
+            for each in self.attempts
+        ]
 
     @property
     def name(self) -> str:
--- a/ringledge/core/stages/accept.py
+++ b/ringledge/core/stages/accept.py
@@ -7,6 +7,7 @@
 from ringledge.core.port import Caller, Payload
 from ringledge.core.records import Record
 from ringledge.core.stages import record_outcome
+from ringledge.observe.logging import log
 
 
 class DuplicateError(Exception):
@@ -30,6 +31,7 @@
     if record.over:
         return
     record_outcome.end_request(context, record, "gone")
+    log.debug("client_gone", request=record.name, attempts=record.history())
     context.tell(i.ClientGone(record.name))
     # An attempt that has begun is not for the policy to cancel: its stream ends with its taker. One that has
     # not been written whole never runs, so it is dropped also where the settings permit no cancelling.
--- a/ringledge/core/stages/admit.py
+++ b/ringledge/core/stages/admit.py
@@ -15,23 +15,26 @@
 
 def refuse(context: Context, action: i.Refuse) -> None:
     """Answer at once that a repeat does no harm."""
-    record = _close(context, action.request, "refused")
+    record = _close(context, action.request, "refused", action.why)
     if record is not None:
+        context.invariants.refused(record)
         record.caller.refuse(action.retry_after_ms)
 
 
 def fail(context: Context, action: i.Fail) -> None:
     """Answer at once that the request failed."""
-    record = _close(context, action.request, "failed")
+    record = _close(context, action.request, "failed", action.why)
     if record is not None:
         record.caller.fail()
 
 
-def _close(context: Context, name: str, how: str) -> Record | None:
+def _close(context: Context, name: str, how: str, why: i.GiveUpReason) -> Record | None:
     """Mark the request over; None where it is over already, for then its one answer is given."""
     record = context.registry.records.get(name)
     if record is None or record.over or record.began:
         return None
+    record.why = why.value
+    context.metrics.given_up.labels(how, why.value).inc()
     record_outcome.end_request(context, record, how)
     record_outcome.remove_if_done(context, record)
     return record
--- a/ringledge/core/stages/record_outcome.py
+++ b/ringledge/core/stages/record_outcome.py
@@ -76,8 +76,6 @@
             how=record.how,
             ms=round(context.clock.now_ms() - record.arrived_ms, 1),
             first_ms=record.first_ms and round(record.first_ms, 1),
-            attempts=[
-                [each.server, each.outcome.value if each.outcome else None, round(each.took_ms, 1)]
-                for each in record.attempts
-            ],
+            why=record.why,
+            attempts=record.history(),
         )
--- a/ringledge/memory/servers.py
+++ b/ringledge/memory/servers.py
@@ -20,8 +20,12 @@
         self._asked: dict[str, bool] = {}
         self.changed = anyio.Event()  # replaced with each change
 
-    def apply(self, members: i.Members, addresses: dict[str, str]) -> None:
-        """Take news of the list in; a whole list replaces what was kept."""
+    def apply(self, members: i.Members, addresses: dict[str, str]) -> dict[str, str]:
+        """Take news of the list in; a whole list replaces what was kept.
+
+        Returns the servers whose state has changed, each with its new one.
+        """
+        before = {name: entry.availability for name, entry in self.entries.items()}
         self.version = members.version
         if members.form != i.ListForm.CHANGES:
             self.entries.clear()
@@ -37,6 +41,9 @@
         self._asked = {name: entry.availability == up for name, entry in self.entries.items()}
         self.changed.set()
         self.changed = anyio.Event()
+        now = {name: entry.availability for name, entry in self.entries.items()}
+        changed = {name: state.value for name, state in now.items() if before.get(name) is not state}
+        return changed | {name: i.Availability.GONE.value for name in before.keys() - now.keys()}
 
     def address(self, server: str) -> str | None:
         """Where the server listens, or None once it is gone."""
--- a/ringledge/observe/metrics.py
+++ b/ringledge/observe/metrics.py
@@ -23,6 +23,12 @@
         )
         self.sends = self._counter("sends", "Attempts written whole to servers")
         self.not_begun = self._counter("attempts_not_begun", "Attempts that were not begun, by reason", "why")
+        self.given_up = self._counter(
+            "given_up", "Requests refused or failed by the decisions, by reason", "how", "why"
+        )
+        self.violations = self._counter(
+            "invariant_violations", "What must never happen and did, by invariant; has to stay 0", "invariant"
+        )
         self.outcomes = self._counter("attempt_outcomes", "Attempts ended, by outcome", "status")
         self.releases = self._counter(
             "releases", "Releases of held state: asked (calls), done, gone, lost", "how"
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -72,6 +72,15 @@
         if not self.conductor.may_begin(attempt):
             return End(i.Status.NOT_SENT)  # a send counts from its first byte, and none is out
         left_ms = int(attempt.ends_ms - self.clock.now_ms())
+        self.conductor.sending(attempt, left_ms)
+        log.debug(
+            "attempt_sent",
+            request=record.name,
+            attempt=attempt.number,
+            server=attempt.server,
+            kept=conn.kept,
+            told_ms=left_ms,
+        )
         payload = record.payload
         request = h11.Request(
             method=b"POST",
--- a/ringledge/wire/open_connections.py
+++ b/ringledge/wire/open_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from itertools import islice
 from typing import TYPE_CHECKING
 
@@ -9,7 +10,9 @@
 import anyio.lowlevel
 import h11
 
+from ringledge.core.invariants import Invariant
 from ringledge.decide.room import Guest, gives_way
+from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.closing import Lingering
 from ringledge.wire.connection import Connection
@@ -24,6 +27,16 @@
 LOOK_S = 0.2  # how often idle connections are looked for
 
 
+class CloseReason(StrEnum):
+    """Why a client's connection was closed here."""
+
+    IDLE = "idle"  # it rested for its time
+    ROOM = "room"  # its descriptor was wanted
+    DRAIN = "drain"  # the process ends
+    REJECTED = "rejected"  # what it brought was turned away
+    ENDED = "ended"  # with its last answer, by its client's end, or because it broke
+
+
 class OpenConnections:
     """All connections of one front."""
 
@@ -32,7 +45,8 @@
         self.name, self.limit, self._doors = name, limit, doors
         self.parked: Parking = Parking(wake, self._rest_ended)
         self.lingering = Lingering()  # they are being closed
-        self._closed = {how: metrics.closed.labels(name, how) for how in ("idle", "other")}
+        self._closed = {why: metrics.closed.labels(name, why.value) for why in CloseReason}
+        self._violations = metrics.violations.labels(Invariant.CLOSED_UNANSWERED.value)
         self._gauge = metrics.client_sockets.labels(name)
         self.active: set[Connection] = set()
         self.resting: dict[Connection, float] = {}  # between requests and since when, longest first
@@ -81,7 +95,7 @@
         if place < len(parked):
             self.parked.end(parked[place])
         else:
-            self.close(live[place - len(parked)])
+            self.close(live[place - len(parked)], CloseReason.ROOM)
         return True
 
     def park(self, conn: Connection, crowded: bool) -> None:
@@ -109,14 +123,14 @@
         self.limit = limit
         self.parked.close(max(0, self.open - limit))
         for conn in [conn for conn in self.resting if quiet(conn)][: max(0, self.open - limit)]:
-            self.close(conn)
+            self.close(conn, CloseReason.ROOM)
         self.counted()
 
     def close_resting(self) -> None:
         """Close connections between requests, of those at rest so many at a time."""
         for conn in list(self.resting):
             if quiet(conn):
-                self.close_in_order(conn)
+                self.close_in_order(conn, CloseReason.DRAIN)
         self.parked.close(DRAIN_AT_ONCE, now=False)
         self.counted()
 
@@ -141,18 +155,29 @@
         self.resting.pop(conn, None)
         self.reading.pop(conn, None)
 
-    def close_in_order(self, conn: Connection) -> None:
+    def close_in_order(self, conn: Connection, why: CloseReason) -> None:
         """Close one whose answer may still be on its way, so that what its client sends takes none of it."""
+        self._check_answered(conn, why)
         if not (conn.closed or conn.ended):
             self.lingering.begin(conn.let_go())
-        self.close(conn)
+        self.close(conn, why)
 
-    def close(self, conn: Connection) -> None:
+    def _check_answered(self, conn: Connection, why: CloseReason) -> None:
+        """Count a close under a request that was read whole, while its client is still there."""
+        if owed(conn) and not conn.peer_gone():
+            self._violations.inc()
+            log.error(
+                "invariant_violated", invariant=Invariant.CLOSED_UNANSWERED.value, request="", why=why.value
+            )
+
+    def close(self, conn: Connection, why: CloseReason) -> None:
         """Close one now."""
+        self._check_answered(conn, why)
         conn.close()
         self._forget(conn)
         self.left(conn.entry, conn.asked)
-        self._closed["other"].inc()
+        self._closed[why].inc()
+        log.debug("connection_closed", front=self.name, why=why.value, asked=conn.asked)
         self.counted()
 
     def _rest_ended(self, parked: Parked, now: bool) -> None:
@@ -162,7 +187,7 @@
         else:
             self.lingering.begin(parked.sock)
         self.left(parked.entry, parked.asked)
-        self._closed["idle"].inc()
+        self._closed[CloseReason.IDLE].inc()
 
     def left(self, entry: Entry | None, asked: bool) -> None:
         """A client's connection is gone: the doors count it off."""
@@ -170,6 +195,11 @@
             self._doors.gone(entry, asked)
 
 
+def owed(conn: Connection) -> bool:
+    """Whether a request was read whole and nothing of its answer is written."""
+    return conn.h11.their_state in (h11.DONE, h11.MUST_CLOSE) and conn.h11.our_state is h11.SEND_RESPONSE
+
+
 def quiet(conn: Connection) -> bool:
     """Whether no request may be waiting unread: that one would be owed an answer."""
     return conn.paused or not conn.readable()
--- a/ringledge/wire/request_loop.py
+++ b/ringledge/wire/request_loop.py
@@ -16,7 +16,7 @@
 from ringledge.wire.errors import FloodError, HttpError, ParkingError, ShedError
 from ringledge.wire.headers import header
 from ringledge.wire.messages import MAX_BODY, read_body, respond
-from ringledge.wire.open_connections import OpenConnections
+from ringledge.wire.open_connections import CloseReason, OpenConnections
 
 REQUEST_S = 2.5  # from a request's first byte, on a new connection from its opening, to its last byte
 DRAIN_S = 1.0  # for the rest of a body whose request was turned away
@@ -64,7 +64,7 @@
             log.fault("connection_crashed", error, front=self._connections.name)
         finally:
             if conn in self._connections.active:
-                self._connections.close_in_order(conn)
+                self._connections.close_in_order(conn, CloseReason.ENDED)
 
     async def _exchange(self, conn: Connection, crowded: bool) -> bool:
         """Read one request and have it answered; False once the connection is through."""
@@ -192,4 +192,4 @@
         headers = [*error.headers, (b"Connection", b"close")] if closing else error.headers
         await respond(conn, error.status, self._answering.error_body(error), headers)
         if closing:
-            self._connections.close_in_order(conn)
+            self._connections.close_in_order(conn, CloseReason.REJECTED)
--- /dev/null
+++ b/tests/core/test_invariants.py
@@ -0,0 +1,163 @@
+"""Each invariant is found where it is broken, counted once, and not found where all is well."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from crowstand import interface as i
+from ringledge.core.invariants import HELD_SLACK_MS, OVERDUE_MS, TOLD_SLACK_MS, Invariant, Invariants
+from ringledge.core.port import Payload
+from ringledge.core.records import Attempt, Record
+from ringledge.memory.servers import ServerList
+from ringledge.observe.metrics import Metrics
+
+SAFE = i.RequestClass(1200, 5000, i.Effect.SAFE)
+UNSAFE = replace(SAFE, effect=i.Effect.UNSAFE)
+KEYED = replace(SAFE, effect=i.Effect.KEYED, dedup_window_ms=300.0, dedup_scope=i.DedupScope.ZONE)
+KEYED_ALL = replace(KEYED, dedup_scope=i.DedupScope.ALL)
+HELD_MS = 500.0
+
+
+class Rig:
+    """The checks of a conductor with one server, and a request of one class with two attempts."""
+
+    def __init__(self, request_class: i.RequestClass = UNSAFE) -> None:
+        self.now_ms, self.metrics = 1000.0, Metrics()
+        kinds = (i.ServerKind(i.Role.DECODE),)
+        self.servers = ServerList(kinds)
+        self.list_says(i.Availability.UP)
+        settings = i.Settings((request_class,), kinds, max_attempts=3, release_within_ms=HELD_MS)
+        clock: Any = SimpleNamespace(now_ms=lambda: self.now_ms)
+        self.checks = Invariants(settings, clock, self.servers, self.metrics)
+        caller: Any = SimpleNamespace()
+        self.record = Record(i.Request("a", expires_in_ms=5000), Payload(b"/", b""), caller, self.now_ms)
+        self.first, self.second = self.attempt(), self.attempt()
+        self.first.outcome = i.Status.CONNECT_FAILED
+
+    def list_says(self, availability: i.Availability) -> None:
+        entry = i.ServerEntry("w0", 0, 0, 0, availability)
+        self.servers.apply(i.Members(i.ListForm.FULL, 1, (entry,)), {"w0": "127.0.0.1:9"})
+
+    def attempt(self) -> Attempt:
+        attempt = Attempt(self.record, len(self.record.attempts), "w0", False, True, self.now_ms, 6000.0)
+        self.record.attempts.append(attempt)
+        return attempt
+
+    def ran(self, status: i.Status | None = i.Status.RESET) -> None:
+        """The first attempt was written, and ended so."""
+        self.first.written, self.first.outcome = True, status
+
+    def send(self, told_ms: float = 100.0) -> set[str]:
+        self.checks.sent(self.second, told_ms)
+        return self.found()
+
+    def found(self) -> set[str]:
+        return {name for (name,), count in Metrics.read(self.metrics.violations).items() if count}
+
+
+def ended(rig: Rig) -> None:
+    rig.record.over = True
+
+
+def beside(rig: Rig) -> None:
+    rig.ran(None)
+
+
+def behind(rig: Rig) -> None:
+    rig.ran()
+
+
+def drained(rig: Rig) -> None:
+    rig.list_says(i.Availability.DRAINING)
+
+
+def gone(rig: Rig) -> None:
+    rig.list_says(i.Availability.GONE)
+
+
+def many(rig: Rig) -> None:
+    rig.second.number = 3
+
+
+@pytest.mark.parametrize(
+    ("spoil", "found"),
+    [
+        (ended, {Invariant.SENT_AFTER_END}),
+        (beside, {Invariant.SECOND_COPY, Invariant.REPEATED_RUN}),
+        (behind, {Invariant.REPEATED_RUN}),
+        (drained, {Invariant.SENT_TO_CLOSED}),
+        (gone, {Invariant.SENT_TO_CLOSED}),
+        (many, {Invariant.TOO_MANY_ATTEMPTS}),
+    ],
+)
+def test_a_send_that_may_not_be_is_found(spoil: Callable[[Rig], None], found: set[Invariant]) -> None:
+    rig = Rig()
+    spoil(rig)
+    assert rig.send() == found
+
+
+def test_a_send_that_may_be_is_not_found() -> None:
+    assert not Rig().send()
+
+
+def test_a_server_that_is_told_more_than_is_left_is_found() -> None:
+    assert not Rig().send(5000.0 + TOLD_SLACK_MS)
+    assert Rig().send(5001.0 + TOLD_SLACK_MS) == {Invariant.TOLD_TOO_MUCH}
+
+
+def test_what_is_dropped_as_a_repeat_may_be_sent_within_its_window_alone() -> None:
+    rig = Rig(KEYED)
+    rig.ran()
+    rig.now_ms += 299.0
+    assert not rig.send()
+    rig.now_ms += 1.0
+    assert rig.send() == {Invariant.REPEATED_RUN}
+
+
+@pytest.mark.parametrize(
+    ("request_class", "ran", "found"),
+    [
+        (UNSAFE, True, {Invariant.REFUSED_AFTER_RUN}),
+        (KEYED, True, {Invariant.REFUSED_AFTER_RUN}),
+        (KEYED_ALL, True, set()),
+        (SAFE, True, set()),
+        (UNSAFE, False, set()),
+    ],
+)
+def test_a_refusal_behind_what_may_have_run_is_found(
+    request_class: i.RequestClass, ran: bool, found: set[Invariant]
+) -> None:
+    rig = Rig(request_class)
+    if ran:
+        rig.ran()
+    rig.checks.refused(rig.record)
+    assert rig.found() == found
+
+
+def test_an_answer_that_is_overdue_is_counted_once() -> None:
+    rig = Rig()
+    rig.now_ms = rig.record.deadline_ms + OVERDUE_MS
+    rig.checks.look([rig.record])
+    assert not rig.found()
+    rig.now_ms += 1.0
+    for _ in range(3):
+        rig.checks.look([rig.record])
+    assert Metrics.read(rig.metrics.violations)[Invariant.ANSWER_OVERDUE.value,] == 1
+
+
+@pytest.mark.parametrize(("arrived", "found"), [(False, {Invariant.HELD_TOO_LONG}), (True, set())])
+def test_what_is_held_while_nothing_has_arrived_is_found(arrived: bool, found: set[Invariant]) -> None:
+    rig = Rig()
+    rig.record.holders, rig.record.free_ms = {"r0"}, rig.now_ms
+    rig.second.arrived = arrived
+    rig.now_ms += HELD_MS + HELD_SLACK_MS
+    rig.checks.look([rig.record])
+    assert not rig.found()
+    rig.now_ms += 1.0
+    rig.checks.look([rig.record])
+    assert rig.found() == found
--- a/tests/wire/test_abandoned.py
+++ b/tests/wire/test_abandoned.py
@@ -17,6 +17,7 @@
 from crowstand.policy import Policy
 from ringledge.core.clock import Clock
 from ringledge.core.conductor import Conductor
+from ringledge.core.invariants import Invariants
 from ringledge.core.port import Payload
 from ringledge.core.records import Attempt, Record
 from ringledge.lifecycle.config import Names
@@ -42,12 +43,16 @@
         entry = i.ServerEntry(SERVER, 0, 0, 0, i.Availability.UP)
         servers.apply(i.Members(i.ListForm.FULL, 1, (entry,)), {SERVER: ADDRESS})
         self.upstream = Upstream(tasks, servers, NAMES, 8, 500.0, 0, clock, metrics)
+        self.settings = i.Settings((i.RequestClass(1200, 5000, i.Effect.SAFE),), (WRITES,), max_attempts=2)
         self.outcomes = list[i.Status]()
         self.ended = anyio.Event()
         self.upstream.conductor = SimpleNamespace(  # type: ignore[assignment]
-            clock=clock, outcome=self._outcome, may_begin=self._may_begin
+            clock=clock,
+            outcome=self._outcome,
+            may_begin=self._may_begin,
+            sending=Invariants(self.settings, clock, servers, metrics).sent,
         )
-        self.policy = Policy(i.Settings((i.RequestClass(1200, 5000, i.Effect.SAFE),), (WRITES,)), 1)
+        self.policy = Policy(self.settings, 1)
         self.policy.handle(clock.now_ms(), i.Members(i.ListForm.PERSISTED, 1, (entry,)))
         self.clock = clock
         self.caller: Any = SimpleNamespace(gone=lambda: False)
