Add the fault soak: 12 to 25 processes, a fault proxy, clock, socket and disk shims, an oracle

Each seed draws a fleet, clients (some bad), and 2 to 4 troubles that meet within 0.9 s at the same conductor or server: SIGKILL, SIGTERM, early SIGTERM, SIGHUP with half a file, upgrade, hung, killed and drained servers, silent, forgotten, reset and chopped connections, discovery mute, slow, reset or malformed, failing system calls, short reads and writes, a failing disk, wall clock steps, operators' calls. The oracle goes by what clients, path, servers and discovery saw.

--- /dev/null
+++ b/benchmarks/soak/__main__.py
@@ -0,0 +1,73 @@
+"""Play many seeds: python -m benchmarks.soak --help."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import sys
+import tempfile
+from dataclasses import asdict
+from pathlib import Path
+
+import click
+import orjson
+
+from benchmarks.soak.day import Day, Verdict
+from benchmarks.soak.plan import draw
+
+
+@click.command()
+@click.option("--seed", default=1, help="The first seed.")
+@click.option("--count", default=1, help="How many seeds, one behind the other.")
+@click.option("--parallel", default=1, help="How many days are played at a time.")
+@click.option(
+    "--keep", type=click.Path(path_type=Path), help="Keep the events and logs of days that broke a rule."
+)
+@click.option("--json", "report", type=click.Path(path_type=Path), help="Write all verdicts there.")
+def main(seed: int, count: int, parallel: int, keep: Path | None, report: Path | None) -> None:
+    """Play seeds with real processes on loopback; exits 1 where a promise was broken."""
+    verdicts = asyncio.run(_play(range(seed, seed + count), parallel, keep))
+    broken = [verdict for verdict in verdicts if verdict.violations]
+    click.echo(
+        f"{len(verdicts)} days, {sum(each.requests for each in verdicts)} requests, {len(broken)} days broken"
+    )
+    if report is not None:
+        report.write_bytes(
+            orjson.dumps([asdict(verdict) for verdict in verdicts], option=orjson.OPT_INDENT_2)
+        )
+    sys.exit(bool(broken))
+
+
+async def _play(seeds: range, parallel: int, keep: Path | None) -> list[Verdict]:
+    places = asyncio.Semaphore(parallel)
+
+    async def one(seed: int) -> Verdict:
+        async with places:
+            with tempfile.TemporaryDirectory() as folder:
+                verdict = await Day(draw(seed), Path(folder)).play()
+                if keep is not None and verdict.violations:
+                    shutil.copytree(folder, keep / str(seed), dirs_exist_ok=True, ignore=_sockets)
+            _tell(verdict)
+            return verdict
+
+    return list(await asyncio.gather(*(one(seed) for seed in seeds)))
+
+
+def _sockets(folder: str, names: list[str]) -> list[str]:
+    return [name for name in names if not (Path(folder, name).is_file() or Path(folder, name).is_dir())]
+
+
+def _tell(verdict: Verdict) -> None:
+    click.echo(
+        f"seed {verdict.seed}: {verdict.requests} requests {verdict.statuses}, "
+        f"late streams {verdict.late_streams}"
+    )
+    for violation in verdict.violations[:12]:
+        click.echo(f"  {violation.rule} {violation.id}: {violation.note}")
+    if verdict.violations:
+        for trouble in verdict.troubles:
+            click.echo(f"    {trouble}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/soak/agent.py
@@ -0,0 +1,126 @@
+"""Discovery's agents of a soak, one for each conductor, in the driver's own process."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import suppress
+from typing import Any
+
+import orjson
+
+from benchmarks.soak.events import EventLog
+
+EMPTY_LINE_S = 2.0
+SLOW_S = 1.3
+
+
+class Directory:
+    """The list, and every change that it has seen."""
+
+    def __init__(self, entries: list[dict[str, Any]]) -> None:
+        self.entries = {entry["name"]: entry for entry in entries}
+        self.index = 10
+        self.changes: list[tuple[int, dict[str, Any]]] = []
+
+    def change(self, name: str, **fields: Any) -> None:
+        """Change one entry."""
+        self.index += 1
+        self.entries[name] = self.entries[name] | fields
+        self.changes.append((self.index, self.entries[name]))
+
+    def whole(self) -> dict[str, Any]:
+        """The whole list."""
+        return {"index": self.index, "snapshot": True, "endpoints": list(self.entries.values())}
+
+    def since(self, index: int) -> dict[str, Any]:
+        """What has changed since, the newest state of each."""
+        changed = {entry["name"]: entry for at, entry in self.changes if at > index}
+        return {"index": self.index, "snapshot": False, "endpoints": list(changed.values())}
+
+
+class Agent:
+    """One conductor's agent, at two addresses between which a configuration may move it."""
+
+    def __init__(self, conductor: str, host: str, directory: Directory, log: EventLog) -> None:
+        self._host, self.conductor, self.directory, self._log = host, conductor, directory, log
+        self.mute_until = self.slow_until = self.garbage_until = 0.0
+        self._tasks = set[asyncio.Task[Any]]()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.news = asyncio.Event()
+        self.ports: list[int] = []
+        self.asked = [0.0, 0.0]  # when each address was asked last
+
+    async def serve(self) -> None:
+        """Listen at both addresses."""
+        for _ in range(2):
+            server = await asyncio.start_server(self._connection, self._host, 0)
+            self.ports.append(server.sockets[0].getsockname()[1])
+
+    def tell(self) -> None:
+        """Have open watches told what has changed."""
+        self.news.set()
+        self.news = asyncio.Event()
+
+    def reset(self) -> None:
+        """Reset every watch."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        if (task := asyncio.current_task()) is not None:
+            self._tasks.add(task)  # the loop itself holds tasks weakly
+        try:
+            with suppress(OSError, asyncio.IncompleteReadError, ValueError):
+                port = writer.get_extra_info("sockname")[1]
+                self.asked[self.ports.index(port)] = time.monotonic()
+                head = await reader.readuntil(b"\r\n\r\n")
+                await self._answer(head.split(b" ")[1].decode(), writer)
+        except asyncio.CancelledError:
+            return  # the play is over
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, target: str, writer: asyncio.StreamWriter) -> None:
+        await self._unless_mute()
+        if time.monotonic() < self.slow_until:
+            await asyncio.sleep(SLOW_S)
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        if "watch=1" not in target:
+            self._line(writer, self.directory.whole())
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        else:
+            await self._watch(int(target.rpartition("after=")[2]), writer)
+
+    async def _watch(self, index: int, writer: asyncio.StreamWriter) -> None:
+        first = True
+        while True:
+            if first and index < 10:
+                self._line(writer, self.directory.whole())
+            elif first or self.directory.index > index:
+                self._line(writer, self.directory.since(index))
+            else:
+                writer.write(b"1\r\n\n\r\n")
+            first, index = False, self.directory.index
+            await writer.drain()
+            news = self.news
+            with suppress(TimeoutError):
+                await asyncio.wait_for(news.wait(), EMPTY_LINE_S)
+            if time.monotonic() < self.mute_until:
+                await asyncio.Event().wait()  # this watch stays silent for good
+
+    async def _unless_mute(self) -> None:
+        if time.monotonic() < self.mute_until:
+            await asyncio.Event().wait()  # accepted in vain
+
+    def _line(self, writer: asyncio.StreamWriter, told: dict[str, Any]) -> None:
+        text = orjson.dumps(told) + b"\n"
+        if time.monotonic() < self.garbage_until:
+            text = text[: len(text) // 2] + b"\n"
+        else:
+            states = {each["name"]: each["status"] for each in told["endpoints"]}
+            self._log.write("told", conductor=self.conductor, index=told["index"], states=states)
+        writer.write(b"%x\r\n%s\r\n" % (len(text), text))
--- /dev/null
+++ b/benchmarks/soak/events.py
@@ -0,0 +1,39 @@
+"""What the processes of a soak saw, as JSON lines; times are the monotonic clock, which all share."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+Event = dict[str, Any]
+
+
+class EventLog:
+    """A file of events, written at once: a process may be killed at any moment."""
+
+    def __init__(self, path: Path, source: str) -> None:
+        self._file, self._source = path.open("ab", buffering=0), source
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Add one event with the present time `t`, in s."""
+        line = {"t": time.monotonic(), "source": self._source, "event": event, **fields}
+        self._file.write(orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE))
+
+
+def read(paths: Iterable[Path]) -> list[Event]:
+    """All events of these files, in order of time; a line that a kill cut off is left out."""
+    return sorted((event for path in paths for event in _lines(path)), key=lambda event: float(event["t"]))
+
+
+def _lines(path: Path) -> Iterator[Event]:
+    for line in path.read_bytes().splitlines():
+        try:
+            event = orjson.loads(line)
+        except orjson.JSONDecodeError:
+            continue
+        if isinstance(event, dict) and "t" in event:
+            yield event
--- /dev/null
+++ b/benchmarks/soak/fleet.py
@@ -0,0 +1,154 @@
+"""The processes of a soak: started, told, stopped, killed; each by its id, and none is left behind."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from benchmarks.soak.events import EventLog
+
+ROOT = Path(__file__).parent.parent.parent
+READY_S = 10.0
+GRACE_S = 3.7  # from SIGTERM to SIGKILL: the longest deadline, 3 s at most, and 0.7
+ITS_OWN = (
+    b'"invariant_violated"',
+    b'"connection_crashed"',
+    b'"attempt_crashed"',
+    b'"event_failed"',
+    b"Traceback",
+)
+
+
+def free_ports(host: str, count: int) -> list[int]:
+    """Ports at an address that nobody has just now."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind((host, 0))
+    ports = [int(sock.getsockname()[1]) for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class Conductor:
+    """One conductor: at any time one process of it, or two while one takes over."""
+
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        log: EventLog,
+        faults: Path,
+        config: dict[str, Any],
+        operator_ports: list[int],
+    ) -> None:
+        self.name, self.folder, self._log, self._faults = name, folder, log, faults
+        self._host = config["listen"].rpartition(":")[0]
+        self._operator_ports = operator_ports
+        self.config, self._starts, self.process = config, 0, subprocess.Popen[bytes](["true"])
+        self.process.wait()
+        self.old: list[subprocess.Popen[bytes]] = []
+        self.expected = False  # its end
+        self.lock = asyncio.Lock()  # one trouble of the process at a time
+
+    @property
+    def lines(self) -> Path:
+        """The log of the process that was started last."""
+        return self.folder / f"{self._starts}.log"
+
+    def configure(self) -> None:
+        """Write the configuration."""
+        (self.folder / "config.json").write_bytes(orjson.dumps(self.config))
+
+    def start(self) -> None:
+        """Start a process."""
+        self._starts += 1
+        self.expected = False
+        self.config["operator"] = f"{self._host}:{self._operator_ports.pop()}"
+        self.configure()
+        environ = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "RINGLEDGE_", "SOAK_"))}
+        environ |= {"RELAY_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder)}
+        environ |= {"RINGLEDGE_DEPLOY": str(self.folder), "RINGLEDGE_LOG_LEVEL": "debug"}
+        environ |= {"SOAK_FAULTS": str(self._faults), "SOAK_CONDUCTOR": self.name}
+        with self.lines.open("wb") as lines:
+            command = [sys.executable, "-m", "benchmarks.soak.child"]
+            self.process = subprocess.Popen(command, cwd=ROOT, env=environ, stderr=lines)
+        self._log.write("started", conductor=self.name, pid=self.process.pid)
+
+    async def ready(self) -> bool:
+        """Wait until it serves; a start that fails is a finding."""
+        began_s, process, lines = time.monotonic(), self.process, self.lines
+        while time.monotonic() < began_s + READY_S:
+            if b'"event":"ready"' in lines.read_bytes():
+                self._log.write("ready", conductor=self.name, after_s=time.monotonic() - began_s)
+                return True
+            if process.poll() is not None:
+                break
+            await asyncio.sleep(0.02)
+        if not self.expected:
+            after_s = time.monotonic() - began_s
+            self._log.write("not_ready", conductor=self.name, after_s=after_s, tail=tail(lines))
+        return False
+
+    def signal(self, number: int) -> None:
+        """Send the newest process a signal."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """SIGKILL."""
+        self.expected = True
+        self._log.write("killed", conductor=self.name)
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    async def stop(self) -> None:
+        """SIGTERM, and SIGKILL where the grace does not do."""
+        self.expected = True
+        await self.end(self.process)
+
+    async def end(self, process: subprocess.Popen[bytes]) -> None:
+        """The same for any process of it."""
+        self._log.write("sigterm", conductor=self.name, pid=process.pid)
+        if process.poll() is None:
+            process.terminate()
+        until_s = time.monotonic() + GRACE_S
+        while process.poll() is None and time.monotonic() < until_s:
+            await asyncio.sleep(0.01)
+        if process.poll() is None:
+            self._log.write("killed", conductor=self.name, pid=process.pid)
+            process.kill()
+        process.wait()
+
+    def check(self) -> None:
+        """Tell of an end that nobody asked for."""
+        code = self.process.poll()
+        if code is not None and not self.expected:
+            self.expected = True
+            self._log.write("crashed", conductor=self.name, code=code, tail=tail(self.lines))
+
+    def close(self) -> None:
+        """End what is left, and tell what the logs hold of the program's own findings."""
+        self._log.write("killed", conductor=self.name)
+        for process in (self.process, *self.old):
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        for path in self.folder.glob("*.log"):
+            for line in path.read_bytes().splitlines():
+                if any(mark in line for mark in ITS_OWN):
+                    self._log.write("found", conductor=self.name, line=line.decode(errors="replace")[:600])
+
+
+def tail(path: Path) -> str:
+    """The end of a log."""
+    return path.read_bytes()[-700:].decode(errors="replace")
--- /dev/null
+++ b/benchmarks/soak/history.py
@@ -0,0 +1,156 @@
+"""What a soak has seen, sorted by request."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import inf
+
+from benchmarks.soak.events import Event
+from benchmarks.soak.plan import Plan
+
+NOISE_S = 0.15  # that a busy machine may add between two witnesses
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt as the path and its server saw it."""
+
+    server: str
+    first_s: float  # its first byte at the path
+    sent_s: float
+    link: int
+    arrived_s: float = inf  # whole at its server
+    end_s: float = inf  # its answer was there, or a side had closed
+    told_ms: float = 0.0  # the time that its server was told
+    how: str = ""  # answered, closed (by the conductor), broke
+
+
+@dataclass(slots=True)
+class Request:
+    """One request as its client saw it, and what was done for it."""
+
+    id: str
+    kind: str = ""
+    budget_s: float = 0.0
+    begun_s: float = inf  # its first byte
+    posted_s: float = inf  # its last byte
+    fresh: bool = True
+    ahead: bool = False  # it was sent before the answer to another one
+    answer: Event | None = None
+    left_s: float = inf
+    floods: bool = False
+    half_s: float = inf
+    half_end: Event | None = None
+    attempts: list[Attempt] = field(default_factory=list)
+    server_events: list[Event] = field(default_factory=list)
+
+    @property
+    def conductor(self) -> str:
+        """Whom it was sent to."""
+        return self.id.partition("-")[0]
+
+    @property
+    def ran(self) -> list[Event]:
+        """Where and when it took effect."""
+        return [event for event in self.server_events if event["event"] == "ran"]
+
+
+@dataclass(slots=True)
+class History:
+    """All that a soak has seen, by request."""
+
+    plan: Plan
+    start_s: float
+    requests: dict[str, Request]
+    kills: dict[str, list[float]]  # SIGKILL, by conductor
+    terms: dict[str, list[float]]
+    events: list[Event]
+
+    def killed(self, conductor: str, from_s: float, until_s: float) -> bool:
+        """Whether a process of the conductor was killed then."""
+        return any(from_s - NOISE_S <= at_s <= until_s + NOISE_S for at_s in self.kills[conductor])
+
+    def excused(self, request: Request, until_s: float) -> bool:
+        """Whether its conductor was killed, or its connections were broken for it, until then."""
+        if self.killed(request.conductor, request.begun_s, until_s):
+            return True
+        return any(
+            each.target == request.conductor
+            and each.detail.get("call") == "recv"
+            and self.start_s + each.at_s <= until_s
+            and request.begun_s <= self.start_s + each.until_s
+            for each in self.plan.troubles
+        )
+
+    def deaf(self, conductor: str, from_s: float, until_s: float) -> bool:
+        """Whether the system let the conductor accept nothing for a while then."""
+        calls = ("accept", "descriptors")
+        return any(
+            each.target == conductor
+            and each.detail.get("call") in calls
+            and self.start_s + each.at_s <= until_s
+            and from_s <= self.start_s + each.until_s
+            for each in self.plan.troubles
+        )
+
+    def troubled(self, server: str, kinds: Iterable[str], from_s: float, until_s: float) -> bool:
+        """Whether such a trouble of a server, or of its whole zone, was on then."""
+        zone = {server, "zone"}
+        return any(
+            each.kind in kinds
+            and (each.target in zone or each.detail.get("zone"))
+            and self.start_s + each.at_s <= until_s
+            and from_s <= self.start_s + each.until_s
+            for each in self.plan.troubles
+        )
+
+
+def collect(plan: Plan, start_s: float, events: list[Event]) -> History:
+    """Sort the events by request."""
+    requests = defaultdict[str, Request](lambda: Request(""))
+    kills, terms = defaultdict[str, list[float]](list), defaultdict[str, list[float]](list)
+    for event in events:
+        kind = event["event"]
+        if kind in ("killed", "sigterm"):
+            (kills if kind == "killed" else terms)[event["conductor"]].append(event["t"])
+        elif "id" in event:
+            request = requests[event["id"]]
+            request.id = event["id"]
+            _add(request, event)
+    return History(plan, start_s, dict(requests), kills, terms, events)
+
+
+def _add(request: Request, event: Event) -> None:
+    match event["event"]:
+        case "request":
+            request.kind, request.budget_s = event["kind"], event["budget_ms"] / 1000
+        case "posted":
+            request.posted_s, request.fresh, request.ahead = event["t"], event["fresh"], event["ahead"]
+            request.begun_s = event["begun_s"]
+        case "answer":
+            request.answer = event
+        case "left":
+            request.left_s = event["t"]
+        case "floods":
+            request.floods = True
+        case "half":
+            request.half_s = event["t"]
+        case "half_ended":
+            request.half_end = event
+        case "sent":
+            request.attempts.append(Attempt(event["server"], event["first_s"], event["t"], event["link"]))
+        case "answered" | "closed" | "broke":
+            for attempt in request.attempts:
+                if attempt.link == event["link"] and not attempt.how:
+                    attempt.end_s, attempt.how = event["t"], event["event"]
+                    break
+        case "arrived":  # where the server hung, it had it before
+            request.server_events.append(event)
+            for attempt in request.attempts:
+                if attempt.server == event["source"] and attempt.arrived_s == inf:
+                    attempt.arrived_s, attempt.told_ms = event["t"], event["told_ms"]
+                    break
+        case _:
+            request.server_events.append(event)
--- /dev/null
+++ b/benchmarks/soak/instance.py
@@ -0,0 +1,106 @@
+"""A stand-in server of a soak: python -m benchmarks.soak.instance NAME KIND HOST PORT LOG SEED."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import orjson
+
+from benchmarks.soak.events import EventLog
+from ringledge.lab.http_peer import Peer, answer, chunk
+
+REJECTED = b"X-Rejected: 1\r\n"
+FULL_PART, LOST_PART, ERROR_PART = 0.02, 0.02, 0.01  # of the attempts that are turned away, and how
+UNSEEN_PART = 0.5  # of the prefills whose caller left that end well all the same
+
+
+class Server(Peer):
+    """One connection."""
+
+    log: EventLog
+    kind: str
+    rng: random.Random
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.name, self.reading = "", False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def handle(self, method: bytes, target: bytes) -> None:
+        """Answer as a server does."""
+        if target.startswith(b"/internal/reservations/"):
+            self.log.write("released", id=target.rpartition(b"/")[2].decode())
+            self.transport.write(answer(204))
+        elif b"x-call-id" in self.headers:
+            self._take(self.headers[b"x-call-id"].decode())
+        else:
+            self.transport.write(answer(404))
+
+    def _take(self, name: str) -> None:
+        """A request has arrived whole."""
+        self.name, chance = name, self.rng.random()
+        told_ms = int(self.headers.get(b"x-budget-ms", b"0"))
+        self.log.write("arrived", id=name, kind=self.kind, told_ms=told_ms)
+        if chance < FULL_PART:
+            self.transport.write(answer(503, b"", REJECTED))
+        elif self.kind == "prefill":
+            self.reading = True
+            self._later(self._prefilled)
+        elif chance < FULL_PART + LOST_PART:
+            self.log.write("state_gone", id=name)
+            self.transport.write(answer(410, b"", REJECTED))
+        else:
+            self.log.write("ran", id=name)
+            if chance < FULL_PART + LOST_PART + ERROR_PART:
+                self.transport.write(answer(500))
+            else:
+                self._later(self._event, 0, self.rng.choice((4, 8, 8, 60)))
+
+    def _later(self, call: Callable[..., None], *args: int) -> None:
+        """Do it once the work is done."""
+        self.timer = asyncio.get_running_loop().call_later(self.rng.uniform(0.01, 0.08), call, *args)
+
+    def _prefilled(self) -> None:
+        self.timer, self.reading = None, False
+        self.log.write("prefilled", id=self.name)
+        self.transport.write(answer(202, b'{"cached_tokens":0}'))
+
+    def _event(self, number: int, events: int) -> None:
+        text = orjson.dumps({"choices": [{"index": 0, "delta": {"content": repr(time.monotonic())}}]})
+        data = chunk(b"data: " + text + b"\n\n")
+        if not number:
+            head = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            data = b"HTTP/1.1 200 OK\r\n" + head + data
+            self.log.write("first", id=self.name)
+        self.timer = None
+        if number + 1 < events:
+            self.timer = asyncio.get_running_loop().call_later(0.03, self._event, number + 1, events)
+        else:
+            data += chunk(b'data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":8}}\n\n')
+            data += chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n"
+            self.log.write("done", id=self.name)
+        self.transport.write(data)
+
+    def connection_lost(self, _: Exception | None) -> None:
+        """Called by asyncio: work stops, but a prefill may end well all the same."""
+        if self.timer is not None:
+            self.timer.cancel()
+            if self.reading and self.rng.random() < UNSEEN_PART:
+                self.log.write("prefilled", id=self.name, unseen=True)
+
+
+async def serve(name: str, kind: str, address: tuple[str, int], log: Path, seed: int) -> None:
+    """Serve until killed."""
+    Server.log, Server.kind, Server.rng = EventLog(log, name), kind, random.Random(seed)
+    server = await asyncio.get_running_loop().create_server(Server, *address, reuse_address=True)
+    await server.serve_forever()
+
+
+if __name__ == "__main__":
+    name_, kind_, host_, port_, log_, seed_ = sys.argv[1:]
+    asyncio.run(serve(name_, kind_, (host_, int(port_)), Path(log_), int(seed_)))
