--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -58,7 +58,8 @@
         return
     if not answer["status"]:
         sent = bool(request.attempts)
-        if not request.floods and (request.fresh or sent):
+        crowded = history.deaf(request.conductor, request.begun_s, answer["t"]) and not sent
+        if not request.floods and not crowded and (request.fresh or sent):
             yield (
                 "lost",
                 f"{answer['error']} after {answer['t'] - posted_s:.3f} s, fresh {request.fresh}, sent {sent}",
--- /dev/null
+++ b/tests/test_forgotten_connections.py
@@ -0,0 +1,54 @@
+"""Open connections that the network has forgotten: nothing arrives on them, and nobody is told.
+
+The server itself is well, and a new connection there comes up. From here this looks like a decode server that
+is slow to answer.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from ringledge.memory.pool import SETTLED_S
+from tests.loopback import WAIT_S, Call, Node, read, take
+
+HELD_S = 0.8  # a KV cache entry may be held so long while no attempt of its request has arrived
+BUSY_S = 0.4  # that a machine which runs the tests may add
+
+
+@pytest.fixture
+def node(tmp_path: Path) -> Iterator[Node]:
+    with Node(tmp_path) as node:
+        yield node
+
+
+def keep_a_connection(node: Node) -> Call:
+    """Have a booking served, and its connection to the decode server kept long enough to be trusted."""
+    client, call = read(node, "first", X_Call_Class="booking")
+    call.serve("x")
+    assert take(client).status == 200
+    time.sleep(2 * SETTLED_S)
+    return call
+
+
+def test_what_is_held_for_a_booking_is_let_go_where_its_decode_may_not_have_arrived(node: Node) -> None:
+    kept = keep_a_connection(node)
+    client, call = read(node, "a1", X_Call_Class="booking")
+    prefilled_s = time.monotonic()
+    assert call.port == kept.port  # nothing was heard on it since; so far it may as well be dead
+    assert node.deleted.get(timeout=WAIT_S).path.endswith("/a1")
+    assert time.monotonic() - prefilled_s < HELD_S + BUSY_S
+    call.serve("late")  # it had arrived after all: its answer is passed on
+    assert take(client).status == 200
+
+
+def test_a_booking_whose_decode_may_not_have_arrived_is_not_sent_again(node: Node) -> None:
+    keep_a_connection(node)
+    client, call = read(node, "a1", X_Call_Class="booking", X_Budget_Ms="1500")
+    assert node.deleted.get(timeout=WAIT_S).path.endswith("/a1")
+    assert take(client).status == 500
+    call.drop()
+    assert [each.id for each in node.writer[0].seen if each.method == "POST"] == ["first", "a1"]
