Answer a flood behind a booking that may have run as failed, and ask one guard of refusals and repeats

Ruled out: the decisions' own refusals (they look at possible runs; each 503 in the logs had none). At fault: wire/client.py converse raised FloodError, 429, for whatever its request had come to; the class is a refusal worded outside the decisions. Change: FloodError asks may_refuse (core/repeats.py, by the record alone), 500 where it may have run; admit.refuse asks the same and counts ringledge_refusals_withheld_total; begin.refusal asks repeats.may_repeat and whether another attempt is out, beside the decisions. The chat front too. Other paths read: _refuse_at_stop, _need_room, the gate and hold() refuse before the core has the request.

--- a/ringledge/core/begin.py
+++ b/ringledge/core/begin.py
@@ -10,6 +10,7 @@
 
 from crowstand import interface as i
 from crowstand.policy import Policy
+from ringledge.core import repeats
 from ringledge.core.context import Context
 from ringledge.core.records import Attempt
 
@@ -26,12 +27,18 @@
     SERVER_CLOSED = "server_closed"  # it drains, is gone, or was excluded
     SERVER_RESTARTED = "server_restarted"  # it was chosen as one that is warm, and is cold
     REPEAT_LATE = "repeat_late"  # servers would no longer drop it as a repeat
+    MAY_HAVE_RUN = "may_have_run"  # an earlier attempt may, and the request's class forbids a second run
+    ANOTHER_OUT = "another_out"  # an earlier attempt is out on an open connection
 
 
 def refusal(context: Context, policy: Policy, attempt: Attempt) -> Refusal | None:
     """Why the attempt may not begin now; None where it may."""
     now_ms = context.clock.now_ms()
-    return _client_refusal(attempt, now_ms) or _server_refusal(policy, attempt, now_ms)
+    return (
+        _client_refusal(attempt, now_ms)
+        or _record_refusal(context.settings, attempt, now_ms)
+        or _server_refusal(policy, attempt, now_ms)
+    )
 
 
 def _client_refusal(attempt: Attempt, now_ms: float) -> Refusal | None:
@@ -43,6 +50,18 @@
     return Refusal.OUT_OF_TIME if attempt.ends_ms - now_ms < LEAST_MS else None
 
 
+def _record_refusal(settings: i.Settings, attempt: Attempt, now_ms: float) -> Refusal | None:
+    """By the request's other attempts, whatever the decisions think of them."""
+    request_class = settings.classes[attempt.record.request.class_index]
+    others = [each for each in attempt.record.attempts if each is not attempt]
+    copies = settings.second_copies and request_class.effect is i.Effect.SAFE
+    if not copies and any(each.out and each.written for each in others):
+        return Refusal.ANOTHER_OUT
+    if attempt.reads or repeats.may_repeat(request_class, others, now_ms + ARRIVAL_MS):
+        return None
+    return Refusal.REPEAT_LATE if request_class.effect is i.Effect.KEYED else Refusal.MAY_HAVE_RUN
+
+
 def _server_refusal(policy: Policy, attempt: Attempt, now_ms: float) -> Refusal | None:
     """By whom it goes to."""
     server, job = policy.servers.get(attempt.server), policy.jobs.get(attempt.record.name)
--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -16,7 +16,7 @@
 from crowstand import snapshot
 from crowstand.policy import Policy
 from crowstand.view import server_views
-from ringledge.core import begin
+from ringledge.core import begin, repeats
 from ringledge.core.clock import Clock
 from ringledge.core.context import Context
 from ringledge.core.invariants import Invariants
@@ -68,6 +68,10 @@
         admit.admit(self.context, record)
         return record
 
+    def may_refuse(self, record: Record) -> bool:
+        """Whether a refusal of the request, outside of the decisions too, is true: a retry does no harm."""
+        return repeats.may_refuse(self.context.settings.classes[record.request.class_index], record)
+
     def client_gone(self, record: Record) -> None:
         """The client has closed its connection."""
         accept.client_gone(self.context, record)
--- a/ringledge/core/stages/admit.py
+++ b/ringledge/core/stages/admit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from crowstand import interface as i
+from ringledge.core import repeats
 from ringledge.core.context import Context
 from ringledge.core.records import Record
 from ringledge.core.stages import record_outcome
@@ -14,11 +15,20 @@
 
 
 def refuse(context: Context, action: i.Refuse) -> None:
-    """Answer at once that a repeat does no harm."""
+    """Answer at once that a repeat does no harm; that it failed, where the record says otherwise."""
+    open_record = context.registry.records.get(action.request)
+    if open_record is not None and not repeats.may_refuse(_class_of(context, open_record), open_record):
+        context.metrics.refusals_withheld.inc()
+        return fail(context, i.Fail(action.request, action.why))
     record = _close(context, action.request, "refused", action.why)
     if record is not None:
         context.invariants.refused(record)
         record.caller.refuse(action.retry_after_ms)
+    return None
+
+
+def _class_of(context: Context, record: Record) -> i.RequestClass:
+    return context.settings.classes[record.request.class_index]
 
 
 def fail(context: Context, action: i.Fail) -> None:
--- a/ringledge/observe/metrics.py
+++ b/ringledge/observe/metrics.py
@@ -26,6 +26,9 @@
         self.given_up = self._counter(
             "given_up", "Requests refused or failed by the decisions, by reason", "how", "why"
         )
+        self.refusals_withheld = self._counter(
+            "refusals_withheld", "Refusals that were answered as failures, for the request may have run"
+        )
         self.violations = self._counter(
             "invariant_violations", "What must never happen and did, by invariant; has to stay 0", "invariant"
         )
--- a/ringledge/wire/chat/front.py
+++ b/ringledge/wire/chat/front.py
@@ -90,7 +90,7 @@
         try:
             replies = self._replies
             follow = replies.whole(conn, session) if whole else replies.stream(conn, session, seen)
-            await converse(conn, follow, partial(self._left, session))
+            await converse(conn, follow, partial(self._may_refuse, session), partial(self._left, session))
         finally:
             session.followers.discard(conn)
             self._left(session)
@@ -116,6 +116,10 @@
             if no is not None:
                 raise shed(no)
 
+    def _may_refuse(self, session: Session) -> bool:
+        """Whether a client may be told that a retry does no harm."""
+        return session.record is None or self._conductor.may_refuse(session.record)
+
     def _left(self, session: Session) -> None:
         """A client has gone, or has its answer.
 
--- a/ringledge/wire/client.py
+++ b/ringledge/wire/client.py
@@ -107,13 +107,17 @@
 
 
 async def converse(
-    conn: Connection, answer: Awaitable[None], left: Callable[[], None] = lambda: None
+    conn: Connection,
+    answer: Awaitable[None],
+    may_refuse: Callable[[], bool],
+    left: Callable[[], None] = lambda: None,
 ) -> None:
     """Write the answer while watching for the client's disconnect, also when nothing is written.
 
     `left` is called in the very turn of the loop that hears of a disconnect: before the cancelled task comes
     round, others might still send something for that client. One that sends without end ahead of its answer
-    could leave unheard; unless its answer has begun, it gets its refusal instead.
+    could leave unheard; unless its answer has begun, it is told so instead: refused where `may_refuse` says
+    that a retry does no harm, else failed.
     """
     floods = False
 
@@ -136,6 +140,6 @@
         finally:
             conn.on_gone(None)
     if scope.cancelled_caught and floods:
-        raise FloodError
+        raise FloodError(may_refuse())
     if scope.cancelled_caught:
         conn.close()
--- a/ringledge/wire/errors.py
+++ b/ringledge/wire/errors.py
@@ -25,10 +25,16 @@
 
 
 class FloodError(HttpError):
-    """A client sends without end ahead of its answer: it is told so, and its connection ends."""
+    """A client sends without end ahead of its answer: it is told so, and its connection ends.
 
-    def __init__(self) -> None:
-        super().__init__(429, "too much was sent ahead of the answer", "rate_limit_exceeded")
+    429 promises that a retry does no harm; where the request may have run and must not run twice, it failed.
+    """
+
+    def __init__(self, may_refuse: bool) -> None:
+        if may_refuse:
+            super().__init__(429, "too much was sent ahead of the answer", "rate_limit_exceeded")
+        else:
+            super().__init__(500, "too much was sent ahead of the answer; it may have run", "may_have_run")
 
 
 class ParkingError(Exception):
--- a/ringledge/wire/platform.py
+++ b/ringledge/wire/platform.py
@@ -86,7 +86,12 @@
         except DuplicateError as error:
             raise HttpError(400, f"request {error} is open already") from error
         try:
-            await converse(conn, self._answer(conn, exchange), partial(self._conductor.client_gone, record))
+            await converse(
+                conn,
+                self._answer(conn, exchange),
+                partial(self._conductor.may_refuse, record),
+                partial(self._conductor.client_gone, record),
+            )
         finally:
             exchange.forget()
             self._conductor.client_gone(record)  # for a request that is over it changes nothing
--- a/ringledge/wire/xds.py
+++ b/ringledge/wire/xds.py
@@ -59,7 +59,7 @@
         if rejected:
             self._metrics.xds_rejections.inc()
             log.warning("xds_rejected", type=kind, version=asked.get("version_info"), detail=rejected)
-        await converse(conn, self._answer(conn, kind, asked, bool(rejected)))
+        await converse(conn, self._answer(conn, kind, asked, bool(rejected)), lambda: True)  # it only reads
 
     async def _answer(self, conn: Connection, kind: str, asked: dict[str, Any], rejected: bool) -> None:
         wanted = set(asked.get("resource_names") or ())
--- /dev/null
+++ b/tests/core/test_admit.py
@@ -0,0 +1,52 @@
+"""A refusal promises that a retry does no harm: it is given only where the record says so, too."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from crowstand import interface as i
+from ringledge.core.invariants import Invariants
+from ringledge.core.port import Payload
+from ringledge.core.records import Attempt, Record
+from ringledge.core.registry import RequestRegistry
+from ringledge.core.stages import admit
+from ringledge.memory.servers import ServerList
+from ringledge.observe.metrics import Metrics
+
+CLASSES = (i.RequestClass(1200, 5000, i.Effect.SAFE), i.RequestClass(1200, 5000, i.Effect.UNSAFE))
+
+
+@pytest.mark.parametrize(
+    ("class_index", "written", "answer"),
+    [(0, True, "refused"), (1, False, "refused"), (1, True, "failed")],
+)
+def test_a_refusal_that_is_not_true_is_given_as_a_failure(
+    class_index: int, written: bool, answer: str
+) -> None:
+    given, metrics = list[str](), Metrics()
+    clock: Any = SimpleNamespace(now_ms=lambda: 10.0)
+    settings = i.Settings(CLASSES, ())
+    caller: Any = SimpleNamespace(
+        refuse=lambda _: given.append("refused"), fail=lambda: given.append("failed")
+    )
+    at: Any = SimpleNamespace(
+        settings=settings,
+        metrics=metrics,
+        registry=RequestRegistry(),
+        clock=clock,
+        port=SimpleNamespace(release=lambda *_: None),
+        invariants=Invariants(settings, clock, ServerList(()), metrics),
+    )
+    record = Record(
+        i.Request("a", class_index=class_index, expires_in_ms=5000), Payload(b"/", b""), caller, 0.0
+    )
+    attempt = Attempt(record, 0, "w0", False, True, 0.0, 5000.0)
+    attempt.written, attempt.outcome = written, i.Status.RESET
+    record.attempts.append(attempt)
+    at.registry.add(record)
+    admit.refuse(at, i.Refuse("a"))
+    assert given == [answer]
+    assert not sum(Metrics.read(metrics.violations).values())
--- a/tests/core/test_begin.py
+++ b/tests/core/test_begin.py
@@ -41,7 +41,8 @@
         return attempt
 
     def refusal(self) -> Refusal | None:
-        context: Any = SimpleNamespace(clock=SimpleNamespace(now_ms=lambda: self.world.now_ms))
+        clock, settings = SimpleNamespace(now_ms=lambda: self.world.now_ms), self.world.policy.settings
+        context: Any = SimpleNamespace(clock=clock, settings=settings)
         return refusal(context, self.world.policy, self.attempt)
 
     def list_says(self, **changed: Any) -> None:
@@ -148,3 +149,26 @@
     policy = asked.world.policy
     policy.jobs["a"].possible_runs.append(PossibleRun(policy.servers["w0"], asked.now_ms))
     assert asked.refusal() is Refusal.REPEAT_LATE
+
+
+def test_one_beside_another_that_is_out_may_not() -> None:
+    asked = Asked()
+    asked.attempt.written = True
+    asked.attempt = asked.next()
+    assert asked.refusal() is Refusal.ANOTHER_OUT
+
+
+@pytest.mark.parametrize("outcome", [i.Status.RESET, i.Status.TIMEOUT, i.Status.CANCELLED, i.Status.ERROR])
+def test_one_behind_what_may_have_run_may_not_whatever_the_decisions_say(outcome: i.Status) -> None:
+    asked = Asked(UNSAFE)
+    asked.attempt.written, asked.attempt.outcome = True, outcome
+    asked.attempt = asked.next()
+    assert asked.refusal() is Refusal.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("outcome", [i.Status.CONNECT_FAILED, i.Status.FULL])
+def test_one_behind_what_never_ran_may(outcome: i.Status) -> None:
+    asked = Asked(UNSAFE)
+    asked.attempt.written, asked.attempt.outcome = outcome is i.Status.FULL, outcome
+    asked.attempt = asked.next()
+    assert asked.refusal() is None
--- a/tests/wire/test_abandoned.py
+++ b/tests/wire/test_abandoned.py
@@ -64,7 +64,7 @@
     def _may_begin(self, attempt: Attempt) -> bool:
         """The real question, asked of this policy and this list."""
         at: Any = SimpleNamespace(
-            context=SimpleNamespace(clock=self.clock, metrics=Metrics()),
+            context=SimpleNamespace(clock=self.clock, metrics=Metrics(), settings=self.settings),
             policy=self.policy,
             client_gone=lambda record: self.upstream.conductor.client_gone(record),
         )
--- a/tests/wire/test_client.py
+++ b/tests/wire/test_client.py
@@ -32,7 +32,7 @@
             asyncio.get_running_loop().call_soon(order.append, "next in turn")
 
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(converse, conn, answer(), left)
+            tasks.start_soon(converse, conn, answer(), lambda: True, left)
             await anyio.wait_all_tasks_blocked()
             theirs.close()
         assert conn.closed
