Release what is held for a decode that may never have arrived, and bound the send of a request

Ruled out: the release itself (each was heard within ms once asked); hung servers (their system has the request). Change: an attempt has arrived if its connection was new or has answered; at the end of the time that an entry may be held it is released unless its decode has arrived, and the next decode prefills anew; a send is bounded by what is left of that time, 1 s at most; a release that is waited for is forgotten with its request.

--- a/ringledge/core/records.py
+++ b/ringledge/core/records.py
@@ -23,7 +23,8 @@
     ends_ms: float  # clock reading at which it is timed out, unless it has begun
     server_started_ms: float = 0.0  # the start of the server's process that was chosen
     written: bool = False  # the request's last byte is on its way: it may run from here on
-    arrived: bool = False  # the server was heard since, or its connection was new: it has the request
+    arrived: bool = False  # its connection was new, or has answered: a kept one may be dead, and nobody told
+    fetches: bool = False  # it was sent while a KV cache entry was held, and may have fetched that
     began: bool = False  # the first token has come: the attempt is the client's
     outcome: i.Status | None = None
     took_ms: float = 0.0
@@ -53,6 +54,7 @@
     holders: set[str] = field(default_factory=set)  # servers that hold a KV cache entry
     unseen: dict[str, float] = field(default_factory=dict)  # where a prefill may have ended unseen, and when
     free_ms: float = 0.0  # since when no attempt of it is out that has arrived
+    released: bool = False  # what was held is released, while the decisions still count on it
     over: bool = False  # its final answer is given, or its client has gone
     how: str = ""  # what the final answer was
     began: bool = False
--- a/ringledge/core/stages/record_outcome.py
+++ b/ringledge/core/stages/record_outcome.py
@@ -26,11 +26,12 @@
         (record.caller.finish if whole else record.caller.break_off)()
     if status == i.Status.PREFILLED:
         record.holders.add(attempt.server)
+        record.released = False
     elif status == i.Status.FULL and note == 1:
         # Gone from its prefill server; a decode server that was given up before may have fetched it.
         record.unseen |= dict.fromkeys(record.holders, now_ms)
         record.holders.clear()
-    elif (attempt.reads or record.holders) and attempt.written and status in CROSSED:
+    elif (attempt.reads or (attempt.fetches and not attempt.began)) and attempt.written and status in CROSSED:
         record.unseen[attempt.server] = now_ms
     context.metrics.outcomes.labels(status.value).inc()
     latency_ms = attempt.took_ms = now_ms - attempt.sent_ms
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+import anyio
 import h11
 
 from crowstand import interface as i
@@ -32,6 +33,8 @@
 from ringledge.wire.releases import Releaser
 from ringledge.wire.stream_relay import Live, StreamRelay
 
+SEND_S = 1.0  # in which a connection takes a whole request: it buffers most, and servers read at once
+
 
 class End(NamedTuple):
     """How an exchange ended."""
@@ -58,6 +61,8 @@
         record = attempt.record
         try:
             connect_s = self.lines.connect_s()
+            if record.released and not attempt.reads:
+                return await self._prefill_again(record)
             if record.holders and not attempt.reads:
                 held_s = connect_timeout.hold_remaining_s(self.clock.now_ms(), record.free_ms, self.let_go_ms)
                 if held_s <= 0:
@@ -93,8 +98,10 @@
                 (b"Content-Length", b"%d" % len(payload.body)),
             ],
         )
+        attempt.fetches = bool(record.holders) and not attempt.reads
         try:
-            await conn.send_first(request, h11.Data(data=payload.body), h11.EndOfMessage())
+            with anyio.fail_after(self._send_s(attempt)):
+                await conn.send_first(request, h11.Data(data=payload.body), h11.EndOfMessage())
         except OSError as error:
             log.info("send_failed", server=attempt.server, request=record.name, error=str(error))
             note = self._kept_broke(conn, address)
@@ -149,6 +156,19 @@
         note, attempt.answer_tokens, load = read_tail(tail)
         return End(i.Status.OK, note, load or load_report(header(head, b"x-load-report")))
 
+    def _send_s(self, attempt: Attempt) -> float:
+        """How long the request may take to be written: a connection that takes nothing more may be dead."""
+        if not attempt.fetches:
+            return SEND_S
+        now_ms, free_ms = self.clock.now_ms(), attempt.record.free_ms
+        return min(SEND_S, connect_timeout.hold_remaining_s(now_ms, free_ms, self.let_go_ms))
+
+    async def _prefill_again(self, record: Record) -> End:
+        """What was held is released already: once no call of that is under way, the prompt is read anew."""
+        await self.releaser.settle(record.name)
+        record.released = False
+        return End(i.Status.FULL, 1)
+
     async def _let_go(self, record: Record) -> End:
         """No writer was reached while the read state may be held: it goes, and the prompt is read anew."""
         known, record.holders = record.holders, set()
--- a/ringledge/wire/releases.py
+++ b/ringledge/wire/releases.py
@@ -53,10 +53,18 @@
     async def let_go(self, request: str, known: set[str]) -> None:
         """Release, and wait until no call of it is under way: what is read after this stays."""
         self.release(request, known, {})
+        await self.settle(request)
+
+    async def settle(self, request: str) -> None:
+        """Wait until no release of a request is under way, for a bounded time."""
+        if self.plan.quiet(request):
+            return
         waits = self._waits[request] = anyio.Event()
-        with anyio.move_on_after(WAIT_S):
-            await waits.wait()
-        del self._waits[request]
+        try:
+            with anyio.move_on_after(WAIT_S):
+                await waits.wait()
+        finally:  # also where its request is given up meanwhile
+            del self._waits[request]
 
     async def _run(self) -> None:
         """Ask again when it is time, until none is left."""
--- a/ringledge/wire/silence.py
+++ b/ringledge/wire/silence.py
@@ -9,7 +9,7 @@
 import anyio.abc
 
 from ringledge.core.clock import Clock
-from ringledge.core.records import Attempt
+from ringledge.core.records import Attempt, Record
 from ringledge.decide.arrivals import Arrivals
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
@@ -31,10 +31,12 @@
         servers: ServerList,
         lines: Lines,
         releaser: Releaser,
+        let_go_ms: float,
         clock: Clock,
     ) -> None:
+        """`let_go_ms`: how long a KV cache entry may be held while no attempt has arrived."""
         self._tasks, self._live, self._servers, self._lines = tasks, live, servers, lines
-        self._releaser, self._clock = releaser, clock
+        self._releaser, self._let_go_ms, self._clock = releaser, let_go_ms, clock
         self._arrivals = Arrivals(lines.reach)
 
     async def watch(self) -> None:
@@ -51,6 +53,7 @@
                     live.scope.cancel()
                 elif not attempt.began and attempt.out and live.written_ms < math.inf:
                     waiting.append((attempt.server, live.written_ms))
+                    self._release_unheard(attempt)
             for server in self._arrivals.due(self._clock.now_ms(), waiting):
                 self._tasks.start_soon(self._check, server)
 
@@ -61,8 +64,6 @@
             if address:
                 conn = await self._lines.open(server, address, self._lines.connect_s())
                 self._lines.pool.put(address, conn)
-                for attempt in self._live:
-                    attempt.arrived = attempt.arrived or attempt.server == server
         except TimeoutError:
             self._give_up(server)
         except OSError:  # no process listens, or no socket is left: what is out ends by itself
@@ -80,6 +81,22 @@
             log.info("attempt_cut_off", server=server, request=record.name)
             if not attempt.once:
                 live.scope.cancel()
-            elif record.holders and not attempt.arrived:  # it may be answered yet, but waits for no state now
-                known, record.holders = record.holders, set()
-                self._releaser.release(record.name, known, {})
+            else:  # it may be answered yet
+                self._release(record)
+
+    def _release_unheard(self, attempt: Attempt) -> None:
+        """Release what is held for a decode that may never have arrived, once it may be held no longer.
+
+        A connection from before may be dead without a word, while its server is well and takes new ones. A
+        server that has the request keeps what the request waits for, whoever releases it.
+        """
+        record = attempt.record
+        held_ms = self._clock.now_ms() - record.free_ms
+        if attempt.fetches and not attempt.arrived and held_ms >= self._let_go_ms:
+            self._release(record)
+
+    def _release(self, record: Record) -> None:
+        if record.holders:
+            known, record.holders, record.released = record.holders, set(), True
+            log.info("state_let_go", request=record.name, servers=sorted(known))
+            self._releaser.release(record.name, known, {})
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -50,7 +50,9 @@
         self._releaser = Releaser(
             tasks, servers, self._let_go_ms, clock, self.reach, metrics, self._lines.call
         )
-        self._silence = Silence(tasks, self._live, servers, self._lines, self._releaser, clock)
+        self._silence = Silence(
+            tasks, self._live, servers, self._lines, self._releaser, self._let_go_ms, clock
+        )
         self.watch_silence, self.retire_idle = self._silence.watch, self._lines.retire_idle
         self.members_wanted = anyio.Event()
 
--- /dev/null
+++ b/tests/wire/test_silence.py
@@ -0,0 +1,78 @@
+"""What is held for an attempt that may never have arrived is released in time, however its server looks."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import anyio
+import pytest
+
+from crowstand import interface as i
+from ringledge.core.port import Payload
+from ringledge.core.records import Attempt, Record
+from ringledge.decide.arrivals import CHECK_MS
+from ringledge.decide.reachability import Reachability
+from ringledge.wire.silence import Silence
+from ringledge.wire.stream_relay import Live
+
+LET_GO_MS = 500.0
+
+
+class Rig:
+    """One booking whose decode attempt was written a while ago and has not been answered."""
+
+    def __init__(self, tasks: Any, waited_ms: float, comes_up: bool) -> None:
+        self.now_ms, self.released = 10_000.0, list[set[str]]()
+        self.comes_up, self.asked = comes_up, anyio.Event()
+        caller: Any = SimpleNamespace()
+        written_ms = self.now_ms - waited_ms
+        self.record = Record(i.Request("a", expires_in_ms=9000), Payload(b"/", b""), caller, written_ms)
+        self.record.holders, self.record.free_ms = {"r0"}, written_ms
+        self.attempt = Attempt(self.record, 0, "w0", False, True, written_ms, 20_000.0)
+        self.attempt.written = self.attempt.fetches = True
+        self.record.attempts.append(self.attempt)
+        live = {self.attempt: Live(written_ms=written_ms)}
+        reach = Reachability()
+        reach.listed([("w0", 0)])
+        lines: Any = SimpleNamespace(reach=reach, open=self.open, connect_s=lambda: 0.25, pool=self)
+        servers: Any = SimpleNamespace(address=lambda _: "127.0.0.1:9")
+        clock: Any = SimpleNamespace(now_ms=lambda: self.now_ms)
+        releaser: Any = SimpleNamespace(release=lambda _, known, __: self.released.append(known))
+        self.silence = Silence(tasks, live, servers, lines, releaser, LET_GO_MS, clock)
+
+    async def open(self, *_: Any) -> Any:
+        self.asked.set()
+        if not self.comes_up:
+            raise TimeoutError
+
+    def put(self, *_: Any) -> None:
+        """The pool takes the connection that came up."""
+
+
+async def watched(waited_ms: float, comes_up: bool, arrived: bool) -> list[set[str]]:
+    """What is released once the server has been tried."""
+    async with anyio.create_task_group() as tasks:
+        rig = Rig(tasks, waited_ms, comes_up)
+        rig.attempt.arrived = arrived
+        tasks.start_soon(rig.silence.watch)
+        await rig.asked.wait()
+        await anyio.wait_all_tasks_blocked()
+        tasks.cancel_scope.cancel()
+    return rig.released
+
+
+@pytest.mark.parametrize(
+    ("waited_ms", "comes_up", "arrived", "released"),
+    [
+        (LET_GO_MS, True, False, [{"r0"}]),  # its connection was kept, and may be dead
+        (LET_GO_MS - 1, True, False, []),  # there is time left
+        (LET_GO_MS, True, True, []),  # its connection was new: it waits in a queue
+        (CHECK_MS, False, True, [{"r0"}]),  # the same, but its server was cut off since
+        (CHECK_MS, False, False, [{"r0"}]),
+    ],
+)
+def test_what_is_held_is_released_unless_its_attempt_has_arrived(
+    waited_ms: float, comes_up: bool, arrived: bool, released: list[set[str]]
+) -> None:
+    assert anyio.run(watched, waited_ms, comes_up, arrived) == released
