--- a/tests/lifecycle/test_failing_calls.py
+++ b/tests/lifecycle/test_failing_calls.py
@@ -2,18 +2,28 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import os
+import select
 import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import anyio
+import anyio.to_thread
+import h11
 import pytest
 
 from ringledge.lifecycle import channel
+from ringledge.observe.metrics import Metrics
 from ringledge.wire import sockets
+from ringledge.wire.budget import Budget
+from ringledge.wire.connection import Connection
+from ringledge.wire.front import Front
+from ringledge.wire.messages import respond
+from ringledge.wire.socket_reader import has_ended
 
 FOR_A_MOMENT = [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.ECONNABORTED]
 
@@ -56,3 +66,81 @@
     monkeypatch.setattr(socket.socket, call, failing_once(getattr(socket.socket, call), number))
     with sockets.listen("127.0.0.1:0") as listener:
         assert listener.getsockname()[1]
+
+
+@pytest.mark.parametrize(
+    "number", [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS], ids=errno.errorcode.get
+)
+def test_a_connection_comes_up_though_our_side_had_nothing_for_it_at_first(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It says nothing of the server, and a request would use up its attempts within a millisecond."""
+
+    async def run() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            monkeypatch.setattr(socket.socket, "connect", failing_once(socket.socket.connect, number))
+            conn = await sockets.connect("127.0.0.1:%d" % listener.getsockname()[1], 5.0)
+            conn.close()
+
+    anyio.run(run)
+
+
+def test_a_connection_that_is_interrupted_comes_up_by_itself(monkeypatch: pytest.MonkeyPatch) -> None:
+    connect = socket.socket.connect
+
+    def interrupted(sock: socket.socket, address: Any) -> None:
+        with contextlib.suppress(BlockingIOError):
+            connect(sock, address)
+        raise InterruptedError(errno.EINTR, "interrupted")
+
+    async def run() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            monkeypatch.setattr(socket.socket, "connect", interrupted)
+            conn = await sockets.connect("127.0.0.1:%d" % listener.getsockname()[1], 5.0)
+            conn.close()
+
+    anyio.run(run)
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE], ids=errno.errorcode.get)
+def test_a_client_that_has_sent_ahead_is_there_though_no_descriptor_is_left(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Taken for gone, its request was dropped, and it waited for its answer in vain."""
+
+    def none_left(*_: object) -> None:
+        raise OSError(number, os.strerror(number))
+
+    monkeypatch.setattr(select, "epoll", none_left)
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.setblocking(False)
+        theirs.send(b"more")
+        assert not has_ended(ours)
+        theirs.close()
+        assert has_ended(ours)
+
+
+@pytest.mark.parametrize("number", [errno.ECONNABORTED, errno.EPROTO, errno.ENFILE], ids=errno.errorcode.get)
+def test_what_waits_in_the_backlog_at_a_stop_is_taken_though_one_accept_fails(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """With the listening socket it would be reset, its requests unanswered."""
+
+    async def echo(conn: Connection, head: h11.Request) -> None:
+        await respond(conn, 200, b"answered")
+
+    async def run() -> None:
+        listener = sockets.listen("127.0.0.1:0")
+        with socket.create_connection(listener.getsockname(), 10) as client:
+            client.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            front = Front("platform", 8, Budget(1e6), echo, lambda error: b"", Metrics())
+            front.drain()
+            monkeypatch.setattr(socket.socket, "accept", failing_once(socket.socket.accept, number))
+            async with anyio.create_task_group() as tasks:
+                await front.serve(listener, tasks)
+                answer = await anyio.to_thread.run_sync(client.recv, 65536)
+                tasks.cancel_scope.cancel()
+        assert b"HTTP/1.1 503" in answer
+
+    anyio.run(run)
