Go on where system calls fail for a moment: at a start, at hand-over, at a stop, in connect

At fault: lifecycle/channel.py accept (an error left a task of the main group), wire/sockets.py listen and channel.ask (no second try), socket_reader.has_ended (needed a descriptor), Front._admit_waiting (gave the backlog up at the first error), sockets.connect (EINTR, and local errors were blamed on the server).

--- a/ringledge/lifecycle/channel.py
+++ b/ringledge/lifecycle/channel.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any
 from urllib.parse import quote
@@ -18,6 +19,7 @@
 import orjson
 
 from ringledge.observe.logging import log
+from ringledge.structures.transient import AGAIN_S, at_start, is_transient
 
 ANSWER_S = 1.0  # a predecessor that says nothing for so long hangs: its addresses are bound anew
 MESSAGE = 64 * 1024  # bytes of a message at most
@@ -55,6 +57,12 @@
         except (BlockingIOError, InterruptedError):
             await anyio.wait_readable(door)
             continue
+        except OSError as error:
+            if not is_transient(error):
+                raise
+            log.often("successor_waits", error=str(error))
+            await anyio.sleep(AGAIN_S)
+            continue
         channel.setblocking(False)
         return channel
 
@@ -87,7 +95,7 @@
     """
     if not path.exists():
         return None, {}
-    channel = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    channel = at_start(partial(socket.socket, socket.AF_UNIX, socket.SOCK_SEQPACKET))
     channel.setblocking(False)
     try:
         with anyio.fail_after(ANSWER_S), _short(path) as short:
--- a/ringledge/lifecycle/handover.py
+++ b/ringledge/lifecycle/handover.py
@@ -19,6 +19,7 @@
 from ringledge.lifecycle.fronts import Fronts
 from ringledge.observe.logging import log
 
+OPEN_AGAIN_S = 2.0  # between two tries to be there for successors
 AT_ONCE = 500  # ids a message: each is 64 characters at most
 
 
@@ -124,12 +125,16 @@
         while True:
             try:
                 door = channel.open_door(self._path)
-            except OSError as error:  # serving goes on; only the next start has to bind anew
-                log.error("handover_closed", error=str(error))
-                return
+            except OSError as error:  # serving goes on; a start meanwhile has to bind anew
+                log.error("handover_closed", error=str(error), again_s=OPEN_AGAIN_S)
+                await anyio.sleep(OPEN_AGAIN_S)
+                continue
             try:
                 while not await self._serve(await channel.accept(door)):
                     pass
+            except OSError as error:
+                log.error("handover_closed", error=str(error), again_s=OPEN_AGAIN_S)
+                await anyio.sleep(OPEN_AGAIN_S)
             finally:
                 channel.close(door)
 
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -31,6 +31,7 @@
 from ringledge.wire.lines import Lines
 from ringledge.wire.messages import read_body
 from ringledge.wire.releases import Releaser
+from ringledge.wire.sockets import LocalError
 from ringledge.wire.stream_relay import Live, StreamRelay
 
 SEND_S = 1.0  # in which a connection takes a whole request: it buffers most, and servers read at once
@@ -71,7 +72,7 @@
             live.conn = conn = await self.lines.take(attempt.server, address, connect_s, attempt.once)
         except OSError as error:
             log.info("connect_failed", server=attempt.server, request=record.name, error=str(error))
-            return End(i.Status.CONNECT_FAILED)
+            return End(i.Status.CONNECT_FAILED, int(isinstance(error, LocalError)))  # ours, not its server's
         if live.scope.cancel_called:  # only the next wait would tell, and to write may take none
             return End(i.Status.CONNECT_FAILED)
         if not self.conductor.may_begin(attempt):
--- a/ringledge/wire/front.py
+++ b/ringledge/wire/front.py
@@ -7,7 +7,6 @@
 import socket
 import time
 from collections.abc import Callable
-from contextlib import suppress
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -17,6 +16,7 @@
 
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
+from ringledge.structures.transient import CALLER_GONE
 from ringledge.wire.arrival_marks import ArrivalMarks
 from ringledge.wire.budget import Budget
 from ringledge.wire.connection import Connection
@@ -31,6 +31,8 @@
 GIVE_WAY = 16  # connections at rest that are closed when descriptors run out
 SEND_BYTES = 64 * 1024  # of an answer that the kernel may hold, where memory is watched
 BACKLOG = 1024  # new connections that are taken at a stop, at most
+WAITING_S = 1.0  # in which they are, while the system has nothing for them
+ACCEPT_AGAIN_S = 0.05  # behind a failure that closing nothing mends
 ACCEPT_AT_ONCE = 16  # new connections before others get their turn
 
 
@@ -80,14 +82,24 @@
             if not self._stopped:
                 await self._reopened.wait()
         if self._sole:
-            self._admit_waiting(listener)
+            await self._admit_waiting(listener)
         listener.close()
 
-    def _admit_waiting(self, listener: socket.socket) -> None:
+    async def _admit_waiting(self, listener: socket.socket) -> None:
         """Take what waits in the backlog: it would be reset with the listening socket."""
-        with suppress(OSError):
-            for _ in range(BACKLOG):
+        until_s = anyio.current_time() + WAITING_S
+        for _ in range(BACKLOG):
+            try:
                 self._admit(*listener.accept())
+            except BlockingIOError:
+                return
+            except OSError as error:  # whoever waits behind is owed an answer all the same
+                if anyio.current_time() >= until_s:
+                    return log.error("accept_failed", front=self.name, error=str(error))
+                if error.errno not in CALLER_GONE:
+                    self._give_way()
+                    await anyio.sleep(ACCEPT_AGAIN_S)
+        return None
 
     async def _accept(self, listener: socket.socket) -> None:
         while True:
@@ -103,7 +115,7 @@
                     log.often("parked_gave_way", front=self.name, parked=len(self.connections.parked))
                     continue
                 log.error("accept_failed", front=self.name, error=str(error))
-                await anyio.sleep(0.05)
+                await anyio.sleep(ACCEPT_AGAIN_S)
 
     def _give_way(self) -> int:
         """Free some descriptors; how many."""
--- a/ringledge/wire/lines.py
+++ b/ringledge/wire/lines.py
@@ -15,12 +15,13 @@
 from ringledge.memory.pool import Pool
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
+from ringledge.structures.transient import NO_PATH
 from ringledge.wire.answers import answer_head, load_report, reusable
 from ringledge.wire.connection import Connection
 from ringledge.wire.errors import PEER_ERRORS
 from ringledge.wire.headers import Headers, header
 from ringledge.wire.messages import read_body
-from ringledge.wire.sockets import connect
+from ringledge.wire.sockets import LocalError, connect
 
 PROBE_S = 1.0  # a probe that takes longer tells no more than that
 
@@ -57,7 +58,9 @@
             self.pool.unreserve()
             if isinstance(error, ConnectionRefusedError):
                 self.reach.refused(server, self._clock.now_ms())
-            elif isinstance(error, TimeoutError):
+            elif isinstance(error, TimeoutError) or (
+                isinstance(error, LocalError) and error.errno in NO_PATH
+            ):  # no route to it for so long is as good as silence
                 self.reach.silent(server, self._clock.now_ms())
             raise
         self._connect_timeout.connected(time.monotonic() - began)
--- a/ringledge/wire/socket_reader.py
+++ b/ringledge/wire/socket_reader.py
@@ -181,9 +181,9 @@
     try:
         if not sock.recv(1, socket.MSG_PEEK):
             return True
-        with select.epoll(1) as unread:
-            unread.register(sock, select.EPOLLRDHUP)
-            return bool(unread.poll(0))
+        unread = select.poll()  # takes no descriptor: there may be none left
+        unread.register(sock, select.POLLRDHUP)
+        return bool(unread.poll(0))
     except (BlockingIOError, InterruptedError):
         return False
     except OSError:
--- a/ringledge/wire/sockets.py
+++ b/ringledge/wire/sockets.py
@@ -4,27 +4,49 @@
 
 import socket
 from contextlib import suppress
+from functools import partial
 
 import anyio
 import h11
 
+from ringledge.structures.transient import EXHAUSTED, NO_PATH, at_start
 from ringledge.wire.connection import Connection
 
+LOCAL_AGAIN_S = 0.01  # between two tries of a connection that our own side had nothing for
 PROBE_S, PROBE_AGAIN_S = 60, 10  # of rest until the kernel asks a peer, and between its further questions
 UNHEARD_MS = 30_000  # that what was sent to a peer, questions too, may stay unacknowledged
 
 
+class LocalError(OSError):
+    """No connection was tried: our own side had no descriptor, port, buffer or route for all of the time."""
+
+
 async def connect(address: str, timeout_s: float) -> Connection:
-    """Open a connection; OSError if it is refused, TimeoutError if it doesn't come up."""
+    """Open a connection; OSError if it is refused, TimeoutError if it doesn't come up, else LocalError."""
+    failed: OSError | None = None
+    with anyio.move_on_after(timeout_s):
+        while True:
+            try:
+                return await _connect_once(address)
+            except OSError as error:
+                if error.errno not in EXHAUSTED | NO_PATH:
+                    raise
+                failed = error
+            await anyio.sleep(LOCAL_AGAIN_S)
+    if failed is not None:
+        raise LocalError(failed.errno, failed.strerror) from failed
+    raise TimeoutError
+
+
+async def _connect_once(address: str) -> Connection:
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with suppress(BlockingIOError):
+        with suppress(BlockingIOError, InterruptedError):  # either way it goes on by itself
             sock.connect((host, int(port)))
-        with anyio.fail_after(timeout_s):
-            await anyio.wait_writable(sock)
+        await anyio.wait_writable(sock)
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
             raise OSError(error, "connect failed")
@@ -35,14 +57,22 @@
 
 
 def listen(address: str) -> socket.socket:
-    """A listening socket at that address only."""
+    """A listening socket at that address only; what fails for a moment is tried again."""
+    return at_start(partial(_listen_once, address))
+
+
+def _listen_once(address: str) -> socket.socket:
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)  # a process that hangs there stops no start
-    sock.setblocking(False)
-    sock.bind((host, int(port)))
-    sock.listen(1024)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)  # one that hangs there stops no start
+        sock.setblocking(False)
+        sock.bind((host, int(port)))
+        sock.listen(1024)
+    except BaseException:
+        sock.close()
+        raise
     return sock
 
 
