Count a stop's time from its signal, read a half-written file again, begin no stream at its time's end

At fault lifecycle/drain.py, serve.py. Now times run from the signal, a stop ends the wait, who is in the backlog gets 503 at once; from listen on SIGTERM waits for its handler.

--- a/ringledge/lifecycle/drain.py
+++ b/ringledge/lifecycle/drain.py
@@ -12,12 +12,20 @@
 LOOK_S = 0.02  # how often it is looked whether all is done
 
 
-async def drain(shared: Shared) -> None:
-    """Return once all that was taken is answered."""
+async def drain(shared: Shared, takes: bool) -> None:
+    """Return once all that was taken is answered; `takes`: what still comes at first is served.
+
+    Times run from the signal: a start that still waited for the list may have passed some of it.
+    """
     classes = shared.config.settings.classes
     longest_s = max((each.deadline_ms / 1000 for each in classes), default=LONGEST_S)
-    last_call = anyio.current_time() + min(LONGEST_S, longest_s) + END_S - LAST_CALL_S
-    await anyio.sleep(KEEP_TAKING_S)
+    asked_s = shared.stop_asked_s
+    last_call = asked_s + min(LONGEST_S, longest_s) + END_S - LAST_CALL_S
+    if takes:
+        await anyio.sleep_until(asked_s + KEEP_TAKING_S)
+    else:
+        shared.fronts.drain()
+        await anyio.sleep(LOOK_S)  # the fronts take who waits in the backlog
     while shared.fronts.open_count() or shared.conductor.registry.records or shared.upstream.releases:
         shared.fronts.drain()
         if anyio.current_time() >= last_call:
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -21,7 +21,7 @@
 from ringledge.lifecycle.drain import drain
 from ringledge.lifecycle.fronts import Fronts
 from ringledge.lifecycle.shared import Shared
-from ringledge.lifecycle.signals import on_signals
+from ringledge.lifecycle.signals import hold_stops, on_signals
 from ringledge.memory.byhand import ByHand
 from ringledge.memory.servers import ServerList
 from ringledge.observe.logging import log
@@ -29,6 +29,8 @@
 from ringledge.wire.discovery import ANSWER_S, Discovery
 from ringledge.wire.upstream import Upstream
 
+RELOAD_AGAIN_S = 0.05  # between two tries of a file that could not be used
+RELOAD_S = 3.0  # in all: what discovery has counts as told 4 s behind SIGHUP
 TAKEN_AT_ONCE = ("discovery", "discovery_in_file", "seed", "known")  # on SIGHUP; seed and list start a run
 # Discovery may be silent: after so long the last list known has to do. A first call that is accepted in vain
 # is given up after ANSWER_S; the answer to the next has to come before a stale list is gone by.
@@ -43,6 +45,7 @@
     ) -> None:
         self.config, self._latest, self._tasks = config, config, tasks
         self.started = time.monotonic()
+        self._reloading = anyio.CancelScope()
         self.shared = self._share_out(inherited)
         self.parts = parts.make(self.shared)
         self.handover = handover.Handover(
@@ -96,14 +99,33 @@
         """Asked for by a signal; where a successor serves, its `/ready` speaks for both."""
         if self.shared.platform is not None:
             self.shared.platform.ready = self.handover.left
+        if not self.shared.stopping.is_set():
+            self.shared.stop_asked_s = anyio.current_time()
         self.shared.stopping.set()
 
     def reload(self) -> None:
         """Read the file anew. Discovery is what may change under way; the rest waits for a restart."""
+        self._reloading.cancel()
         try:
             new = configuration.load()
         except ConfigError as error:  # half a file or none is no reason to stop serving
-            return log.error("reload_failed", error=str(error))
+            log.error("reload_failed", error=str(error))
+            self._tasks.start_soon(self._reload_again)
+        else:
+            self._use(new)
+
+    async def _reload_again(self) -> None:
+        """Try for a while: the file may be in the middle of a write, or no descriptor be left just now."""
+        with anyio.move_on_after(RELOAD_S) as self._reloading:
+            while True:
+                await anyio.sleep(RELOAD_AGAIN_S)
+                try:
+                    return self._use(configuration.load())
+                except ConfigError:
+                    continue
+
+    def _use(self, new: Config) -> None:
+        """Use what may change under way, and name the rest."""
         waits = waiting(self.config, new)
         discovery = self.shared.discovery
         if new.discovery_in_file != self._latest.discovery_in_file:  # newer than what RELAY_DISCOVERY said
@@ -136,6 +158,7 @@
         if predecessor is not None:
             tasks.start_soon(self.handover.follow, predecessor, serving)
         await self._wait_for_list()
+        takes = not shared.stopping.is_set()  # else nothing new is begun: there may be no time for it
         shared.fronts.serve(shared.fronts.clients, tasks)
         for part in self.parts:
             part.ready()
@@ -144,7 +167,7 @@
         self._tell_ready()
         await shared.stopping.wait()
         async with anyio.create_task_group() as ending:
-            ending.start_soon(drain, shared)
+            ending.start_soon(drain, shared, takes)
             ending.start_soon(self._stop_parts)
         shared.fronts.close()
         self.handover.close()
@@ -152,14 +175,16 @@
         tasks.cancel_scope.cancel()
 
     async def _wait_for_list(self) -> None:
-        """Return once discovery has told its list, or is late.
+        """Return once discovery has told its list, or is late, or a stop is asked for.
 
         What it has to tell counts as told from the start, and clients that knew this address before come at
         once: taken in before the list, they were sent to servers that drained meanwhile.
         """
         shared = self.shared
         with anyio.move_on_after(max(0.0, self.started + LIST_S - time.monotonic())) as late:
-            await shared.discovery.heard.wait()
+            async with anyio.create_task_group() as waits:
+                for event in (shared.discovery.heard, shared.stopping):
+                    waits.start_soon(_wait_then_end, event, waits.cancel_scope)
         if late.cancelled_caught:
             log.warning("list_late", seconds=LIST_S, entries=len(shared.servers.entries))
 
@@ -181,6 +206,12 @@
         log.info("ready", listening=self.shared.fronts.listening(), took_s=took_s)
 
 
+async def _wait_then_end(event: anyio.Event, scope: anyio.CancelScope) -> None:
+    """Wait for an event, and end what else is waited for."""
+    await event.wait()
+    scope.cancel()
+
+
 def waiting(old: Config, new: Config) -> list[str]:
     """What has changed and is only used after a restart: names of fields, and of files under deploy/."""
     names = [each.name for each in fields(Config) if each.name not in (*TAKEN_AT_ONCE, "extras")]
@@ -194,6 +225,7 @@
         channel.path_for(config.folder, config.name), config.fingerprint
     )
     async with anyio.create_task_group() as tasks:
+        hold_stops()
         program = Program(config, tasks, inherited)
         for unwanted in inherited.values():
             unwanted.close()
--- a/ringledge/lifecycle/shared.py
+++ b/ringledge/lifecycle/shared.py
@@ -64,6 +64,7 @@
     fronts: Fronts
     can_serve: Callable[[], bool]  # whether all that serving takes is at work
     stopping: anyio.Event = field(default_factory=anyio.Event)
+    stop_asked_s: float = 0.0  # when that was, on the loop's clock
     gate: Gate | None = None
     held: Held | None = None
     platform: Platform | None = None
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -150,6 +150,8 @@
         """Pass a stream on as it comes, to its last chunk."""
         chunked = header(head, b"transfer-encoding") is not None
         opening = await opening_event(conn, chunked)
+        if live.scope.cancel_called:  # its time ended in this turn: begun, it would be cut at the next wait
+            return End(i.Status.TIMEOUT)
         live.scope.deadline = math.inf
         if not self.conductor.first(attempt):
             return End(i.Status.CANCELLED)
