--- a/tests/test_told_deadline.py
+++ b/tests/test_told_deadline.py
@@ -24,6 +24,17 @@
     threading.Event().wait(PASSING_S)
 
 
+def padded(sent: bytes, size: int) -> bytes:
+    """The same request with a longer body."""
+    head, _, body = sent.partition(b"\r\n\r\n")
+    longer = body.replace(b"{", b"{" + b" " * size, 1)
+    return (
+        head.replace(b"Content-Length: %d" % len(body), b"Content-Length: %d" % len(longer))
+        + b"\r\n\r\n"
+        + longer
+    )
+
+
 def told_ms(call: Call) -> float:
     return float(call.headers["X-Budget-Ms"])
 
@@ -71,11 +82,13 @@
         yield node
 
 
-def test_in_the_backlog_while_the_list_is_waited_for_at_a_start(killed: Node) -> None:
+@pytest.mark.parametrize("size", [0, 200_000])
+def test_in_the_backlog_while_the_list_is_waited_for_at_a_start(killed: Node, size: int) -> None:
+    """A long one is read in several pieces, all of which lay there."""
     discovery = StandIn()
     restart = Restart(killed, discovery)
     with restart.dial() as client:
-        client.sendall(request("a1"))
+        client.sendall(padded(request("a1"), size))
         sent_s = time.monotonic()
         let_time_pass()
         told = first_word(killed, "leaving").replace("leaving", "active")
