--- a/crowstand/fleet.py
+++ b/crowstand/fleet.py
@@ -35,7 +35,8 @@
     cell: int
     availability: Availability
     weight: float = 1.0
-    started_ms: float = 0.0  # clock reading; 0: long ago
+    started_ms: float = 0.0  # clock reading, as it is told; 0: long ago
+    started_here_ms: float | None = None  # the same on the router's own clock, where that differs
 
 
 @dataclass(slots=True, frozen=True)
--- a/crowstand/membership.py
+++ b/crowstand/membership.py
@@ -40,7 +40,8 @@
                 continue
             server = self.servers.get(entry.server)
             if server is None or server.entry.started_ms != entry.started_ms:  # cold, with nothing cached
-                server = self._add_server(entry, self.rng.random(), entry.started_ms)
+                here_ms = entry.started_ms if entry.started_here_ms is None else entry.started_here_ms
+                server = self._add_server(entry, self.rng.random(), here_ms)
             server.entry = entry
         self._rebalance()
 
--- a/ringledge/wire/arrival_marks.py
+++ b/ringledge/wire/arrival_marks.py
@@ -8,16 +8,30 @@
 
 from collections import deque
 
+RUN_GAP_S = 0.05  # between two pieces that are read one right behind the other
+LAIN_S = 0.02  # that a piece lies in the socket of a process that keeps up, at most
+
 
 class ArrivalMarks:
     """How many bytes had come by when, as far as they still wait."""
 
     def __init__(self) -> None:
         self.total = 0  # bytes read so far
+        self._read_s = 0.0  # when the last piece was read
+        self._waited_s: float | None = None  # since when it had been there, where it had lain there for long
         self._marks = deque[tuple[int, float]]()  # the total behind each piece, and when it had come
 
-    def add(self, size: int, at_s: float) -> None:
-        """A piece was read that has been there since then."""
+    def add(self, size: int, read_s: float, at_s: float) -> None:
+        """A piece was read at one time that has been there since another.
+
+        A long request is read piece by piece. Where the first of them had lain there, so had those that are
+        read right behind it: they only waited for room.
+        """
+        waited = self._waited_s is not None and read_s - self._read_s <= RUN_GAP_S
+        if waited and self._waited_s is not None:
+            at_s = min(at_s, self._waited_s)
+        self._read_s = read_s
+        self._waited_s = at_s if read_s - at_s > LAIN_S else None
         self.total += size
         if self._marks and self._marks[-1][1] == at_s:
             self._marks.pop()
--- a/ringledge/wire/discovery.py
+++ b/ringledge/wire/discovery.py
@@ -12,8 +12,9 @@
 from crowstand import interface as i
 from ringledge.core.conductor import Conductor
 from ringledge.decide.backoff import Backoff
+from ringledge.decide.server_starts import ServerStarts
 from ringledge.decide.watch_clock import WatchClock
-from ringledge.memory.listing import ListError, Listing, decode
+from ringledge.memory.listing import Endpoint, ListError, Listing, decode
 from ringledge.memory.names import Names
 from ringledge.observe.logging import log
 from ringledge.wire.connection import Connection
@@ -66,30 +67,41 @@
         self.last_heard = time.monotonic()
         self.heard = anyio.Event()  # what it has to tell is known
         self._watching = anyio.CancelScope()
+        self._starts = ServerStarts()
+        self._known_ms: float | None = None  # when the list was known whole last, on the decisions' clock
 
     def apply(self, told: Listing, form: i.ListForm | None = None) -> None:
         """Hand one object of the list on; `form` overrides what it says of itself."""
         if form is None:
             form = i.ListForm.FULL if told.snapshot else i.ListForm.CHANGES
-        entries, addresses = [], {}
-        for each in told.endpoints:
-            entry = i.ServerEntry(
-                each.name,
-                self._names.index(self._names.zones, each.zone),
-                self._names.index(self._names.kinds, each.type),
-                each.group,
-                # A state that is not known yet gets nothing new, which breaks no rule.
-                AVAILABILITY.get(each.status, i.Availability.DRAINING),
-                each.weight,
-                each.since_ms,
-            )
-            entries.append(entry)
-            addresses[entry.server] = each.address
+        now_ms = self._conductor.clock.now_ms()
+        starts = self._starts.told(
+            now_ms, {each.name: each.since_ms for each in told.endpoints}, self._known_ms
+        )
+        entries = [self._entry(each, starts[each.name]) for each in told.endpoints]
+        addresses = {each.name: each.address for each in told.endpoints}
+        if form is not i.ListForm.PERSISTED:
+            self._known_ms = now_ms
         self._conductor.members(i.Members(form, told.index, tuple(entries)), addresses)
+        self._starts.keep(self._conductor.context.servers.entries)
         up = [each for each in entries if each.availability == i.Availability.UP]
         fresh = {each.server: each.started_ms for each in up if each.started_ms > 0}
         log.info("list", form=form.value, index=told.index, entries=len(entries), fresh=fresh)
 
+    def _entry(self, told: Endpoint, started_here_ms: float) -> i.ServerEntry:
+        """One server as the decisions take it."""
+        return i.ServerEntry(
+            told.name,
+            self._names.index(self._names.zones, told.zone),
+            self._names.index(self._names.kinds, told.type),
+            told.group,
+            # A state that is not known yet gets nothing new, which breaks no rule.
+            AVAILABILITY.get(told.status, i.Availability.DRAINING),
+            told.weight,
+            told.since_ms,
+            started_here_ms,
+        )
+
     def move(self, address: str) -> None:
         """Discovery is at another address: the watch goes on there at once."""
         self.address = address
@@ -175,6 +187,7 @@
             told = True
         self._clock.piece(anyio.current_time(), told, objects.line_ended, not objects.between)
         if objects.line_ended:
+            self._known_ms = self._conductor.clock.now_ms()
             self._backoff.succeeded()
             self.heard.set()
 
--- a/ringledge/wire/socket_reader.py
+++ b/ringledge/wire/socket_reader.py
@@ -141,7 +141,7 @@
         deaf_since, self._deaf_since = self._deaf_since, None
         if self.marks is not None and size:
             now_s = self._loop.time()
-            self.marks.add(size, now_s - age_s if deaf_since is None else deaf_since)
+            self.marks.add(size, now_s, now_s - age_s if deaf_since is None else deaf_since)
 
     def most_ahead(self) -> int:
         """How many bytes may be read that nobody waits for."""
--- a/tests/wire/test_arrival_marks.py
+++ b/tests/wire/test_arrival_marks.py
@@ -9,9 +9,9 @@
 
 def test_each_of_several_requests_ends_where_its_own_last_byte_came() -> None:
     marks = ArrivalMarks()
-    marks.add(100, 1.0)  # the first, and half of the second
-    marks.add(20, 2.0)  # the rest of the second
-    marks.add(50, 3.0)  # the third
+    marks.add(100, 1.0, 1.0)  # the first, and half of the second
+    marks.add(20, 2.0, 2.0)  # the rest of the second
+    marks.add(50, 3.0, 3.0)  # the third
     assert marks.last_byte_s(pending=120) == 1.0
     assert marks.last_byte_s(pending=50) == 2.0
     assert marks.last_byte_s(pending=0) == 3.0
@@ -19,6 +19,28 @@
 
 def test_requests_of_one_piece_came_together() -> None:
     marks = ArrivalMarks()
-    marks.add(300, 5.0)
-    marks.add(10, 9.0)
+    marks.add(300, 5.0, 5.0)
+    marks.add(10, 9.0, 9.0)
     assert [marks.last_byte_s(pending) for pending in (210, 110, 10, 0)] == [5.0, 5.0, 5.0, 9.0]
+
+
+def test_pieces_read_right_behind_one_that_had_lain_there_had_lain_there_too() -> None:
+    marks = ArrivalMarks()
+    marks.add(10, 1.0, 0.4)
+    marks.add(10, 1.01, 1.01)
+    marks.add(10, 1.02, 1.02)
+    assert marks.last_byte_s(0) == 0.4
+
+
+def test_a_piece_that_comes_later_came_then() -> None:
+    marks = ArrivalMarks()
+    marks.add(10, 1.0, 0.4)
+    marks.add(10, 1.2, 1.2)
+    assert marks.last_byte_s(0) == 1.2
+
+
+def test_pieces_of_a_request_that_comes_as_it_is_read_came_then() -> None:
+    marks = ArrivalMarks()
+    marks.add(10, 1.0, 1.0)
+    marks.add(10, 1.03, 1.03)
+    assert marks.last_byte_s(0) == 1.03
--- a/tests/wire/test_discovery.py
+++ b/tests/wire/test_discovery.py
@@ -15,6 +15,7 @@
 import pytest
 
 from crowstand import interface as i
+from ringledge.core.clock import Clock
 from ringledge.lifecycle.config import Names
 from ringledge.observe.logging import log
 from ringledge.wire import discovery as watching
@@ -35,7 +36,8 @@
 
     def __init__(self, membership: i.MembershipMode) -> None:
         settings = SimpleNamespace(membership=membership, routers=TIER)
-        self.context = SimpleNamespace(settings=settings, servers=SimpleNamespace(version=7))
+        self.context = SimpleNamespace(settings=settings, servers=SimpleNamespace(version=7, entries={}))
+        self.clock = Clock()
         self.news, self.lists = anyio.Event(), list[i.Members]()
 
     def members(self, members: i.Members, _: dict[str, str]) -> None:
