Hand the clock over with what was learned, and contain an exception in the decisions

Conductor._work contains it per event, counts handling_failed, and a request that nobody answered 150 ms behind its time is failed, counted answer_overdue.

--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -7,7 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Iterator
-from itertools import count, islice
+from itertools import count
 from typing import Any
 
 import anyio
@@ -19,18 +19,18 @@
 from ringledge.core import begin, repeats
 from ringledge.core.clock import Clock
 from ringledge.core.context import Context
-from ringledge.core.invariants import Invariants
+from ringledge.core.invariants import Invariant, Invariants
 from ringledge.core.port import Caller, Payload
 from ringledge.core.records import Attempt, Record
 from ringledge.core.registry import RequestRegistry
 from ringledge.core.server_port import Servers
 from ringledge.core.stages import accept, admit, record_outcome, relay, route, send
-from ringledge.memory.servers import ServerList
+from ringledge.memory.servers import ServerList, some_of
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 from ringledge.observe.stalls import stalls
 
-MOST_NAMED = 20  # servers that a line names
+OVERDUE_LOOK_S = 0.2  # between two looks over the open requests: an overdue answer is lost 0.5 s later
 LOOK_S = 1.0  # timers are looked at this often, though none falls due
 
 
@@ -80,7 +80,7 @@
         """News of the list; it goes before all else that waits, so that a drain is never overtaken."""
         changed = self.context.servers.apply(members, addresses)
         if changed:
-            log.info("servers_changed", version=members.version, **_some(changed))
+            log.info("servers_changed", version=members.version, **some_of(changed))
         self.context.port.listed()
         self._events.appendleft(members)
         self._work()
@@ -154,14 +154,22 @@
                 self.context.metrics.lag.set((now_ms - due_ms) / 1000)
                 self._late_ms = max(self._late_ms, now_ms - due_ms)
                 self._tell(i.Timer(token))
-            if self._looked_s - looked_s >= LOOK_S:
+            if self._looked_s - looked_s >= OVERDUE_LOOK_S:  # behind the timers: a stall made them late, too
                 looked_s = self._looked_s
-                self.context.invariants.look(self.registry.records.values())
+                self._look_over()
             self._wake = anyio.Event()
             wait_s = (self._timers[0][0] - self.clock.now_ms()) / 1000 if self._timers else LOOK_S
-            with anyio.move_on_after(min(LOOK_S, max(0.0, wait_s))):
+            look_s = OVERDUE_LOOK_S if self.registry.records else LOOK_S
+            with anyio.move_on_after(min(look_s, max(0.0, wait_s))):
                 await self._wake.wait()
 
+    def _look_over(self) -> None:
+        """Look over the open requests; one that nobody has answered by now is failed."""
+        for record in self.context.invariants.overdue(list(self.registry.records.values())):
+            admit.fail(self.context, i.Fail(record.name, i.GiveUpReason.OUT_OF_TIME))
+            for attempt in record.attempts:
+                send.cancel(self.context, i.Cancel(record.name, attempt.number))
+
     def timer_lag_ms(self) -> float:
         """How late a timer was at worst since this was asked last."""
         late_ms, self._late_ms = self._late_ms, 0.0
@@ -189,17 +197,25 @@
         try:
             while self._events:
                 event, began_s = self._events.popleft(), time.perf_counter()
-                silent = self.context.port.silences()
-                if silent != self._silent:  # the policy knows it before it decides anything more
-                    self._silent = silent
-                    self.policy.handle(self.clock.now_ms(), i.Unreachable(silent))
-                for action in self.policy.handle(self.clock.now_ms(), event):
-                    self._carry_out(action)
+                try:
+                    self._handle(event)
+                except Exception as error:  # a fault of ours costs what it met, not all that is open
+                    log.fault("event_failed", error, type=type(event).__name__)
+                    self.context.invariants.violated(Invariant.HANDLING_FAILED, type=type(event).__name__)
                 if (ran_s := time.perf_counter() - began_s) > stalls.longest_s:
                     stalls.longest_s, stalls.longest = ran_s, type(event).__name__
         finally:
             self._busy = False
 
+    def _handle(self, event: i.Event) -> None:
+        """Feed one event to the policy, and carry out what it says."""
+        silent = self.context.port.silences()
+        if silent != self._silent:  # the policy knows it before it decides anything more
+            self._silent = silent
+            self.policy.handle(self.clock.now_ms(), i.Unreachable(silent))
+        for action in self.policy.handle(self.clock.now_ms(), event):
+            self._carry_out(action)
+
     def _carry_out(self, action: i.Action) -> None:
         match action:
             case i.Send():
@@ -228,8 +244,3 @@
                 pass  # discovery is watched from the start, whether or not it is asked for
             case i.Log(text):
                 log.info("policy", text=text)
-
-
-def _some(changed: dict[str, str]) -> dict[str, object]:
-    """Some of the servers whose state has changed, and how many there are."""
-    return {"count": len(changed), "changed": dict(islice(changed.items(), MOST_NAMED))}
--- a/ringledge/core/invariants.py
+++ b/ringledge/core/invariants.py
@@ -18,7 +18,7 @@
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
 
-OVERDUE_MS = 500.0  # behind its time a final answer earns nothing; later it counts as never given
+OVERDUE_MS = 150.0  # behind its time: the answer is still in time to count, 0.5 s, and nobody else gives it
 HELD_SLACK_MS = (
     350.0  # that a KV cache entry may be held beyond the setting: 50 ms of sockets, 300 of the fleet
 )
@@ -85,18 +85,20 @@
         if not repeats.may_refuse(self._settings.classes[record.request.class_index], record):
             self.violated(Invariant.REFUSED_AFTER_RUN, record.name, attempts=record.history())
 
-    def look(self, records: Iterable[Record]) -> None:
-        """Look over the open requests, now and then: what should have happened by now, and did not."""
-        now_ms = self._clock.now_ms()
+    def overdue(self, records: Iterable[Record]) -> list[Record]:
+        """Look over the open requests, now and then; those that should have been answered by now."""
+        now_ms, found = self._clock.now_ms(), list[Record]()
         for record in records:
             if not (record.over or record.began) and now_ms > record.deadline_ms + OVERDUE_MS:
                 self._once(record, Invariant.ANSWER_OVERDUE)
+                found.append(record)
             if (
                 self._held_ms is not None
                 and record.holders
                 and self._held_for_ms(record, now_ms) > self._held_ms
             ):
                 self._once(record, Invariant.HELD_TOO_LONG)
+        return found
 
     @staticmethod
     def _held_for_ms(record: Record, now_ms: float) -> float:
--- a/ringledge/lifecycle/channel.py
+++ b/ringledge/lifecycle/channel.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -88,13 +89,22 @@
     return folder / f"ringledge-{quote(name, safe='')}.sock"
 
 
-async def ask(path: Path, settings: str) -> tuple[socket.socket | None, dict[str, socket.socket]]:
-    """The channel to a predecessor and its listening sockets by address; nothing where none answers.
+@dataclass(frozen=True, slots=True)
+class Predecessor:
+    """What a process finds of the one before it; nothing where none answers."""
+
+    channel: socket.socket | None = None
+    listeners: dict[str, socket.socket] = field(default_factory=dict)  # by address
+    clock_offset_ms: float | None = None  # what its clock is off the monotonic one
+
+
+async def ask(path: Path, settings: str) -> Predecessor:
+    """The predecessor that listens at a path.
 
     `settings`: our fingerprint; a process under other settings is no predecessor.
     """
     if not path.exists():
-        return None, {}
+        return Predecessor()
     channel = at_start(partial(socket.socket, socket.AF_UNIX, socket.SOCK_SEQPACKET))
     channel.setblocking(False)
     try:
@@ -112,11 +122,17 @@
             raise OSError("it serves under other settings")
         for listener in listeners:
             listener.setblocking(False)
-        return channel, dict(zip(told["listeners"], listeners, strict=True))
+        by_address = dict(zip(told["listeners"], listeners, strict=True))
+        return Predecessor(channel, by_address, _number(told.get("clock_offset_ms")))
     except (*BROKEN, KeyError, TypeError) as error:  # a stale file, or a process that hangs or is another's
         log.warning("no_predecessor", error=repr(error))
         close(channel)
-        return None, {}
+        return Predecessor()
+
+
+def _number(told: Any) -> float | None:
+    """A number, or None where an older process tells none."""
+    return float(told) if isinstance(told, int | float) else None
 
 
 def open_door(path: Path) -> socket.socket:
--- a/ringledge/lifecycle/handover.py
+++ b/ringledge/lifecycle/handover.py
@@ -148,7 +148,11 @@
                 if message[0].get("settings") != self._settings:
                     raise OSError("it serves under other settings")
                 fds = [each.fileno() for each in self._listeners.values()]
-                told = {"listeners": list(self._listeners), "settings": self._settings}
+                told = {
+                    "listeners": list(self._listeners),
+                    "settings": self._settings,
+                    "clock_offset_ms": self._conductor.clock.offset_ms,
+                }
                 await channel.send(sock, told, fds)
                 for part in list(self._conductor.learned()):  # all at once: it goes on learning meanwhile
                     await channel.send(sock, {"learned": part})
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -40,13 +40,11 @@
 class Program:
     """Runs the parts of one conductor."""
 
-    def __init__(
-        self, config: Config, tasks: anyio.abc.TaskGroup, inherited: dict[str, socket.socket]
-    ) -> None:
+    def __init__(self, config: Config, tasks: anyio.abc.TaskGroup, predecessor: channel.Predecessor) -> None:
         self.config, self._latest, self._tasks = config, config, tasks
         self.started = time.monotonic()
         self._reloading = anyio.CancelScope()
-        self.shared = self._share_out(inherited)
+        self.shared = self._share_out(predecessor)
         self.parts = parts.make(self.shared)
         self.handover = handover.Handover(
             channel.path_for(config.folder, config.name),
@@ -57,18 +55,19 @@
         )
         self._set_figures()
 
-    def _share_out(self, inherited: dict[str, socket.socket]) -> Shared:
+    def _share_out(self, predecessor: channel.Predecessor) -> Shared:
         """Make what the parts share: the conductor, its servers and the list of them, room for fronts."""
         config, tasks = self.config, self._tasks
         settings, names = config.settings, config.names
-        metrics, clock, servers = Metrics(), Clock(), ServerList(settings.kinds)
-        fronts = Fronts(config, metrics, inherited)
+        metrics, servers = Metrics(), ServerList(settings.kinds)
+        clock = Clock(predecessor.clock_offset_ms)
+        fronts = Fronts(config, metrics, predecessor.listeners)
         let_go_ms, zone = settings.release_within_ms, settings.zone
         upstream = Upstream(tasks, servers, names, fronts.sockets, let_go_ms, zone, clock, metrics)
         conductor = Conductor(settings, config.seed, clock, servers, metrics, upstream)
         upstream.conductor = conductor
         by_hand = ByHand(config.folder, config.name, config.fingerprint, conductor.by_hand)
-        by_hand.look()  # before the first send
+        by_hand.look_at_start()  # before the first send
         discovery = Discovery(config.discovery, names, conductor, random.Random(config.seed))
         discovery.apply(config.known, i.ListForm.PERSISTED)
         return Shared(
@@ -221,12 +220,10 @@
 
 async def serve(config: Config) -> None:
     """Serve until a signal asks for a stop."""
-    predecessor, inherited = await channel.ask(
-        channel.path_for(config.folder, config.name), config.fingerprint
-    )
+    predecessor = await channel.ask(channel.path_for(config.folder, config.name), config.fingerprint)
     async with anyio.create_task_group() as tasks:
         hold_stops()
-        program = Program(config, tasks, inherited)
-        for unwanted in inherited.values():
+        program = Program(config, tasks, predecessor)
+        for unwanted in predecessor.listeners.values():
             unwanted.close()
-        await program.run(predecessor)
+        await program.run(predecessor.channel)
--- a/ringledge/memory/byhand.py
+++ b/ringledge/memory/byhand.py
@@ -5,6 +5,7 @@
 import fcntl
 import os
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 from urllib.parse import quote
@@ -13,6 +14,7 @@
 import orjson
 
 from ringledge.observe.logging import log
+from ringledge.structures.transient import at_start
 
 LOOK_S = 0.05  # how often the file is looked at: another process may have changed it
 LOCK_S = 0.5  # a change that waits for others' for so long is given up
@@ -57,6 +59,16 @@
         names: list[Any] = told["out"]
         return names
 
+    def look_at_start(self) -> None:
+        """Take the file in before anything is sent; what fails for a moment is tried again."""
+        with suppress(OSError):  # told by `look`
+            at_start(self._readable)
+        self.look()
+
+    def _readable(self) -> None:
+        if self._path.exists():
+            self._path.read_bytes()
+
     async def change(self, server: str, out: bool) -> None:
         """Leave a server out or call it back; on disk when this returns, OSError where it could not be."""
         with self._path.with_suffix(".lock").open("ab") as lock:
--- a/ringledge/memory/servers.py
+++ b/ringledge/memory/servers.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from itertools import islice
 
 import anyio
 
 from crowstand import interface as i
 
+MOST_NAMED = 20  # servers that a log line names
+
 
 class ServerList:
     """Entries and addresses by the server's name."""
@@ -66,3 +69,8 @@
         """What the server does, where it is known."""
         entry = self.entries.get(server)
         return self._kinds[entry.kind].role if entry and entry.kind < len(self._kinds) else None
+
+
+def some_of(changed: Mapping[str, str]) -> dict[str, object]:
+    """Some of the servers whose state has changed, and how many there are: for a log line."""
+    return {"count": len(changed), "changed": dict(islice(changed.items(), MOST_NAMED))}
--- a/ringledge/wire/front.py
+++ b/ringledge/wire/front.py
@@ -21,7 +21,7 @@
 from ringledge.wire.budget import Budget
 from ringledge.wire.connection import Connection
 from ringledge.wire.open_connections import IDLE_S, OpenConnections
-from ringledge.wire.parking import Parked, speaks
+from ringledge.wire.parking import Parked, silent, speaks
 from ringledge.wire.request_loop import REQUEST_S, Answering, ErrorBody, Handler, Refused, RequestLoop
 from ringledge.wire.sockets import find_half_open
 
@@ -155,6 +155,8 @@
     def _wake(self, parked: Parked) -> None:
         """Something has come on a connection at rest, or its end: give it a parser, a buffer and a task."""
         sock = parked.sock
+        if silent(sock):  # woken without a cause: what it says comes later
+            return self.connections.parked.park(parked, IDLE_S)
         if not speaks(sock):
             sock.close()
             self.connections.left(parked.entry, parked.asked)
--- a/ringledge/wire/parking.py
+++ b/ringledge/wire/parking.py
@@ -172,6 +172,17 @@
     return [number for number, _ in zip(parked, range(most), strict=False)]
 
 
+def silent(sock: socket.socket) -> bool:
+    """Whether neither bytes nor the peer's end wait on the socket."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def speaks(sock: socket.socket) -> bool:
     """Whether bytes wait on the socket; the end of its peer is none."""
     try:
--- a/tests/core/test_contained_faults.py
+++ b/tests/core/test_contained_faults.py
@@ -1,4 +1,4 @@
-"""An exception in the decisions costs at most the request that it met: it is counted, and that one is answered."""
+"""An exception in the decisions costs at most the request it met: it is counted, and that one is answered."""
 
 from __future__ import annotations
 
--- a/tests/core/test_invariants.py
+++ b/tests/core/test_invariants.py
@@ -142,11 +142,11 @@
 def test_an_answer_that_is_overdue_is_counted_once() -> None:
     rig = Rig()
     rig.now_ms = rig.record.deadline_ms + OVERDUE_MS
-    rig.checks.look([rig.record])
+    rig.checks.overdue([rig.record])
     assert not rig.found()
     rig.now_ms += 1.0
     for _ in range(3):
-        rig.checks.look([rig.record])
+        rig.checks.overdue([rig.record])
     assert Metrics.read(rig.metrics.violations)[Invariant.ANSWER_OVERDUE.value,] == 1
 
 
@@ -156,8 +156,8 @@
     rig.record.holders, rig.record.free_ms = {"r0"}, rig.now_ms
     rig.second.arrived = arrived
     rig.now_ms += HELD_MS + HELD_SLACK_MS
-    rig.checks.look([rig.record])
+    rig.checks.overdue([rig.record])
     assert not rig.found()
     rig.now_ms += 1.0
-    rig.checks.look([rig.record])
+    rig.checks.overdue([rig.record])
     assert rig.found() == found
