--- a/ringledge/cli/serve.py
+++ b/ringledge/cli/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 from typing import NoReturn
 
@@ -14,6 +15,7 @@
 from ringledge.lifecycle import serve as serving
 from ringledge.lifecycle import signals
 from ringledge.observe.logging import LEVELS, log
+from ringledge.structures.transient import at_start, is_transient
 
 
 @click.group(cls=Lazy, invoke_without_command=True)
@@ -31,7 +33,7 @@
     signals.hold_hangup()  # until the program listens for it
     config = _load()
     log.configure(log_level, config.name)
-    anyio.run(serving.serve, config)
+    anyio.run(serving.serve, config, backend_options={"loop_factory": _make_loop})
 
 
 @main.command()
@@ -55,11 +57,27 @@
     click.echo(f"ringledge {__version__}")
 
 
+def _make_loop() -> asyncio.AbstractEventLoop:
+    """The event loop; it needs descriptors, and there may be none for a moment."""
+    return at_start(asyncio.new_event_loop)
+
+
 def _load() -> configuration.Config:
+    """The configuration; where the system refuses to read it for a moment, it is read again."""
+    try:
+        return at_start(_read)
+    except (configuration.ConfigError, OSError) as error:
+        _unusable(error)
+
+
+def _read() -> configuration.Config:
+    """Read it once; OSError where that may do in a moment."""
     try:
         return configuration.load()
     except configuration.ConfigError as error:
-        _unusable(error)
+        if isinstance(error.__cause__, OSError) and is_transient(error.__cause__):
+            raise error.__cause__ from error
+        raise
 
 
 def _unusable(error: Exception) -> NoReturn:
