--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -109,15 +109,20 @@
 
 def collect(plan: Plan, start_s: float, events: list[Event]) -> History:
     """Sort the events by request."""
+    links = dict[tuple[str, int], int]()  # by server and the port that it sees
     requests = defaultdict[str, Request](lambda: Request(""))
     kills, terms = defaultdict[str, list[float]](list), defaultdict[str, list[float]](list)
     for event in events:
         kind = event["event"]
         if kind in ("killed", "sigterm"):
             (kills if kind == "killed" else terms)[event["conductor"]].append(event["t"])
+        elif kind == "linked":
+            links[event["server"], event["port"]] = event["link"]
         elif "id" in event:
             request = requests[event["id"]]
             request.id = event["id"]
+            if kind == "arrived":
+                event["link"] = links.get((event["source"], event["port"]))
             _add(request, event)
     return History(plan, start_s, dict(requests), kills, terms, events)
 
@@ -149,7 +154,7 @@
         case "arrived":  # where the server hung, it had it before
             request.server_events.append(event)
             for attempt in request.attempts:
-                if attempt.server == event["source"] and attempt.arrived_s == inf:
+                if attempt.link == event["link"] and attempt.arrived_s == inf:
                     attempt.arrived_s, attempt.told_ms = event["t"], event["told_ms"]
                     break
         case _:
--- a/benchmarks/soak/instance.py
+++ b/benchmarks/soak/instance.py
@@ -45,7 +45,8 @@
         """A request has arrived whole."""
         self.name, chance = name, self.rng.random()
         told_ms = int(self.headers.get(b"x-budget-ms", b"0"))
-        self.log.write("arrived", id=name, kind=self.kind, told_ms=told_ms)
+        port = self.transport.get_extra_info("peername")[1]
+        self.log.write("arrived", id=name, kind=self.kind, told_ms=told_ms, port=port)
         if chance < FULL_PART:
             self.transport.write(answer(503, b"", REJECTED))
         elif self.kind == "prefill":
--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -15,6 +15,7 @@
 from collections import deque
 from contextlib import suppress
 from dataclasses import dataclass, field
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +25,7 @@
 from benchmarks.soak.events import EventLog
 
 LINGER_NONE = struct.pack("ii", 1, 0)  # closing with it is a reset
+NUMBERS = count()  # of links
 PIECE = 40  # bytes of a piece
 HEAL_RESETS = 0.5  # of the connections that a silence ends with a reset
 
@@ -57,7 +59,7 @@
         self.sides = (Side(self, 0), Side(self, 1))  # the conductor's, the server's
         self.request, self.answer = httptools.HttpRequestParser(self), httptools.HttpResponseParser(self)
         self.id, self.first_s, self.open, self.held = "", 0.0, False, False
-        self.began_s = time.monotonic()
+        self.began_s, self.number = time.monotonic(), next(NUMBERS)
         path.links.add(self)
 
     # The request's parser calls these; the answer's only `on_message_complete`, told apart by `answering`.
@@ -85,7 +87,7 @@
             self._tell("sent", first_s=self.first_s)
 
     def _tell(self, event: str, **fields: Any) -> None:
-        self.log.write(event, id=self.id, server=self.path.server, link=id(self), **fields)
+        self.log.write(event, id=self.id, server=self.path.server, link=self.number, **fields)
 
     def look_at(self, side: Side, data: bytes) -> None:
         """Parse what passes; bytes that are no HTTP are passed on unseen."""
@@ -132,7 +134,11 @@
         self.transport = transport
         if not self.number:
             asyncio.get_running_loop().create_task(self._connect())
-        elif self.other.waiting:
+            return
+        port = transport.get_extra_info("sockname")[1]
+        link = self.link
+        link.log.write("linked", server=link.path.server, port=port, link=link.number)
+        if self.other.waiting:
             self.other.pump()
 
     async def _connect(self) -> None:
--- /dev/null
+++ b/tests/core/test_hung_prefill.py
@@ -0,0 +1,66 @@
+"""A prefill server that hangs takes connections, and may run what it was sent once it goes on.
+
+Its connection was closed by then. What that prefill leaves is held like any other, though an answer of the
+request has begun elsewhere meanwhile.
+"""
+
+from __future__ import annotations
+
+from math import inf
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from crowstand import interface as i
+from ringledge.core.port import Payload
+from ringledge.core.records import Attempt, Record
+from ringledge.core.registry import RequestRegistry
+from ringledge.core.stages.record_outcome import record_outcome
+from ringledge.decide.reachability import Reachability
+from ringledge.decide.releases import Releases
+from ringledge.observe.metrics import Metrics
+
+SENT_MS, CANCELLED_MS, GOES_ON_MS, ENDED_MS = 0.0, 500.0, 700.0, 800.0
+
+
+@pytest.mark.parametrize(("answered", "unseen_ms"), [(True, CANCELLED_MS), (False, inf)])
+def test_one_that_answered_nobody_since_it_was_sent_the_prefill_is_never_taken_for_heard(
+    answered: bool, unseen_ms: float
+) -> None:
+    at: Any = SimpleNamespace(
+        port=SimpleNamespace(answered_since=lambda server, at_ms: answered),
+        clock=SimpleNamespace(now_ms=lambda: CANCELLED_MS),
+        metrics=Metrics(),
+        registry=RequestRegistry(),
+        tell=lambda _: None,
+        observer=None,
+    )
+    caller: Any = SimpleNamespace()
+    record = Record(i.Request("a", expires_in_ms=5000), Payload(b"/", b""), caller, SENT_MS)
+    attempt = Attempt(record, 0, "p0", True, False, SENT_MS, 5000.0)
+    attempt.written = True
+    record.attempts.append(attempt)
+    record_outcome(at, attempt, i.Status.CANCELLED)
+    assert record.unseen == {"p0": unseen_ms}
+
+
+@pytest.mark.parametrize(("unseen_ms", "released"), [(inf, 1), (CANCELLED_MS, 0)])
+def test_what_it_may_leave_is_released_at_the_end_though_it_was_heard_before(
+    unseen_ms: float, released: int
+) -> None:
+    reach = Reachability()
+    reach.listed([("p0", 0)])
+    reach.heard("p0", GOES_ON_MS)
+    releases = Releases(500.0, reach, lambda: {"p0": True})
+    releases.add(ENDED_MS, "a", set(), {"p0": unseen_ms}, begun=True)
+    assert [ask.server for ask in releases.step(ENDED_MS)] == ["p0"] * released
+
+
+def test_a_connection_that_comes_up_is_no_answer() -> None:
+    """The machine takes it, whether or not its process runs."""
+    reach = Reachability()
+    reach.listed([("p0", 0)])
+    reach.heard("p0", 1.0)
+    reach.connected("p0", 2.0)
+    assert reach.answered_ms("p0") == 1.0 and reach.heard_ms("p0") == 2.0
