Release what a hung prefill server may leave behind once it goes on

Reachability tells a connection (connected) from an answer (heard); a server that answered nobody since it was sent what was cancelled is released at the request's end and again until it answers.

--- a/ringledge/core/server_port.py
+++ b/ringledge/core/server_port.py
@@ -25,6 +25,9 @@
         released wherever that could be told.
         """
 
+    def answered_since(self, server: str, at_ms: float) -> bool:
+        """Whether the server's process has answered anything since then (the clock's ms)."""
+
     def listed(self) -> None:
         """The list of servers has changed."""
 
--- a/ringledge/core/stages/record_outcome.py
+++ b/ringledge/core/stages/record_outcome.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from crowstand import interface as i
 from ringledge.core.context import Context
 from ringledge.core.records import Attempt, Record
@@ -32,7 +34,9 @@
         record.unseen |= dict.fromkeys(record.holders, now_ms)
         record.holders.clear()
     elif (attempt.reads or (attempt.fetches and not attempt.began)) and attempt.written and status in CROSSED:
-        record.unseen[attempt.server] = now_ms
+        # One that answered nobody meanwhile may hang, and run it whenever it goes on.
+        answers = context.port.answered_since(attempt.server, attempt.sent_ms)
+        record.unseen[attempt.server] = now_ms if answers else inf
     context.metrics.outcomes.labels(status.value).inc()
     latency_ms = attempt.took_ms = now_ms - attempt.sent_ms
     if context.observer is not None:
--- a/ringledge/decide/reachability.py
+++ b/ringledge/decide/reachability.py
@@ -22,7 +22,8 @@
     """What was met last at one server; times in ms of the caller's clock, -inf for never."""
 
     zone: int = -1
-    heard_ms: float = -inf
+    heard_ms: float = -inf  # its process answered, or its machine took a connection
+    answered_ms: float = -inf  # its process answered
     silent_ms: float = -inf  # a connection never came up, or a call got no answer
     refused_ms: float = -inf  # its machine is there, but no process listens
     refusals: int = 0  # in a row
@@ -65,6 +66,12 @@
 
     def heard(self, server: str, now_ms: float) -> None:
         """The server has answered something."""
+        self.connected(server, now_ms)
+        if (history := self._histories.get(server)) is not None:
+            history.answered_ms = now_ms
+
+    def connected(self, server: str, now_ms: float) -> None:
+        """A connection came up: the server's machine is there, though its process may hang."""
         if (history := self._histories.get(server)) is not None:
             if max(history.silent_ms, history.refused_ms) > history.heard_ms:
                 self.changed_ms = now_ms
@@ -90,6 +97,11 @@
         history = self._histories.get(server)
         return -inf if history is None else history.heard_ms
 
+    def answered_ms(self, server: str) -> float:
+        """When the server's process answered last."""
+        history = self._histories.get(server)
+        return -inf if history is None else history.answered_ms
+
     def surest(self, servers: Iterable[str]) -> str | None:
         """The server that answered last; where none ever has, one of our own zone."""
         known = [(self._histories[server], server) for server in servers if server in self._histories]
--- a/ringledge/decide/releases.py
+++ b/ringledge/decide/releases.py
@@ -96,7 +96,7 @@
         has `begun` all was let go with it, save at servers that have said nothing since.
         """
         holders = (*sorted(known), *sorted(unseen.keys() - known))
-        silent = {server for server, at_ms in unseen.items() if self._reach.heard_ms(server) <= at_ms}
+        silent = {server for server, at_ms in unseen.items() if self._reach.answered_ms(server) <= at_ms}
         if begun and not silent:
             return
         until_ms = now_ms + self._let_go_ms
@@ -195,11 +195,11 @@
 
     def _unheard(self, release: Release, listed: Mapping[str, bool]) -> list[str]:
         """Holders at which a read may have ended unseen, and that have said nothing since."""
-        heard_ms = self._reach.heard_ms
+        answered_ms = self._reach.answered_ms
         return [
             s
             for s in release.holders
-            if s in release.unseen and s in listed and heard_ms(s) <= release.since_ms
+            if s in release.unseen and s in listed and answered_ms(s) <= release.since_ms
         ]
 
     def _where(self, now_ms: float, release: Release) -> str | None:
--- a/ringledge/wire/lines.py
+++ b/ringledge/wire/lines.py
@@ -64,7 +64,7 @@
                 self.reach.silent(server, self._clock.now_ms())
             raise
         self._connect_timeout.connected(time.monotonic() - began)
-        self.reach.heard(server, self._clock.now_ms())
+        self.reach.connected(server, self._clock.now_ms())
         return conn
 
     async def call(self, server: str, address: str, method: bytes, path: bytes) -> tuple[h11.Response, bytes]:
--- a/ringledge/wire/upstream.py
+++ b/ringledge/wire/upstream.py
@@ -107,6 +107,10 @@
         """The list has changed."""
         self.reach.listed((name, entry.zone) for name, entry in self._servers.entries.items())
 
+    def answered_since(self, server: str, at_ms: float) -> bool:
+        """Whether the server's process has answered anything since then."""
+        return self.reach.answered_ms(server) > at_ms
+
     def silences(self) -> frozenset[str]:
         """The servers that no connection reaches just now."""
         return self.reach.silences(self._clock.now_ms())
--- a/tests/core/test_client_gone.py
+++ b/tests/core/test_client_gone.py
@@ -24,7 +24,7 @@
 ) -> None:
     """One that waited for its connection was written after its client had gone."""
     abandoned, told = list[Attempt](), list[i.Event]()
-    port = SimpleNamespace(abandon=abandoned.append, release=lambda *_: None)
+    port = SimpleNamespace(abandon=abandoned.append, release=lambda *_: None, answered_since=lambda *_: True)
     clock = SimpleNamespace(now_ms=lambda: 10.0)
     at: Any = SimpleNamespace(
         port=port, clock=clock, metrics=Metrics(), registry=RequestRegistry(), tell=told.append, observer=None
--- a/tests/core/test_contained_faults.py
+++ b/tests/core/test_contained_faults.py
@@ -28,6 +28,7 @@
         port: Any = SimpleNamespace(listed=lambda: None, silences=frozenset, abandon=lambda _: None)
         port.send = lambda attempt: None
         port.release = lambda *_: None
+        port.answered_since = lambda *_: True
         self.metrics = Metrics()
         self.conductor = Conductor(
             i.Settings((SAFE,), KINDS, may_cancel=True), 1, Clock(), ServerList(KINDS), self.metrics, port
--- a/tests/wire/queued.py
+++ b/tests/wire/queued.py
@@ -63,6 +63,9 @@
     def listed(self) -> None:
         """Nothing to do."""
 
+    def answered_since(self, server: str, at_ms: float) -> bool:
+        return True
+
     def silences(self) -> frozenset[str]:
         return frozenset()
 
