Tell a decode by what it was sent with, and read an exchange in three steps

At fault: Exchanges.run asked record.holders at the answer; a late 202 to a booking's decode counted as a prefill that never ran once its entry had been released, and the booking could have been sent again. attempt.fetches, set at the send, decides. run is split into _connect, _send, _answer and _outcome; NEVER_RAN stands once (crowstand/events.py).

--- a/crowstand/events.py
+++ b/crowstand/events.py
@@ -20,6 +20,10 @@
     NOT_SENT = "moot"
 
 
+# Outcomes that prove that an attempt had no effect.
+NEVER_RAN = (Status.PREFILLED, Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT)
+
+
 @dataclass(slots=True, frozen=True)
 class Load:
     """A load report, late and noisy; a value that was not reported is None."""
--- a/crowstand/policy.py
+++ b/crowstand/policy.py
@@ -19,7 +19,7 @@
 from crowstand.control import OperatorOverride, RolePlan, Shutdown, Unreachable
 from crowstand.decode import DecodeChoice
 from crowstand.estimates import CONNECTION_LOST, PREFILL_OVERHEAD_TOKENS
-from crowstand.events import ClientGone, FirstToken, Outcome, Request, Status, Timer
+from crowstand.events import NEVER_RAN, ClientGone, FirstToken, Outcome, Request, Status, Timer
 from crowstand.fleet import Members
 from crowstand.interface import Event
 from crowstand.membership import FleetMembership
@@ -33,8 +33,6 @@
 WATCH_MULTIPLE = 4.0  # times the usual delay without a sign of life that count as a failure, if over `LATE`
 AVOIDED = 0.5  # failure probability from which a server counts as avoided: it is left out more often than not
 
-NEVER_RAN = (Status.PREFILLED, Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT)
-
 
 class Policy(PrefillChoice, DecodeChoice, FleetMembership, TenantQuotas):
     """One router's decisions: events in, actions out."""
--- a/ringledge/core/records.py
+++ b/ringledge/core/records.py
@@ -5,10 +5,9 @@
 from dataclasses import dataclass, field
 
 from crowstand import interface as i
+from crowstand.events import NEVER_RAN
 from ringledge.core.port import Caller, Payload
 
-NEVER_RAN = (i.Status.PREFILLED, i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.NOT_SENT)
-
 
 @dataclass(slots=True, eq=False)
 class Attempt:
--- a/ringledge/wire/exchange.py
+++ b/ringledge/wire/exchange.py
@@ -59,34 +59,57 @@
 
     async def run(self, attempt: Attempt, live: Live, address: str) -> End:
         """Send the request and take the answer, by the protocol's table of outcomes."""
-        record = attempt.record
+        ended = await self._connect(attempt, live, address)
+        if ended is None and live.conn is not None:
+            ended = await self._send(attempt, live, live.conn, address)
+            if ended is None:
+                return await self._answer(attempt, live, live.conn, address)
+        return ended or End(i.Status.CONNECT_FAILED)
+
+    async def _connect(self, attempt: Attempt, live: Live, address: str) -> End | None:
+        """Get a connection to the server, in time for what is held; an end where nothing will be sent."""
+        record, connect_s = attempt.record, self.lines.connect_s()
+        if record.released and not attempt.reads:
+            return await self._prefill_again(record)
+        if record.holders and not attempt.reads:
+            held_s = connect_timeout.hold_remaining_s(self.clock.now_ms(), record.free_ms, self.let_go_ms)
+            if held_s <= 0:
+                return await self._let_go(record)
+            connect_s = min(connect_s, held_s)
         try:
-            connect_s = self.lines.connect_s()
-            if record.released and not attempt.reads:
-                return await self._prefill_again(record)
-            if record.holders and not attempt.reads:
-                held_s = connect_timeout.hold_remaining_s(self.clock.now_ms(), record.free_ms, self.let_go_ms)
-                if held_s <= 0:
-                    return await self._let_go(record)
-                connect_s = min(connect_s, held_s)
-            live.conn = conn = await self.lines.take(attempt.server, address, connect_s, attempt.once)
+            live.conn = await self.lines.take(attempt.server, address, connect_s, attempt.once)
         except OSError as error:
             log.info("connect_failed", server=attempt.server, request=record.name, error=str(error))
             return End(i.Status.CONNECT_FAILED, int(isinstance(error, LocalError)))  # ours, not its server's
         if live.scope.cancel_called:  # only the next wait would tell, and to write may take none
             return End(i.Status.CONNECT_FAILED)
+        return None
+
+    async def _send(self, attempt: Attempt, live: Live, conn: Connection, address: str) -> End | None:
+        """Write the request, to its last byte; an end where it was not."""
         if not self.conductor.may_begin(attempt):
             return End(i.Status.NOT_SENT)  # a send counts from its first byte, and none is out
-        left_ms = int(attempt.ends_ms - self.clock.now_ms())
-        self.conductor.sending(attempt, left_ms)
-        log.debug(
-            "attempt_sent",
-            request=record.name,
-            attempt=attempt.number,
-            server=attempt.server,
-            kept=conn.kept,
-            told_ms=left_ms,
-        )
+        record = attempt.record
+        told_ms = int(attempt.ends_ms - self.clock.now_ms())
+        self.conductor.sending(attempt, told_ms)
+        facts = {"attempt": attempt.number, "kept": conn.kept, "told_ms": told_ms}
+        log.debug("attempt_sent", request=record.name, server=attempt.server, **facts)
+        attempt.fetches = bool(record.holders) and not attempt.reads
+        try:
+            with anyio.fail_after(self._send_s(attempt)):
+                await conn.send_first(*self._message(record, address, told_ms))
+        except OSError as error:
+            log.info("send_failed", server=attempt.server, request=record.name, error=str(error))
+            note = self._kept_broke(conn, address)
+            return End(i.Status.CONNECT_FAILED, note)  # the last byte was never written: it can't have run
+        attempt.written = True
+        attempt.arrived, live.written_ms = not conn.kept, self.clock.now_ms()
+        self.metrics.sends.inc()
+        return None
+
+    @staticmethod
+    def _message(record: Record, address: str, told_ms: int) -> tuple[h11.Event, ...]:
+        """The client's request as a server is sent it, with the time that its client has left."""
         payload = record.payload
         request = h11.Request(
             method=b"POST",
@@ -94,22 +117,16 @@
             headers=[
                 (b"Host", address.encode()),
                 (b"X-Call-Id", record.name.encode()),
-                (b"X-Budget-Ms", b"%d" % left_ms),
+                (b"X-Budget-Ms", b"%d" % told_ms),
                 (b"Content-Type", payload.content_type),
                 (b"Content-Length", b"%d" % len(payload.body)),
             ],
         )
-        attempt.fetches = bool(record.holders) and not attempt.reads
-        try:
-            with anyio.fail_after(self._send_s(attempt)):
-                await conn.send_first(request, h11.Data(data=payload.body), h11.EndOfMessage())
-        except OSError as error:
-            log.info("send_failed", server=attempt.server, request=record.name, error=str(error))
-            note = self._kept_broke(conn, address)
-            return End(i.Status.CONNECT_FAILED, note)  # the last byte was never written: it can't have run
-        attempt.written, heard = True, False
-        attempt.arrived, live.written_ms = not conn.kept, self.clock.now_ms()
-        self.metrics.sends.inc()
+        return request, h11.Data(data=payload.body), h11.EndOfMessage()
+
+    async def _answer(self, attempt: Attempt, live: Live, conn: Connection, address: str) -> End:
+        """Take what comes back."""
+        heard = False
         try:
             head = await answer_head(conn)
             heard = attempt.arrived = True
@@ -119,25 +136,24 @@
                 return await self._stream(attempt, live, conn, head)
             body = await read_body(conn, head)
         except PEER_ERRORS as error:
-            log.info(
-                "attempt_reset",
-                server=attempt.server,
-                request=record.name,
-                began=attempt.began,
-                error=str(error),
-            )
+            facts = {"began": attempt.began, "error": str(error)}
+            log.info("attempt_reset", server=attempt.server, request=attempt.record.name, **facts)
             lost = isinstance(error, OSError) or conn.ended
             return End(i.Status.RESET, self._kept_broke(conn, address) if lost and not heard else 0)
+        return self._outcome(attempt, head, body)
+
+    @staticmethod
+    def _outcome(attempt: Attempt, head: h11.Response, body: bytes) -> End:
+        """What an answer that is no stream means."""
         load = load_report(header(head, b"x-load-report"))
         rejected = header(head, b"x-rejected") == b"1"
-        decodes = bool(record.holders) and not attempt.reads
-        if head.status_code == 202 and not decodes:  # to a decode it proves nothing: it may have run
+        if head.status_code == 202 and not attempt.fetches:  # to a decode it proves nothing: it may have run
             return End(i.Status.PREFILLED, cached_tokens(as_object(body)), load)
         if rejected and head.status_code == 410:
             return End(i.Status.FULL, 1, load)
         if rejected and head.status_code in (503, 504):
             return End(i.Status.FULL, 0, load)
-        log.info("attempt_error", server=attempt.server, request=record.name, status=head.status_code)
+        log.info("attempt_error", server=attempt.server, request=attempt.record.name, status=head.status_code)
         return End(i.Status.ERROR, 0, load)
 
     def _kept_broke(self, conn: Connection, address: str) -> int:
