--- a/ringledge/core/invariants.py
+++ b/ringledge/core/invariants.py
@@ -102,7 +102,7 @@
 
     @staticmethod
     def _held_for_ms(record: Record, now_ms: float) -> float:
-        """For how long no attempt of the request that has arrived was out."""
+        """For how long no attempt of the request that has arrived, as far as one can tell, was out."""
         arrived = any(attempt.out and attempt.arrived for attempt in record.attempts)
         return 0.0 if arrived else now_ms - record.free_ms
 
--- a/ringledge/wire/silence.py
+++ b/ringledge/wire/silence.py
@@ -18,6 +18,7 @@
 from ringledge.wire.releases import Releaser
 from ringledge.wire.stream_relay import Live
 
+NEW_SLACK_MS = 150.0  # of the 300 that an entry has beyond the settings: time for a queue at the server
 SILENCE_LOOK_S = BEAT_S  # how often it is looked for silent streams and servers
 
 
@@ -87,12 +88,13 @@
     def _release_unheard(self, attempt: Attempt) -> None:
         """Release what is held for a decode that may never have arrived, once it may be held no longer.
 
-        A connection from before may be dead without a word, while its server is well and takes new ones. A
-        server that has the request keeps what the request waits for, whoever releases it.
+        A connection from before may be dead without a word, while its server is well and takes new ones; a
+        new one seldom is, but it may be, or be slow. A server that has the request keeps what the request
+        waits for, whoever releases it.
         """
         record = attempt.record
-        held_ms = self._clock.now_ms() - record.free_ms
-        if attempt.fetches and not attempt.arrived and held_ms >= self._let_go_ms:
+        allowed_ms = self._let_go_ms + (NEW_SLACK_MS if attempt.arrived else 0.0)
+        if attempt.fetches and self._clock.now_ms() - record.free_ms >= allowed_ms:
             self._release(record)
 
     def _release(self, record: Record) -> None:
