Count the time that half a request lay in the backlog

At fault: Front._admit gave a connection its whole 2.5 s from the accept on, so with up to 1.5 s of a start's wait 4 s went by. The kernel's age of what lies there counts now, with 1 s left at least to be read.

--- a/ringledge/wire/front.py
+++ b/ringledge/wire/front.py
@@ -23,6 +23,7 @@
 from ringledge.wire.open_connections import IDLE_S, OpenConnections
 from ringledge.wire.parking import Parked, silent, speaks
 from ringledge.wire.request_loop import REQUEST_S, Answering, ErrorBody, Handler, Refused, RequestLoop
+from ringledge.wire.socket_reader import unread_ms
 from ringledge.wire.sockets import find_half_open
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
 SEND_BYTES = 64 * 1024  # of an answer that the kernel may hold, where memory is watched
 BACKLOG = 1024  # new connections that are taken at a stop, at most
 WAITING_S = 1.0  # in which they are, while the system has nothing for them
+LEAST_READ_S = 1.0  # that a request may still take to be read, however long it lay in the backlog
 ACCEPT_AGAIN_S = 0.05  # behind a failure that closing nothing mends
 ACCEPT_AT_ONCE = 16  # new connections before others get their turn
 
@@ -147,6 +149,7 @@
             find_half_open(sock, entry.keep_s)
         new = Parked(sock, anyio.current_time(), False, connections.open >= connections.limit, entry)
         if speaks(sock):
+            new.since -= min(unread_ms(sock) / 1000, max(0.0, self._request_s - LEAST_READ_S))
             self._wake(new)
         else:  # a flood that opens and never speaks costs no task and no buffer
             connections.parked.park(new, IDLE_S)
