--- /dev/null
+++ b/tests/wire/test_spurious_wake.py
@@ -0,0 +1,38 @@
+"""A connection at rest that is woken with nothing to read goes on resting."""
+
+from __future__ import annotations
+
+import socket
+
+import anyio
+import h11
+
+from ringledge.observe.metrics import Metrics
+from ringledge.wire.budget import Budget
+from ringledge.wire.connection import Connection
+from ringledge.wire.front import Front
+from ringledge.wire.messages import respond
+from ringledge.wire.parking import Parked
+
+
+async def answered(conn: Connection, head: h11.Request) -> None:
+    await respond(conn, 200, b"answered")
+
+
+def test_a_request_behind_a_spurious_wake_up_is_answered() -> None:
+    """Closed on it, its client's request met a reset."""
+
+    async def run() -> None:
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        front = Front("platform", 8, Budget(1e6), answered, lambda error: b"", Metrics())
+        async with anyio.create_task_group() as tasks:
+            front._tasks = tasks
+            front._wake(Parked(ours, anyio.current_time(), True, False))
+            assert front.open == len(front.connections.parked) == 1
+            theirs.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert b"200" in await anyio.to_thread.run_sync(theirs.recv, 65536)
+            theirs.close()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
