--- a/tests/wire/test_wall_clock.py
+++ b/tests/wire/test_wall_clock.py
@@ -95,3 +95,17 @@
 
 def test_a_list_that_comes_late_makes_no_server_younger() -> None:
     assert anyio.run(late_list) > 0.28 + 0.72 * 4000 / WARM_MS - 0.02
+
+
+async def of_one_that_returns(gone_ms: float) -> float:
+    rig = Rig(0.0)
+    started_ms = true_ms() - 2 * WARM_MS
+    rig.told(True, old=0, returns=started_ms)
+    rig.told(True, old=0)
+    rig.conductor.clock._offset_ms += gone_ms
+    rig.told(False, returns=started_ms)
+    return rig.warmth("returns")
+
+
+def test_a_server_that_left_the_list_and_returns_without_a_new_start_is_warm() -> None:
+    assert anyio.run(of_one_that_returns, 8_000.0) == 1.0
