Remember the starts of servers that are listed no more, a thousand at most

ServerStarts.keep forgot them at once, and one that was told as gone and back counted as cold for its warm-up.

--- a/ringledge/decide/server_starts.py
+++ b/ringledge/decide/server_starts.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Mapping
 
+MOST_GONE = 1_000  # servers that are remembered though they are listed no more: some 200 bytes each
 LATE_MS = 5_000.0  # that discovery may tell of a start late, beyond the time since the list was known whole
 
 
@@ -30,8 +31,9 @@
         return {server: self._start(server, at_ms, now_ms, known_ms) for server, at_ms in since_ms.items()}
 
     def keep(self, servers: Mapping[str, object]) -> None:
-        """Drop what is known of all others."""
-        self._known = {server: start for server, start in self._known.items() if server in servers}
+        """Drop what is known of all others, once there are many: one that is cut off may return as it was."""
+        if len(self._known) > MOST_GONE + len(servers):
+            self._known = {server: start for server, start in self._known.items() if server in servers}
 
     def _start(self, server: str, since_ms: float, now_ms: float, known_ms: float | None) -> float:
         if since_ms <= 0:
