--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -99,6 +99,11 @@
             self._log.write("not_ready", conductor=self.name, after_s=after_s, tail=tail(lines))
         return False
 
+    async def restart(self) -> None:
+        """Start a process, and wait until it serves."""
+        self.start()
+        await self.ready()
+
     def signal(self, number: int) -> None:
         """Send the newest process a signal."""
         if self.process.poll() is None:
--- a/benchmarks/soak/troubles.py
+++ b/benchmarks/soak/troubles.py
@@ -45,14 +45,12 @@
     async def _conductor_kill(self, trouble: Trouble) -> None:
         conductor = self._day.conductors[trouble.target]
         conductor.kill()
-        conductor.start()
-        await conductor.ready()
+        await conductor.restart()
 
     async def _conductor_stop(self, trouble: Trouble) -> None:
         conductor = self._day.conductors[trouble.target]
         await conductor.stop()
-        conductor.start()
-        await conductor.ready()
+        await conductor.restart()
 
     async def _conductor_stop_early(self, trouble: Trouble) -> None:
         conductor = self._day.conductors[trouble.target]
@@ -60,8 +58,7 @@
         conductor.start()
         await asyncio.sleep(trouble.detail["after_s"])
         await conductor.stop()
-        conductor.start()
-        await conductor.ready()
+        await conductor.restart()
 
     async def _conductor_upgrade(self, trouble: Trouble) -> None:
         conductor = self._day.conductors[trouble.target]
--- a/ringledge/core/begin.py
+++ b/ringledge/core/begin.py
@@ -54,8 +54,7 @@
     """By the request's other attempts, whatever the decisions think of them."""
     request_class = settings.classes[attempt.record.request.class_index]
     others = [each for each in attempt.record.attempts if each is not attempt]
-    copies = settings.second_copies and request_class.effect is i.Effect.SAFE
-    if not copies and any(each.out and each.written for each in others):
+    if not repeats.may_be_beside(settings, request_class, others):
         return Refusal.ANOTHER_OUT
     if attempt.reads or repeats.may_repeat(request_class, others, now_ms + ARRIVAL_MS):
         return None
--- a/ringledge/core/invariants.py
+++ b/ringledge/core/invariants.py
@@ -67,8 +67,7 @@
         others = [each for each in record.attempts if each is not attempt]
         if record.over or not attempt.out:
             yield Invariant.SENT_AFTER_END
-        copies = settings.second_copies and request_class.effect is i.Effect.SAFE
-        if not copies and any(each.out and each.written for each in others):
+        if not repeats.may_be_beside(settings, request_class, others):
             yield Invariant.SECOND_COPY
         if attempt.number >= settings.max_attempts:
             yield Invariant.TOO_MANY_ATTEMPTS
--- a/ringledge/core/repeats.py
+++ b/ringledge/core/repeats.py
@@ -18,6 +18,12 @@
     return request_class.effect is i.Effect.KEYED and request_class.dedup_scope is i.DedupScope.ALL
 
 
+def may_be_beside(settings: i.Settings, request_class: i.RequestClass, others: Iterable[Attempt]) -> bool:
+    """Whether an attempt may be out beside its request's others: only where copies are permitted and safe."""
+    copies = settings.second_copies and request_class.effect is i.Effect.SAFE
+    return copies or not any(each.out and each.written for each in others)
+
+
 def may_repeat(request_class: i.RequestClass, attempts: Iterable[Attempt], at_ms: float) -> bool:
     """Whether a further attempt may be sent behind these, as far as the effect and its window tell."""
     if request_class.effect is i.Effect.SAFE:
--- a/ringledge/memory/byhand.py
+++ b/ringledge/memory/byhand.py
@@ -61,14 +61,10 @@
 
     def look_at_start(self) -> None:
         """Take the file in before anything is sent; what fails for a moment is tried again."""
-        with suppress(OSError):  # told by `look`
-            at_start(self._readable)
+        with suppress(OSError):  # told by `look`; a file that is missing is none that fails for a moment
+            at_start(self._path.read_bytes)
         self.look()
 
-    def _readable(self) -> None:
-        if self._path.exists():
-            self._path.read_bytes()
-
     async def change(self, server: str, out: bool) -> None:
         """Leave a server out or call it back; on disk when this returns, OSError where it could not be."""
         with self._path.with_suffix(".lock").open("ab") as lock:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,6 +22,15 @@
         yield node
 
 
+@pytest.fixture
+def killed(tmp_path: Path) -> Iterator[Node]:
+    """The program, killed; its address is known to clients."""
+    with Node(tmp_path) as node:
+        node.configure(listen=node.listening["platform"])
+        node.kill()
+        yield node
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Known failures are run, but their failure fails no check."""
     known = load()
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,4 +1,7 @@
-"""The list of known failures: tests that fail for a real fault which is not mended yet."""
+"""The list of known failures: tests that fail for a real fault which is not mended yet.
+
+A line each, three at most: test | cause | issue.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_half_in_backlog.py
+++ b/tests/test_half_in_backlog.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator
-from pathlib import Path
-
-import pytest
 
 from tests.loopback import Node, StandIn
 from tests.test_client_pace import request
@@ -16,15 +12,6 @@
 BUSY_S = 0.4
 
 
-@pytest.fixture
-def killed(tmp_path: Path) -> Iterator[Node]:
-    """The program, killed; its address is known to clients."""
-    with Node(tmp_path) as node:
-        node.configure(listen=node.listening["platform"])
-        node.kill()
-        yield node
-
-
 def test_the_time_in_the_backlog_counts(killed: Node) -> None:
     restart = Restart(killed, StandIn())  # discovery says nothing: the start waits for it
     with restart.dial() as client:
--- a/tests/test_told_deadline.py
+++ b/tests/test_told_deadline.py
@@ -4,8 +4,6 @@
 
 import threading
 import time
-from collections.abc import Iterator
-from pathlib import Path
 
 import pytest
 
@@ -73,15 +71,6 @@
         assert told_ms(call) < BUDGET_MS - SLACK_MS
 
 
-@pytest.fixture
-def killed(tmp_path: Path) -> Iterator[Node]:
-    """The program, killed; its address is known to clients."""
-    with Node(tmp_path) as node:
-        node.configure(listen=node.listening["platform"])
-        node.kill()
-        yield node
-
-
 @pytest.mark.parametrize("size", [0, 200_000])
 def test_in_the_backlog_while_the_list_is_waited_for_at_a_start(killed: Node, size: int) -> None:
     """A long one is read in several pieces, all of which lay there."""
--- a/tests/wire/test_abandoned.py
+++ b/tests/wire/test_abandoned.py
@@ -79,6 +79,12 @@
         self.outcomes.append(status)
         self.ended.set()
 
+    def keep(self) -> None:
+        """Have the connection kept, and trusted."""
+        self.upstream.pool.reserve()
+        self.upstream.pool.put(ADDRESS, self.conn)
+        self.conn.idle_since -= 2 * SETTLED_S
+
     def attempt(self) -> Attempt:
         now_ms = self.clock.now_ms()
         request = i.Request("a", expires_in_ms=5000)
@@ -144,9 +150,7 @@
                 at.upstream.abandon(attempt)
 
             at.upstream.conductor.client_gone = client_gone  # type: ignore[method-assign]
-            at.upstream.pool.reserve()
-            at.upstream.pool.put(ADDRESS, at.conn)
-            at.conn.idle_since -= 2 * SETTLED_S
+            at.keep()
             attempt = at.attempt()
             at.upstream.send(attempt)
             client.sendall(ahead)
@@ -160,9 +164,7 @@
 def test_one_whose_client_waits_and_has_sent_more_is_written() -> None:
     async def run() -> None:
         async with rig() as at, client_of(at) as client:
-            at.upstream.pool.reserve()
-            at.upstream.pool.put(ADDRESS, at.conn)
-            at.conn.idle_since -= 2 * SETTLED_S
+            at.keep()
             client.sendall(b"GET /ready HTTP/1.1\r\n")
             attempt = at.attempt()
             at.upstream.send(attempt)
@@ -179,9 +181,7 @@
 
     async def run() -> None:
         async with rig() as at:
-            at.upstream.pool.reserve()
-            at.upstream.pool.put(ADDRESS, at.conn)
-            at.conn.idle_since -= 2 * SETTLED_S
+            at.keep()
             attempt = at.attempt()
             at.upstream.send(attempt)
             at.upstream.abandon(attempt)  # before the loop came round
--- a/tests/wire/test_first_event_crossing.py
+++ b/tests/wire/test_first_event_crossing.py
@@ -6,9 +6,8 @@
 
 from crowstand import interface as i
 from ringledge.core.records import Attempt
-from ringledge.memory.pool import SETTLED_S
 from tests.standins import event
-from tests.wire.test_abandoned import ADDRESS, rig
+from tests.wire.test_abandoned import rig
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -20,9 +19,7 @@
         async with rig() as at:
             began = list[Attempt]()
             at.upstream.conductor.first = lambda attempt: not began.append(attempt)  # type: ignore[method-assign, func-returns-value]
-            at.upstream.pool.reserve()
-            at.upstream.pool.put(ADDRESS, at.conn)
-            at.conn.idle_since -= 2 * SETTLED_S
+            at.keep()
             attempt = at.attempt()
             at.upstream.send(attempt)
             await anyio.wait_all_tasks_blocked()
--- a/tests/wire/test_late_202.py
+++ b/tests/wire/test_late_202.py
@@ -5,8 +5,7 @@
 import anyio
 
 from crowstand import interface as i
-from ringledge.memory.pool import SETTLED_S
-from tests.wire.test_abandoned import ADDRESS, rig
+from tests.wire.test_abandoned import rig
 
 PREFILLED = b"HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}"
 
@@ -14,9 +13,7 @@
 def test_a_202_to_a_decode_whose_entry_was_released_is_an_error() -> None:
     async def run() -> None:
         async with rig() as at:
-            at.upstream.pool.reserve()
-            at.upstream.pool.put(ADDRESS, at.conn)
-            at.conn.idle_since -= 2 * SETTLED_S
+            at.keep()
             attempt = at.attempt()
             attempt.record.holders, attempt.record.free_ms = {"r0"}, at.clock.now_ms()
             at.upstream.send(attempt)
--- a/tests/wire/test_stalled_send.py
+++ b/tests/wire/test_stalled_send.py
@@ -7,8 +7,7 @@
 
 from crowstand import interface as i
 from ringledge.core.port import Payload
-from ringledge.memory.pool import SETTLED_S
-from tests.wire.test_abandoned import ADDRESS, rig
+from tests.wire.test_abandoned import rig
 
 LARGE = b"x" * (8 * 1024 * 1024)  # bytes: more than a socket buffers
 
@@ -17,9 +16,7 @@
 def test_a_request_that_is_never_taken_whole_has_not_run(held: bool) -> None:
     async def run() -> float:
         async with rig() as at:
-            at.upstream.pool.reserve()
-            at.upstream.pool.put(ADDRESS, at.conn)
-            at.conn.idle_since -= 2 * SETTLED_S
+            at.keep()
             attempt = at.attempt()
             record = attempt.record
             record.payload = Payload(b"/", LARGE)
