Hear an agent of discovery that begins each response late

Callers saw: servers that drained or had left kept getting requests, for as long as the agent took over a second for each response, however well it worked. A watch whose response began late has 0.3 s for its first line.

--- a/ringledge/decide/discovery/watch_timeout.py
+++ b/ringledge/decide/discovery/watch_timeout.py
@@ -56,7 +56,10 @@
         """When the watch counts as unresponsive unless data arrives before."""
         last_progress_s = self._last_byte_s if self._line_incomplete else self._last_line_s
         deadline_s = min(last_progress_s + self._idle_timeout_s, self._last_line_s + self.allowance_s)
-        return min(deadline_s, self.first_line_deadline_s) if self._awaits_update else deadline_s
+        if not self._awaits_update:
+            return deadline_s
+        # The response may have begun long after its request, behind which others were sent.
+        return min(deadline_s, max(self.first_line_deadline_s, self._started_s + MIN_FIRST_LINE_S))
 
     @property
     def first_line_deadline_s(self) -> float:
