Keep the entry of a decode whose response has begun

Callers saw: a query whose decode server answered badly and slowly was prefilled a second time and waited for it, up to a second more; the first prefill was thrown away. Cause: the detector of unresponsive servers releases what a decode may not have reached, and took the request for not arrived until a stream had begun. A response that is being read proves that it has arrived. On a kept connection half a head did not count as delivered either, so the time held ran on from the prefill. Change: InFlightAttempt.response_began is the one sign, by the bytes on the connection behind the request's last; the detector releases nothing of such an attempt and marks it delivered. Why it works: no release is sent while a response is read, so the retry finds its entry; the attempt itself stays bounded by the request's deadline.

--- a/ringledge/wire/http/socket_reader.py
+++ b/ringledge/wire/http/socket_reader.py
@@ -32,6 +32,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.buffer = Buffer()
+        self.received_bytes = 0  # so far
         self.closed = False
         self.ended = False  # the peer has said its last
         self.on_queue_delay: Callable[[float], None] | None = (
@@ -130,6 +131,7 @@
             except OSError as error:
                 self._error, size = error, 0
         self.buffer.filled(size)
+        self.received_bytes += size
         self._mark(size, self.unread_ms / 1000 if first else 0.0)
         if not size:
             self.ended = self._error is None
--- a/ringledge/wire/servers/exchange.py
+++ b/ringledge/wire/servers/exchange.py
@@ -102,6 +102,7 @@
         fields = {"attempt": attempt.number, "kept": conn.reused, "told_ms": budget_ms}
         log.debug("attempt_sent", request=record.request_id, server=attempt.server, **fields)
         attempt.fetches_cache = bool(record.cache_holders) and not attempt.is_prefill
+        state.received_bytes = conn.received_bytes
         try:
             with anyio.fail_after(self._send_timeout_s(attempt)):
                 await conn.send_first(*_request_events(record, address, budget_ms))
@@ -134,6 +135,8 @@
             disconnected = isinstance(error, OSError) or conn.ended
             note = self._note_broken(conn, address) if disconnected and not has_head else 0
             return ExchangeResult(AttemptStatus.RESET, note)
+        finally:
+            state.update_delivered(attempt)
         return _classify_response(attempt, head, body)
 
     async def _relay_stream(
--- a/ringledge/wire/servers/unresponsive_peers.py
+++ b/ringledge/wire/servers/unresponsive_peers.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ringledge.core.records import Attempt, Record
+from ringledge.core.records import Attempt
 from ringledge.decide.servers.delivery import DeliveryChecks, UnansweredRequest
 from ringledge.observe.logging import log
 from ringledge.observe.stalls import HEARTBEAT_INTERVAL_S, stall_detector
@@ -58,7 +58,7 @@
                 state.scope.cancel()
             elif _is_unanswered(attempt, state) and attempt.in_flight:
                 unanswered.append(UnansweredRequest(attempt.server, state.written_ms))
-                self._release_expired_entry(attempt)
+                self._release_expired_entry(attempt, state)
         for server in self._delivery_checks.take_due_servers(self._clock.now_ms(), unanswered):
             self._tasks.start_soon(self._check_server, server)
 
@@ -87,11 +87,11 @@
             record = attempt.record
             log.info("attempt_server_unreachable", server=server, request=record.request_id)
             if attempt.at_most_once:  # it may still be answered
-                self._release_entry(record)
+                self._release_unless_answered(attempt, state)
             else:
                 state.scope.cancel()
 
-    def _release_expired_entry(self, attempt: Attempt) -> None:
+    def _release_expired_entry(self, attempt: Attempt, state: InFlightAttempt) -> None:
         """Release the entry for a decode attempt that may not have been delivered, at its hold limit.
 
         A reused connection may be dead without notice while its server is well and accepts new ones; a new
@@ -101,10 +101,13 @@
         record = attempt.record
         limit_ms = self._hold_limit_ms + (NEW_CONNECTION_SLACK_MS if attempt.delivered else 0.0)
         if attempt.fetches_cache and self._clock.now_ms() - record.idle_since_ms >= limit_ms:
-            self._release_entry(record)
+            self._release_unless_answered(attempt, state)
 
-    def _release_entry(self, record: Record) -> None:
-        if not record.cache_holders:
+    def _release_unless_answered(self, attempt: Attempt, state: InFlightAttempt) -> None:
+        """Release the entry of a decode attempt, unless its response has begun, however slowly it comes."""
+        state.update_delivered(attempt)
+        record = attempt.record
+        if not record.cache_holders or state.response_began():
             return
         record.released = True
         self._release_sender.release(record.request_id, take_cache_holders(record), {})
--- a/ringledge/wire/servers/upstream.py
+++ b/ringledge/wire/servers/upstream.py
@@ -85,6 +85,7 @@
         """Close the attempt's connection at once, so that the next attempt is no hedged request."""
         state = self._in_flight.pop(attempt, None)
         if state is not None:
+            state.update_delivered(attempt)
             state.scope.cancel()  # first: closing wakes the task, which must not take that for a reset
             if state.conn is not None:
                 state.conn.close()
--- a/tests/wire/servers/test_unresponsive_peers.py
+++ b/tests/wire/servers/test_unresponsive_peers.py
@@ -15,8 +15,10 @@
 from ringledge.routing.interface import (
     Request,
 )
+from ringledge.wire.servers import unresponsive_peers
 from ringledge.wire.servers.in_flight import InFlightAttempt
 from ringledge.wire.servers.unresponsive_peers import UnresponsivePeerDetector
+from tests.wire.servers.test_abandoned_attempts import upstream_harness
 
 HOLD_LIMIT_MS = 500.0
 
@@ -84,3 +86,51 @@
     unanswered_ms: float, reachable: bool, delivered: bool, released: list[set[str]]
 ) -> None:
     assert anyio.run(released_entries, unanswered_ms, reachable, delivered) == released
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("response", "released"),
+    [
+        (b"", True),
+        (b"HTTP/1.1 20", False),
+        (b"HTTP/1.1 103 Early Hints\r\n\r\n", False),
+        (HEAD + b"2\r\n\n\n\r\n", False),
+        (b"HTTP/1.1 500 Oops\r\nContent-Length: 9\r\n\r\nx", False),
+    ],
+    ids=["none", "status line", "interim", "stream without an event", "error"],
+)
+def test_entry_is_kept_while_the_response_of_its_decode_is_read(
+    monkeypatch: pytest.MonkeyPatch, response: bytes, released: bool
+) -> None:
+    """Guards against a retry that has to prefill again: an answer that never ends was read meanwhile."""
+    checks = list[None]()
+    heartbeats: Any = SimpleNamespace(record_heartbeat=lambda: checks.append(None))
+    monkeypatch.setattr(unresponsive_peers, "stall_detector", heartbeats)
+    monkeypatch.setattr(unresponsive_peers, "CHECK_INTERVAL_S", 0.0)
+
+    async def run() -> None:
+        async with upstream_harness() as harness, anyio.create_task_group() as tasks:
+            harness.pool_connection()
+            attempt = harness.attempt()
+            record = attempt.record
+            record.cache_holders, record.idle_since_ms = {"r0"}, harness.clock.now_ms()
+            harness.upstream.send(attempt)
+            await anyio.wait_all_tasks_blocked()
+            assert attempt.written and not attempt.delivered
+            harness.peer.send(response)
+            await anyio.wait_all_tasks_blocked()
+            record.idle_since_ms -= 2 * HOLD_LIMIT_MS
+            tasks.start_soon(harness.upstream.detect_unresponsive_peers)
+            while len(checks) < 4:  # the first checks have ended
+                await anyio.sleep(0)
+            assert record.released == released
+            assert attempt.delivered is not released
+            harness.peer.close()
+            await harness.ended.wait()
+            assert attempt.delivered is not released  # so that the time held counts from here
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
