Leave overtaken prefills out of a server's expected wait

Callers saw: a booking refused (503, Retry-After 0.25) by a conductor with nothing in flight, at servers that were idle. Cause: each prefill's wait goes into its server's expected wait when it ends. Three that had waited 2.5 s outweighed 55 that were sent since and had come back at once; with all four servers so, the next booking was wait_too_long. Evidence: request_ended of the refused ones says wait_too_long, attempts []. Change: a prefill is left out if one sent later has come back from the same server in under half of the time.

--- a/ringledge/routing/observations.py
+++ b/ringledge/routing/observations.py
@@ -19,6 +19,7 @@
 FIRST_PREFILLS = 4  # whose fastest sets the rate: the very first may have waited in a queue
 MAX_SLOWDOWN = 4.0  # times the rate so far that one sample counts at most: it may have queued
 STREAM_DECAY = 0.9  # weight of the streams before with each one that ends: about ten count
+OVERTAKEN_SHARE = 0.5  # of a wait: a later prefill that took less at the same server is the truer sample
 MAX_WORK_SAMPLES = 64  # that a mean of requests' work counts at most: a router's mix changes within a day
 
 
@@ -45,12 +46,13 @@
         delay_ms = max(0.0, outcome.latency_ms - queued_ms)
         if status == AttemptStatus.PREFILLED:
             self._observe_prefill_rate(state, server, outcome)
+            server.newest_prefill_sent_ms = max(server.newest_prefill_sent_ms, state.sent_ms)
         if status == AttemptStatus.PREFILLED or (status == AttemptStatus.OK and not state.streaming):
             self.record_success(state, server, delay_ms)
         elif status == AttemptStatus.OK:
             self._observe_stream(state, server)
         elif not state.streaming and delay_ms > server.delay_of(state).value(now_ms):
-            server.delay_of(state).add(now_ms, delay_ms)  # it would have taken at least so long
+            self._add_delay(state, server, delay_ms)  # it would have taken at least so long
         self._observe_failure(state, server, outcome)
         if server.role == Role.PREFILL and status in (AttemptStatus.PREFILLED, AttemptStatus.CANCELLED):
             self._observe_congestion(state, outcome)
@@ -106,13 +108,21 @@
         estimates, now_ms, role = self.estimates, self.clock.now_ms, server.role
         estimates.completions[role].append(now_ms)
         estimates.usual_delay[role].add(now_ms, delay_ms)
-        server.delay_of(state).add(now_ms, delay_ms)
+        self._add_delay(state, server, delay_ms)
         server.failures.pop(ANY_REQUEST, None)
         self.record_result(state, server, 0.0)
         work, mean = estimates.work_tokens(state, server), estimates.mean_work[role]
         weight = 1 / min(len(estimates.completions[role]), MAX_WORK_SAMPLES)
         estimates.mean_work[role] = mean + weight * (work - mean) if mean else work
 
+    def _add_delay(self, state: RequestState, server: Server, delay_ms: float) -> None:
+        """Include a delay in its server's estimate, unless its attempt was overtaken there."""
+        now_ms = self.clock.now_ms
+        prefills = state.queued_tokens > 0
+        if prefills and now_ms - server.newest_prefill_sent_ms < OVERTAKEN_SHARE * (now_ms - state.sent_ms):
+            return
+        server.delay_of(state).add(now_ms, delay_ms)
+
     def record_result(self, state: RequestState, server: Server, failed: float) -> None:
         """Add a result (1: failed, 0: succeeded) by scope: others' answers don't clear a failure."""
         for scope in state.failure_scopes:
--- a/ringledge/routing/state.py
+++ b/ringledge/routing/state.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
-from math import exp
+from math import exp, inf
 from typing import Self
 
 from ringledge.routing.endpoints import ServerEntry
@@ -65,6 +65,7 @@
     in_flight: list[RequestState] = field(default_factory=list)  # with an attempt there without an outcome
     delay: DecayingMean = field(default_factory=DecayingMean)  # ms to prefill or first token, beyond own load
     in_place_delay: DecayingMean = field(default_factory=DecayingMean)  # ms to prefill, if it decodes too
+    newest_prefill_sent_ms: float = -inf  # when the last sent of the prefills that have ended was sent
     stream_ratio_sum: float = 0.0  # durations of its ended streams, each relative to its class's usual
     stream_count: float = 0.0  # how many ended; both decay with each further one
     cached_prefixes: dict[int, float] = field(default_factory=dict)  # and when prefilled there
--- a/tests/compatibility/policy_trace.py
+++ b/tests/compatibility/policy_trace.py
@@ -1,11 +1,17 @@
-"""Drives the routing policy with scripted random events from fixed seeds."""
+"""Drives the routing policy with scripted random events from fixed seeds.
+
+Revision e65138a had no rule on overtaken prefills: the steps that it wrote are compared with that rule's
+constant at 0, at which it never applies. A trace of its own has the rule.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 from heapq import heappop, heappush
 from random import Random
+from unittest.mock import patch
 
+from ringledge.routing import observations
 from ringledge.routing.interface import (
     AttemptOutcome,
     AttemptStatus,
@@ -94,7 +100,8 @@
 class PolicyScript:
     """One router's day: events drawn from a seed and from what the policy has asked for."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, overtaken_share: float = 0.0) -> None:
+        self.overtaken_share = overtaken_share
         self.rng = Random(seed)
         self.settings = _settings(self.rng)
         self.policy = Policy(self.settings, seed)
@@ -130,7 +137,8 @@
         return entry
 
     def _handle(self, event: RoutingEvent) -> str:
-        actions = self.policy.handle(self.now_ms, event)
+        with patch.object(observations, "OVERTAKEN_SHARE", self.overtaken_share):
+            actions = self.policy.handle(self.now_ms, event)
         for action in actions:
             match action:
                 case SendAttempt(request, server, _):
@@ -239,6 +247,12 @@
 
 
 def policy_steps() -> Iterator[str]:
-    """The whole trace."""
+    """The whole trace, without the rule on overtaken prefills."""
     for seed in SEEDS:
         yield from PolicyScript(seed).run()
+
+
+def overtaken_steps() -> Iterator[str]:
+    """The whole trace, with that rule."""
+    for seed in SEEDS:
+        yield from PolicyScript(seed, observations.OVERTAKEN_SHARE).run()
--- a/tests/compatibility/test_traces.py
+++ b/tests/compatibility/test_traces.py
@@ -1,4 +1,4 @@
-"""Every decision is as revision e65138a took it; a changed one is found."""
+"""Every decision is as revision e65138a took it, but for `policy-overtaken`; a changed one is found."""
 
 from __future__ import annotations
 
@@ -20,6 +20,7 @@
 # A constant of each subsystem with another value: module, name, value.
 MUTANTS: dict[str, tuple[str, str, object]] = {
     "policy": ("ringledge.routing.termination", "RETRY_AFTER_SHARE", 0.26),
+    "policy-overtaken": ("ringledge.routing.observations", "OVERTAKEN_SHARE", 0.6),
     "overload": ("ringledge.decide.overload.admission", "REJECTION_COST_WEIGHT", 0.41),
     "gate": ("ringledge.core.gate", "EVICTION_FRACTION", 0.11),
     "leases": ("ringledge.decide.leases.proposer", "RENEWAL_FRACTION", 0.26),
