Show status, body and log where a queued request is not replayed

Seen: this test failed once beside load with KeyError 'choices', which told neither the status of the answer nor what the queue had logged, so it could not be told whether the entry was late, failed as may have run, or lost. Change: the status of each is asserted first, with location, status, body and the process's log in the message; as strict.

--- a/tests/wire/clients/chat/test_queue_process.py
+++ b/tests/wire/clients/chat/test_queue_process.py
@@ -47,6 +47,15 @@
     node.watches.put(watch)
 
 
+def described(node: Node, location: str, response: Answer) -> str:
+    """How a queued request stands, with all that the process has logged since it was last waited for."""
+    lines = list[dict[str, Any]]()
+    while not node.lines.empty():
+        lines.append(node.lines.get())
+    log = "\n".join(json.dumps(line) for line in lines)
+    return f"{location}: {response.status} {response.body!r}\n{log}"
+
+
 def test_requests_queued_during_a_partition_are_replayed_by_the_restarted_process(node: Node) -> None:
     publish_decode_server_status(node, 8, "draining")  # the only one
     wait_for_site_state(node, "cut_off")
@@ -65,7 +74,8 @@
     responses = [request_entry(node, location) for location in locations]
     while {response.status for response in responses} != {200} and time.monotonic() < deadline_s:
         responses = [request_entry(node, location) for location in locations]
-    for response in responses:
+    for location, response in zip(locations, responses, strict=True):
+        assert response.status == 200, described(node, location, response)
         assert response.json()["choices"][0]["message"]["content"] == "yes, two slots"
     assert request_entry(node, locations[0], "DELETE").status == 409
     ids = [call.id for call in node.writer[0].seen if call.method == "POST"]
