Count the queue's ages by a clock that steps do not move

Callers saw (by reading): after a step of the system's clock by an hour forward every waiting 202 ended as expired, unsent; after a step back all waited an hour longer and ages were negative. A restart changed nothing. Cause: the times of entries and the time that they are compared with were readings of the system's clock. Change: QueueClock counts the time since the machine's boot; the file holds the offset of this boot in two rows of meta, which older programs leave alone. Enqueue, expiry, retention, the metric and `queue list` use it. After a reboot the system's clock counts once, and never less than the newest time in the file. A disk that refuses the offset costs a log line. Why it works: that clock is not stepped, and every process of one boot reads the same offset, so a restart keeps it.

--- a/ringledge/cli/queue.py
+++ b/ringledge/cli/queue.py
@@ -4,7 +4,6 @@
 
 import os
 import sys
-import time
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -141,7 +140,10 @@
 ) -> Iterator[dict[str, object]]:
     """The lines of `list`, in the order of arrival."""
     from ringledge.store.entry import EntryState
+    from ringledge.store.queue_clock import QueueClock
 
+    clock = QueueClock()
+    clock.read(db)
     numbers = ", ".join(str(int(state)) for state in states)
     query = f"""SELECT name, tenant, kind, work, created_s, state, attempts, end, token FROM entries
         WHERE state IN ({numbers}) ORDER BY seq LIMIT ?"""
@@ -152,7 +154,7 @@
             "tenant": tenant,
             "class": request_class,
             "tokens": estimated_tokens,
-            "age_s": round(time.time() - created_s, 1),
+            "age_s": round(clock.now_s() - created_s, 1),
             "state": EntryState(state).name.lower(),
             "attempts": attempts,
             "end": outcome,
--- a/ringledge/store/component.py
+++ b/ringledge/store/component.py
@@ -120,7 +120,7 @@
             self._maintained_s = now_s
             await self._expire_and_purge()
             self._backlog = await self.queue.backlog_by_tenant()
-            self._report_backlog(now_s)
+            self._report_backlog(now_s, await self.queue.now_s())
         if self._file_lock is not None:
             await self._file_lock.step()
 
@@ -130,10 +130,10 @@
             self.metrics.outcomes.labels(outcome).inc()
             log.info("queue_entry_ended", entry=name, how=outcome, token=0)
 
-    def _report_backlog(self, now_s: float) -> None:
+    def _report_backlog(self, now_s: float, unix_s: float) -> None:
         """Set the metrics; as the lease holder also allot capacity and publish the backlog to other sites."""
         entries = sum(backlog.entries for backlog in self._backlog)
-        ages_s = (time.time() - backlog.oldest_created_s for backlog in self._backlog)
+        ages_s = (unix_s - backlog.oldest_created_s for backlog in self._backlog)
         oldest_s = max(ages_s, default=0.0)
         self.metrics.backlog_entries.set(entries)
         self.metrics.backlog_age.set(oldest_s)
--- a/ringledge/store/queue.py
+++ b/ringledge/store/queue.py
@@ -4,7 +4,6 @@
 
 import os
 import sqlite3
-import time
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -14,6 +13,7 @@
 from ringledge.store.admission import QueueLimits
 from ringledge.store.entry import Entry, EntryOutcome, QueuedRequest
 from ringledge.store.queries import TenantBacklog
+from ringledge.store.queue_clock import QueueClock
 from ringledge.store.settings import QueueConfig
 from ringledge.store.transitions import AdoptionResult
 from ringledge.store.worker import DatabaseWorker
@@ -26,10 +26,11 @@
     changes the state of an entry also InvalidTransitionError.
     """
 
-    def __init__(self, config: QueueConfig, clock: Callable[[], float] = time.time) -> None:
-        """`clock`: Unix seconds, not a monotonic clock: ages have to outlive the process."""
+    def __init__(self, config: QueueConfig, clock: Callable[[], float] | None = None) -> None:
+        """`clock`: Unix seconds; None for the file's own clock."""
         self._config = config
-        self._clock = clock
+        self._file_clock = QueueClock()
+        self._clock = clock or self._file_clock.now_s
         self._limits = QueueLimits(
             max_entries=config.max_entries,
             max_bytes=config.max_bytes,
@@ -38,7 +39,7 @@
         )
         path = Path(config.path)
         self._directory = path.parent
-        self.worker = DatabaseWorker(path, config.lock_timeout_s)
+        self.worker = DatabaseWorker(path, config.lock_timeout_s, self._file_clock.synchronize)
 
     def start(self) -> None:
         """Start the worker thread."""
@@ -48,6 +49,12 @@
         """Finish pending calls, then close the file."""
         self.worker.stop()
 
+    async def now_s(self) -> float:
+        """Unix seconds of the clock that entries' times are of; QueueError while the file can't be opened."""
+        if not self._file_clock.synchronized:
+            await self.worker.run(lambda _: None, writes=False)
+        return self._clock()
+
     async def enqueue(self, request: QueuedRequest) -> Entry:
         """Insert a request; once this returns it is durable and may be answered 202."""
         return await self.worker.run(partial(self._enqueue, request=request))
--- a/ringledge/store/worker.py
+++ b/ringledge/store/worker.py
@@ -52,8 +52,14 @@
 class DatabaseWorker:
     """Runs steps on one file, in transactions, in a thread of its own."""
 
-    def __init__(self, path: Path, lock_timeout_s: float) -> None:
-        """`lock_timeout_s`: how long to wait while another process holds the file's lock."""
+    def __init__(
+        self, path: Path, lock_timeout_s: float, on_open: Callable[[sqlite3.Connection], None]
+    ) -> None:
+        """`lock_timeout_s`: how long to wait while another process holds the file's lock.
+
+        `on_open`: called with each connection that is opened, before any step; it may raise sqlite3.Error.
+        """
+        self._on_open = on_open
         self._path = path
         self._lock_timeout_s = lock_timeout_s
         self._jobs = SimpleQueue[_Job | None]()  # None: stop
@@ -167,13 +173,21 @@
         if self._open_error is not None and time.monotonic() < self._reopen_s:
             raise self._open_error
         try:
-            self._db = schema.connect(self._path, self._lock_timeout_s)
+            self._db = self._open()
         except QueueError as error:
             self._mark_unusable(error)
             raise
         self._open_error = None
         return self._db
 
+    def _open(self) -> sqlite3.Connection:
+        db = schema.connect(self._path, self._lock_timeout_s)
+        try:
+            self._on_open(db)
+        except sqlite3.Error as error:  # what is stored stays readable, whatever the disk refuses
+            log.warning("queue_clock_not_stored", error=str(error))
+        return db
+
     def _classify(self, error: sqlite3.Error) -> QueueError:
         """The error as one of the queue; closes a connection that can't be trusted any more."""
         queue_error = schema.queue_error(error, self._path)
--- a/ringledge/wire/clients/chat/queued.py
+++ b/ringledge/wire/clients/chat/queued.py
@@ -10,7 +10,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from time import time
 from typing import Any
 from uuid import uuid4
 
@@ -91,7 +90,8 @@
                 return True
         if not prefers_async(head) or self._site_state() is SiteState.AVAILABLE:
             return False
-        entry = await self._enqueue(self._queued_request(head, idempotency_key, question, request))
+        now_s = await self._now_s()
+        entry = await self._enqueue(self._queued_request(head, idempotency_key, question, request, now_s))
         await respond_accepted(conn, entry)
         return True
 
@@ -142,8 +142,8 @@
         idempotency_key: str | None,
         question: dict[str, Any],
         request: Request,
+        now_s: float,
     ) -> QueuedRequest:
-        now_s = time()
         return QueuedRequest(
             name=uuid4().hex,
             tenant=self._tenant(head),
@@ -156,12 +156,23 @@
             idempotency_key=idempotency_key,
         )
 
+    async def _now_s(self) -> float:
+        """The time on the queue's clock; where its file can't be opened, nothing is queued."""
+        try:
+            return await self._queue.now_s()
+        except QueueError as error:
+            self._report_rejection(error)
+            raise rejection_response(error) from error
+
+    def _report_rejection(self, error: QueueError) -> None:
+        self._metrics.rejected.labels(error.reason.value).inc()
+        log.rate_limited("queue_request_rejected", why=error.reason.value, error=str(error))
+
     async def _enqueue(self, queued_request: QueuedRequest) -> Entry:
         try:
             entry = await self._queue.enqueue(queued_request)
         except QueueError as error:
-            self._metrics.rejected.labels(error.reason.value).inc()
-            log.rate_limited("queue_request_rejected", why=error.reason.value, error=str(error))
+            self._report_rejection(error)
             raise rejection_response(error, [location(queued_request.name)]) from error
         self._metrics.accepted.inc()
         tenant, class_field = queued_request.tenant, {"class": queued_request.request_class}
