Answer an operators' call yes where it takes effect

Cause: an error behind the replacement was reported like one before it, though every process follows the new file from then on. Change: the folder is opened before the rename, so what fails there changes nothing and is answered no; a sync that fails behind it is logged as server_override_not_synced and answered yes.

--- a/ringledge/memory/operator_overrides.py
+++ b/ringledge/memory/operator_overrides.py
@@ -89,19 +89,29 @@
                 self.reload()
 
     def _write(self, text: bytes) -> None:
-        """Replace the file atomically: a process that starts meanwhile reads the old text or the new one."""
+        """Replace the file atomically: a process that starts meanwhile reads the old text or the new one.
+
+        OSError where nothing was replaced. Behind that the change takes effect, and is no failure.
+        """
         new_path = self._path.with_suffix(".new")
         with new_path.open("wb") as file:
             file.write(text)
             file.flush()
             os.fsync(file.fileno())
-        new_path.replace(self._path)
         folder = os.open(self._path.parent, os.O_RDONLY)
         try:
-            os.fsync(folder)
+            new_path.replace(self._path)
+            self._sync(folder)
         finally:
             os.close(folder)
 
+    def _sync(self, folder: int) -> None:
+        """Have the replacement outlive a loss of power too, as far as the disk allows it."""
+        try:
+            os.fsync(folder)
+        except OSError as error:
+            log.error("server_override_not_synced", file=str(self._path), error=str(error))
+
     async def watch(self) -> None:
         """Poll the file until cancelled."""
         while True:
