Log a lasting error of the operators' file once

On-call saw (by reading): while the file can't be read, an error line at each look, twenty a second without limit. Cause: a read that fails leaves the last text as it was, so each look counts as the first. Change: an error is logged again only once it differs or a look has succeeded in between.

--- a/ringledge/memory/operator_overrides.py
+++ b/ringledge/memory/operator_overrides.py
@@ -37,12 +37,14 @@
         self._path = folder / f"ringledge-{quote(name, safe='')}.out.json"
         self._on_change = on_change
         self._last_text: bytes | None = None  # as last read, valid or not
+        self._last_error = ""  # of the last look, which is logged once while it lasts
 
     def reload(self) -> None:
         """Apply the file if it has changed; an unreadable one is logged."""
         try:
             text = self._path.read_bytes()  # a line: no cheaper way is surer to see each change
             if text == self._last_text:
+                self._last_error = ""
                 return
             self._last_text = text
             names = self._server_names(orjson.loads(text))
@@ -50,8 +52,11 @@
         except FileNotFoundError:  # nothing was ever excluded
             return
         except (OSError, ValueError, TypeError, KeyError) as error:
-            log.error("server_overrides_unreadable", file=str(self._path), error=str(error))
+            if str(error) != self._last_error:
+                log.error("server_overrides_unreadable", file=str(self._path), error=str(error))
+            self._last_error = str(error)
             return
+        self._last_error = ""
         changed = self.excluded ^ excluded
         self.excluded = excluded
         for server in sorted(changed):
--- a/tests/memory/test_operator_overrides.py
+++ b/tests/memory/test_operator_overrides.py
@@ -78,3 +78,27 @@
         anyio.run(disk.overrides.set_excluded, "w0", True)
     disk.overrides.reload()
     assert disk.changes == []
+
+
+def test_error_that_lasts_is_logged_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an error line at each look, twenty a second without limit."""
+    disk = Disk(tmp_path, monkeypatch)
+    path = tmp_path / "ringledge-n1.out.json"
+    text = b'{"settings":"ours","out":["w0"]}'
+    read_bytes = Path.read_bytes
+    failures = [True] * 20 + [False, False, True, True]  # a later failure is one more
+
+    def read(file: Path) -> bytes:
+        if failures.pop(0):
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+        return read_bytes(file)
+
+    monkeypatch.setattr(Path, "read_bytes", read)
+    path.write_bytes(text)
+    for _ in range(20):
+        disk.overrides.reload()
+    assert disk.errors == ["server_overrides_unreadable"]
+    while failures:
+        disk.overrides.reload()
+    assert disk.errors == ["server_overrides_unreadable"] * 2
+    assert disk.changes == [("w0", True)]
