--- a/tests/memory/test_operator_overrides.py
+++ b/tests/memory/test_operator_overrides.py
@@ -1,4 +1,4 @@
-"""Excluded servers are known at a start, and calls are answered as they take effect, whatever the disk does."""
+"""Excluded servers are known at a start, and calls are answered as they take effect, also on a bad disk."""
 
 from __future__ import annotations
 
