--- a/ringledge/decide/overload/cost_model.py
+++ b/ringledge/decide/overload/cost_model.py
@@ -6,7 +6,7 @@
 
 INITIAL_REQUEST_MS, INITIAL_KB_MS = 3.0, 0.02  # CPU of a request and of each KB of it
 KB_UNIT = 64.0  # KB that weigh about as much as a request: the model wants inputs of like size
-REJECTION_MS = 0.35  # CPU of a rejection, measured; learned with the others it would absorb their costs
+REJECTION_MS = 0.35  # CPU of a rejection; learned with the others it would absorb their costs
 
 
 class CostModel:
--- a/ringledge/decide/servers/releases.py
+++ b/ringledge/decide/servers/releases.py
@@ -28,7 +28,7 @@
 HEDGE_FRACTION = 0.2
 MIN_CALL_INTERVAL_MS = 30.0  # between two calls of a release: a few round trips and a handshake
 RETRY_INTERVAL_MS = 350.0  # between two rounds while the holder doesn't answer: an entry may stay 500 ms
-RETRY_WINDOW_MS = 8_000.0  # for how long rounds are repeated: no longer network partitions have been observed
+RETRY_WINDOW_MS = 8_000.0  # for how long rounds are repeated: a network partition is mostly over by then
 GIVE_UP_MS = 20_000.0  # without any answer: by then the server has released by itself, or is down
 
 
--- a/ringledge/routing/concurrency_limit.py
+++ b/ringledge/routing/concurrency_limit.py
@@ -11,7 +11,6 @@
 
 from math import inf
 
-# Tuned values: unit, and why.
 WAIT_SHARE = 0.3  # of the target time that a prefill waits in congestion: the rest has to do for the decode
 RECENT_MS = 1_000.0  # ms for which a prefill without a wait tells of other servers: about a congested wait
 DECREASE_FACTOR = 0.7  # of the limit, or of what is in flight if less, that a wait leaves: as on networks
--- a/ringledge/routing/decode.py
+++ b/ringledge/routing/decode.py
@@ -9,7 +9,6 @@
 from ringledge.routing.prefill import CLEARLY_LESS
 from ringledge.routing.state import RequestState, Server
 
-# Tuned values: unit, and why.
 BASE_DELAY_SHARE = 0.1  # share of the target time added to each delay, so that small differences don't count
 MAX_CALM_DELAY = 2.0  # times that base delay that a server's may reach until its cell counts as congested
 MAX_MEMORY_USE = 1.0  # share of a server's memory from which it is passed over: beyond, answers are evicted
--- a/ringledge/routing/eligibility.py
+++ b/ringledge/routing/eligibility.py
@@ -8,7 +8,6 @@
 from ringledge.routing.settings import DedupScope, Idempotency, Role
 from ringledge.routing.state import RequestState, Server
 
-# Tuned values: unit, and why.
 COLD_ATTEMPTS = 0.75  # of what overloads a cold server, were the usual all that a warm one can do
 MAX_ATTEMPTS_PER_SERVER = 2  # of a request that fail: one may be chance, a full server stays full for a while
 COLD_WORK = 0.5  # of the prefills that overload a cold server: the rest is for busy routers, and for chance
--- a/ringledge/routing/endpoint_registry.py
+++ b/ringledge/routing/endpoint_registry.py
@@ -21,7 +21,6 @@
 from ringledge.routing.state import DECAY_MS, DecayingMean, Server
 from ringledge.routing.termination import cancel_actions
 
-# Tuned values: unit, and why.
 EXPIRY_CHECK_MS = 1_000.0  # ms between checks of what is old, and of how warm servers are
 AFFINITY_TTL_MS = 60_000.0  # ms a session stays bound after its last prefill: the design's default
 RETRIAL_MS = 1_000.0  # ms between trials of a failing server by all routers together: each costs a request
--- a/ringledge/routing/estimates.py
+++ b/ringledge/routing/estimates.py
@@ -21,7 +21,6 @@
     Server,
 )
 
-# Tuned values: unit, and why.
 PREFILL_OVERHEAD_TOKENS = 300.0  # tokens' worth of fixed cost in a prefill: a step and the round trip
 MAX_COMPLETIONS = 256  # completion times retained: a busy router completes that many while a server warms
 PRIOR_STREAMS = 4.0  # usual streams that are credited beforehand: the first few at a server say little
--- a/ringledge/routing/observations.py
+++ b/ringledge/routing/observations.py
@@ -15,7 +15,6 @@
 from ringledge.routing.settings import Role
 from ringledge.routing.state import ANY_REQUEST, SAMPLE_WEIGHT, SERVER_ERROR, RequestState, Server
 
-# Tuned values: unit, and why.
 FIRST_PREFILLS = 4  # whose fastest sets the rate: the very first may have waited in a queue
 MAX_SLOWDOWN = 4.0  # times the rate so far that one sample counts at most: it may have queued
 STREAM_DECAY = 0.9  # weight of the streams before with each one that ends: about ten count
--- a/ringledge/routing/prefill.py
+++ b/ringledge/routing/prefill.py
@@ -18,7 +18,6 @@
 from ringledge.routing.settings import Role
 from ringledge.routing.state import RequestState, Server
 
-# Tuned values: unit, and why.
 PREFIX_REPLICAS = 2  # servers in rank that may prefill a shared prefix: one queues, many cache it twice
 RANK_TOLERANCE = 0.03  # share of the target time that the first in rank may wait longer: a short prefill
 LATE_WAIT_SHARE = (
--- a/ringledge/routing/quotas.py
+++ b/ringledge/routing/quotas.py
@@ -8,7 +8,6 @@
 from ringledge.routing.context import RoutingContext
 from ringledge.routing.settings import RequestClass
 
-# Tuned values: unit, and why.
 ARRIVALS_MS = 1_000.0  # ms over which arrivals are counted: a tenant's bucket holds about a second's
 BURST = 4.0  # requests of a tenant that may come together: its part at one of many routers is under one
 
--- a/ringledge/routing/request_lifecycle.py
+++ b/ringledge/routing/request_lifecycle.py
@@ -34,7 +34,6 @@
 from ringledge.routing.state import FailureScope, PossibleRun, RequestState, Server
 from ringledge.routing.termination import cancel_actions, final_answer
 
-# Tuned values: unit, and why.
 WATCH_MULTIPLE = 4.0  # times the usual delay without a sign of life that count as a failure
 
 
--- a/ringledge/routing/state.py
+++ b/ringledge/routing/state.py
@@ -11,7 +11,6 @@
 from ringledge.routing.events import Request
 from ringledge.routing.settings import RequestClass, Role
 
-# Tuned values: unit, and why.
 SAMPLE_WEIGHT = 0.6  # of a new sample of a delay or failure: a router of many sees few, each tells much
 DECAY_MS = 10_000.0  # ms after which an observation counts about a third: faults last a few times that
 
--- a/ringledge/routing/termination.py
+++ b/ringledge/routing/termination.py
@@ -12,7 +12,6 @@
 from ringledge.routing.settings import DedupScope, Idempotency, RouterSettings
 from ringledge.routing.state import RequestState
 
-# Tuned values: unit, and why.
 RETRY_AFTER_SHARE = 0.25  # of the maximum that clients follow: congestion often clears within one attempt
 
 
