Vote again after a restart with a clock set back

Operators saw (by reading, shown in virtual time): after two of three voters had restarted with the clock an hour back, nobody held any duty until a further restart with a clock above the old one. Cause: a member that hears of its predecessor's later start raises its own in the membership, but its leases were stopped for good. Change: LeaseManager.restart releases all and begins acceptor and proposers anew under the raised number. Why it works: they recover as a new process's would, silent for the longest lease first, so no vote of before is given twice.

--- a/ringledge/decide/leases/manager.py
+++ b/ringledge/decide/leases/manager.py
@@ -48,7 +48,7 @@
         self._terms = terms
         self._random = random
         self._delays = delays or AcquisitionDelays()
-        self.acceptor = LeaseAcceptor(now_s, name, start_number, terms) if name in terms.acceptors else None
+        self.acceptor = self._new_acceptor(now_s)
         self._proposers: dict[str, LeaseProposer] = {}  # by duty
         self._ranking = CandidateRanking(name, self._delays.max_candidates)
         self._eligible = True
@@ -110,6 +110,28 @@
         self.acceptor = None
         return actions
 
+    def restart(self, now_s: float, start_number: int) -> list[Action]:
+        """Release all and go on as a new process of this name would, under a higher start number.
+
+        For a member that learns of a predecessor with a start number above its own: under its own it must
+        neither vote nor hold a lease, but for the rest of its life its vote may be missing to a majority.
+        """
+        if self._stopped:
+            return []
+        duties = list(self._proposers)
+        actions = [action for duty in duties for action in self.release(now_s, duty, LeaseEvent.STOPPED)]
+        self._start_number = start_number
+        self.acceptor = self._new_acceptor(now_s)
+        self._proposers.clear()
+        for duty in duties:
+            self.start_seeking(now_s, duty)
+        return actions
+
+    def _new_acceptor(self, now_s: float) -> LeaseAcceptor | None:
+        if self._name not in self._terms.acceptors:
+            return None
+        return LeaseAcceptor(now_s, self._name, self._start_number, self._terms)
+
     def receive(self, now_s: float, sender: str, message: Any) -> list[Action]:
         """Handle a message of `MESSAGES` from the member of that name."""
         return self._route(now_s, self._receive(now_s, sender, message))
--- a/ringledge/lifecycle/components/lease_holder_duties.py
+++ b/ringledge/lifecycle/components/lease_holder_duties.py
@@ -47,6 +47,9 @@
 
     def start(self) -> None:
         """Log when this member's acceptor votes."""
+        self._log_once_voting()
+
+    def _log_once_voting(self) -> None:
         if self._leases.acceptor is not None:
             self._tasks.start_soon(_log_acceptor_active, self._leases.acceptor.recovery)
 
@@ -75,7 +78,12 @@
         self._leases.set_live_members(each.name for each in self._members.membership.active_members())
         if isinstance(change, LocalStartRaised):
             # The wall clock had stepped back: with so low a start time no vote may be given, no lease held.
-            self._stop_leases()
+            self._restart_leases(change.member.start)
+
+    def _restart_leases(self, start_number: int) -> None:
+        if self._members.service is not None:
+            self._members.service.act(self._leases.restart(boottime_s(), start_number))
+            self._log_once_voting()
 
     def _on_address_bound(self) -> None:
         # A predecessor hands over its votes until it releases the address; the leases that it voted for
