--- a/tests/lifecycle/test_failing_calls.py
+++ b/tests/lifecycle/test_failing_calls.py
@@ -148,3 +148,50 @@
         assert b"HTTP/1.1 503" in answer
 
     anyio.run(run)
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE], ids=errno.errorcode.get)
+def test_requests_that_arrive_as_an_accept_fails_are_served(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against the loss of the next request of a connection that is evicted for its descriptor."""
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    accept = socket.socket.accept
+
+    async def echo(conn: Connection, head: h11.Request) -> None:
+        await respond(conn, 200, b"answered")
+
+    async def run() -> None:
+        listener = sockets.listen("127.0.0.1:0")
+        clients = [socket.create_connection(listener.getsockname(), 10) for _ in range(5)]
+        silent, newcomer = clients[-1], socket.socket()
+        failures = [OSError(number, os.strerror(number))]
+
+        def failing(sock: socket.socket) -> Any:
+            if newcomer_comes and failures:
+                for client in clients[:-1]:
+                    client.sendall(request)  # on loopback it lies in the other socket at once
+                raise failures.pop()
+            return accept(sock)
+
+        newcomer_comes = False
+        monkeypatch.setattr(socket.socket, "accept", failing)
+        front = Front(
+            FrontOptions("platform", 8), RequestHandling(echo, lambda error: b""), BodyMemory(1e6), Metrics()
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(front.serve, listener, tasks)
+            while front.open < len(clients):
+                await anyio.sleep(0)
+            newcomer_comes = True
+            newcomer.connect(listener.getsockname())
+            newcomer.sendall(request)
+            for client in (*clients[:-1], newcomer):
+                answer = await anyio.to_thread.run_sync(client.recv, 65536)
+                assert answer.startswith(b"HTTP/1.1 200")
+            assert await anyio.to_thread.run_sync(silent.recv, 65536) == b""  # an orderly end, no reset
+            tasks.cancel_scope.cancel()
+        for sock in (*clients, newcomer, listener):
+            sock.close()
+
+    anyio.run(run)
