Date every request back by the time that it lay unread

Cause: the age of bytes in the socket was asked for at the first read of a connection alone; each later request on it counted as just come. Evidence: tests/wire/http/test_busy_process.py, with the loop standing still for 300 ms: with one and three requests before it, 0.3 and 0.2 ms were counted (failed); with none before it, at least 280 (passed). Change: the age is asked for at the beginning of each request; behind the first read up to 20 ms count as the loop's usual round. Why it works: the kernel tells how long ago the newest bytes came, whoever read before.

--- a/ringledge/wire/http/socket_reader.py
+++ b/ringledge/wire/http/socket_reader.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from ringledge.wire.http.arrival_times import ArrivalMarks
+from ringledge.wire.http.arrival_times import LAIN_S, ArrivalMarks
 from ringledge.wire.http.errors import ConnectionIdleError
 from ringledge.wire.http.receive_buffer import Buffer
 
@@ -120,9 +120,10 @@
         if self._skipping:
             self._skip_some()
             return
-        first = self.marks is not None and not self.marks.total
-        if first or (self.on_queue_delay is not None and not len(self.buffer)):
+        age_s = 0.0
+        if not len(self.buffer) and (self.marks is not None or self.on_queue_delay is not None):
             self.unread_ms = unread_ms(self.sock)
+            age_s = self.unread_ms / 1000
         with self.buffer.room() as room:
             try:
                 size = self.sock.recv_into(room)
@@ -132,7 +133,7 @@
                 self._error, size = error, 0
         self.buffer.filled(size)
         self.received_bytes += size
-        self._mark(size, self.unread_ms / 1000 if first else 0.0)
+        self._mark(size, age_s)
         if not size:
             self.ended = self._error is None
             self.deafen()
@@ -142,10 +143,12 @@
             self._waiter.set_result(None)
 
     def _mark(self, size: int, age_s: float) -> None:
-        """Note when a piece came: nobody looked at the socket while it was deaf."""
+        """Note when a piece came: nobody looked at the socket while it was deaf, or the process was busy."""
         deaf_since, self._deaf_since = self._deaf_since, None
         if self.marks is not None and size:
             now_s = self._loop.time()
+            if self.marks.total and age_s <= LAIN_S:  # the loop's usual round, which the kernel's ticks blur
+                age_s = 0.0
             self.marks.add(size, now_s, now_s - age_s if deaf_since is None else deaf_since)
 
     def most_ahead(self) -> int:
--- /dev/null
+++ b/tests/wire/http/test_busy_process.py
@@ -0,0 +1,52 @@
+"""Time that a request lies in the socket of a busy process is its client's, on a connection of any age."""
+
+from __future__ import annotations
+
+import socket
+import time
+
+import anyio
+import h11
+import pytest
+
+from ringledge.wire.http.arrival_times import ArrivalMarks
+from ringledge.wire.http.connection import Connection
+from ringledge.wire.http.messages import respond
+
+AWAY_S = 0.3  # for which the event loop stands still
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+async def next_head(conn: Connection) -> None:
+    assert isinstance(await conn.next_event(), h11.Request)
+    assert isinstance(await conn.next_event(), h11.EndOfMessage)
+
+
+@pytest.mark.parametrize("before", [0, 1, 3], ids="{} before".format)
+def test_request_that_lies_unread_has_waited(before: int) -> None:
+    """Guards against a server that is told more time than is left: only a first read was dated back."""
+
+    async def run() -> tuple[float, float]:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            client = socket.create_connection(listener.getsockname(), 10)
+            served, _ = listener.accept()
+        served.setblocking(False)
+        conn = Connection(served, h11.SERVER)
+        conn.marks = ArrivalMarks()
+        with client:
+            for _ in range(before):
+                client.sendall(REQUEST)
+                await next_head(conn)
+                await respond(conn, 200, b"")
+                assert conn.next_cycle()
+            prompt_ms = conn.waited_ms() if before else 0.0
+            client.sendall(REQUEST)
+            time.sleep(AWAY_S)  # nothing of this process runs: that is the case
+            await next_head(conn)
+            waited_ms = conn.waited_ms()
+            conn.close()
+        return prompt_ms, waited_ms
+
+    prompt_ms, waited_ms = anyio.run(run)
+    assert waited_ms >= AWAY_S * 1000 - 20  # the kernel counts in ticks
+    assert prompt_ms < AWAY_S * 1000
