Read the queue clock's offset again while it could not be stored

Seen on re-reading: a process that met a lock as it opened the file kept its own offset until the file was opened again. Each question for the time now reads the offset that another process has stored meanwhile. Store and chat queue tests pass; no test of its own.

--- a/ringledge/store/queue.py
+++ b/ringledge/store/queue.py
@@ -52,7 +52,7 @@
     async def now_s(self) -> float:
         """Unix seconds of the clock that entries' times are of; QueueError while the file can't be opened."""
         if not self._file_clock.synchronized:
-            await self.worker.run(lambda _: None, writes=False)
+            await self.worker.run(self._file_clock.read, writes=False)  # another process may have stored it
         return self._clock()
 
     async def enqueue(self, request: QueuedRequest) -> Entry:
