Show that a long request is taken for younger than it is

Cause: such a request is larger than the socket's buffer. Its later pieces come only as the earlier ones are read, the kernel calls them young, and with over 50 ms between two reads they count as just come.

--- a/tests/wire/http/test_busy_process.py
+++ b/tests/wire/http/test_busy_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 import time
 
 import anyio
@@ -50,3 +51,34 @@
     prompt_ms, waited_ms = anyio.run(run)
     assert waited_ms >= AWAY_S * 1000 - 20  # the kernel counts in ticks
     assert prompt_ms < AWAY_S * 1000
+
+
+PAUSE_S = 0.08  # between two reads of a process that hardly runs
+
+
+def test_long_request_that_is_read_in_pieces_has_waited() -> None:
+    """Guards against the same where a request is larger than the socket's buffer."""
+    body = b"x" * 200_000
+    request = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+    async def run() -> float:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+            client = socket.create_connection(listener.getsockname(), 10)
+            served, _ = listener.accept()
+        served.setblocking(False)
+        conn = Connection(served, h11.SERVER)
+        conn.marks = ArrivalMarks()
+        sender = threading.Thread(target=client.sendall, args=(request,))
+        sender.start()
+        time.sleep(AWAY_S)  # nothing of this process's loop runs: that is the case
+        while not isinstance(await conn.next_event(), h11.EndOfMessage):
+            time.sleep(PAUSE_S)  # the same
+        waited_ms = conn.waited_ms()
+        sender.join()
+        client.close()
+        conn.close()
+        return waited_ms
+
+    waited_ms = anyio.run(run)
+    assert waited_ms >= AWAY_S * 1000 - 20, "a long request is taken for younger than it is"
