--- a/ringledge/core/invariants.py
+++ b/ringledge/core/invariants.py
@@ -104,11 +104,11 @@
         return overdue
 
     def _is_cache_held_too_long(self, record: Record, now_ms: float) -> bool:
-        if self._max_cache_hold_ms is None or not record.cache_holders:
+        if self._max_cache_hold_ms is None or not record.cache.holders:
             return False
         if any(attempt.in_flight and attempt.delivered for attempt in record.attempts):
             return False
-        return now_ms - record.idle_since_ms > self._max_cache_hold_ms
+        return now_ms - record.cache.idle_since_ms > self._max_cache_hold_ms
 
     def _record_once(self, record: Record, invariant: Invariant) -> None:
         """Record a violation that lasts, once for its request."""
--- a/ringledge/core/records.py
+++ b/ringledge/core/records.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from ringledge.core.port import Payload, ResponseSink
+from ringledge.decide.servers.cache_hold import CacheHold
 from ringledge.routing.events import NEVER_RAN
 from ringledge.routing.interface import AttemptStatus, Request
 
@@ -62,11 +63,7 @@
     sink: ResponseSink
     arrived_ms: float
     attempts: list[Attempt] = field(default_factory=list)
-    cache_holders: set[str] = field(default_factory=set)  # servers that hold a KV cache entry
-    # Servers on which a prefill may have ended unobserved, and when it was cancelled (inf: it may yet run).
-    unobserved: dict[str, float] = field(default_factory=dict)
-    idle_since_ms: float = 0.0  # since when no delivered attempt has been in flight
-    released: bool = False  # the KV cache was released while the policy still counts on it
+    cache: CacheHold = field(default_factory=CacheHold)
     closed: bool = False  # its final answer was given, or its client has disconnected
     result: RequestResult | None = None  # set once it is closed
     streaming: bool = False
--- a/ringledge/core/stages/record_outcome.py
+++ b/ringledge/core/stages/record_outcome.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from math import inf
-
 from ringledge.core.context import Context
 from ringledge.core.records import Attempt, Record, RequestResult
 from ringledge.observe.logging import log
@@ -29,8 +27,7 @@
     attempt.duration_ms = now_ms - attempt.sent_ms
     if context.observer is not None:
         context.observer.on_attempt_ended(attempt, status, note)
-    if attempt.delivered:
-        record.idle_since_ms = now_ms
+    record.cache.attempt_ended(now_ms, attempt.delivered)
     context.dispatch(
         AttemptOutcome(
             record.request_id,
@@ -62,18 +59,14 @@
     context: Context, attempt: Attempt, status: AttemptStatus, note: int, now_ms: float
 ) -> None:
     """Update where a KV cache entry of the request is, or may be."""
-    record = attempt.record
+    cache = attempt.record.cache
     if status == AttemptStatus.PREFILLED:
-        record.cache_holders.add(attempt.server)
-        record.released = False
+        cache.prefilled(attempt.server)
     elif status == AttemptStatus.FULL and note == 1:
-        # No longer on its prefill server; a decode server whose attempt was cancelled may have fetched it.
-        record.unobserved |= dict.fromkeys(record.cache_holders, now_ms)
-        record.cache_holders.clear()
+        cache.fetched_elsewhere(now_ms)
     elif _may_hold_cache(attempt) and attempt.written and status in UNOBSERVED_STATUSES:
-        # A server that has answered nothing since then may hang, and run the attempt once it resumes.
         has_answered = context.transport.answered_since(attempt.server, attempt.sent_ms)
-        record.unobserved[attempt.server] = now_ms if has_answered else inf
+        cache.ended_unobserved(attempt.server, now_ms, has_answered)
 
 
 def _may_hold_cache(attempt: Attempt) -> bool:
@@ -93,12 +86,9 @@
     Only once no attempt will follow: a server that is sent the release drops everything held for the request
     on any server, and so the entry of a further prefill that is in flight.
     """
-    if record.cache_holders or record.unobserved:
-        context.transport.release(
-            record.request_id, record.cache_holders, record.unobserved, record.streaming
-        )
-    record.cache_holders = set()
-    record.unobserved = {}
+    holders, unobserved = record.cache.take_holders(), record.cache.take_unobserved()
+    if holders or unobserved:
+        context.transport.release(record.request_id, holders, unobserved, record.streaming)
 
 
 def remove_if_done(context: Context, record: Record) -> None:
--- a/ringledge/core/stages/relay.py
+++ b/ringledge/core/stages/relay.py
@@ -14,7 +14,7 @@
         return False
     attempt.streaming = True
     record.streaming = True
-    record.cache_holders.clear()  # the servers release the KV cache themselves with the first token
+    record.cache.stream_started()
     attempt.first_token_ms = context.clock.now_ms() - attempt.sent_ms
     record.first_token_ms = context.clock.now_ms() - record.arrived_ms
     context.metrics.first_token.observe(record.first_token_ms / 1000)
--- a/ringledge/members/role_keeper.py
+++ b/ringledge/members/role_keeper.py
@@ -154,11 +154,11 @@
     def _count_in_flight(self) -> InFlightWork:
         work = InFlightWork()
         for record in self._context.registry.records.values():
-            work.cache_entries.update(record.cache_holders)
+            work.cache_entries.update(record.cache.holders)
             for attempt in record.attempts:
                 if not attempt.in_flight:
                     continue
-                is_stream = attempt.streaming or record.cache_holders
+                is_stream = attempt.streaming or record.cache.holders
                 counter = work.streams if is_stream else work.prefills
                 counter[attempt.server] += 1
         return work
--- a/ringledge/wire/servers/exchange.py
+++ b/ringledge/wire/servers/exchange.py
@@ -72,9 +72,9 @@
         """A connection within the hold limit of the request's entry, or the result if there is none."""
         record = attempt.record
         timeout_s = self.connections.connect_timeout_s()
-        if record.released and not attempt.is_prefill:
+        if record.cache.released and not attempt.is_prefill:
             return await self._await_release(record)
-        if record.cache_holders and not attempt.is_prefill:
+        if record.cache.holders and not attempt.is_prefill:
             remaining_s = self._hold_remaining_s(record)
             if remaining_s <= 0:
                 return await self._release_expired_entry(record)
@@ -101,7 +101,7 @@
         self.conductor.on_attempt_sent(attempt, budget_ms)
         fields = {"attempt": attempt.number, "kept": conn.reused, "told_ms": budget_ms}
         log.debug("attempt_sent", request=record.request_id, server=attempt.server, **fields)
-        attempt.fetches_cache = bool(record.cache_holders) and not attempt.is_prefill
+        attempt.fetches_cache = bool(record.cache.holders) and not attempt.is_prefill
         state.received_bytes = conn.received_bytes
         try:
             with anyio.fail_after(self._send_timeout_s(attempt)):
@@ -170,12 +170,12 @@
 
     def _hold_remaining_s(self, record: Record) -> float:
         now_ms = self.context.clock.now_ms()
-        return hold_remaining_s(now_ms, record.idle_since_ms, self.context.hold_limit_ms)
+        return hold_remaining_s(now_ms, record.cache.idle_since_ms, self.context.hold_limit_ms)
 
     async def _await_release(self, record: Record) -> ExchangeResult:
         """The entry was released already: a new prefill may start once no release call is in flight."""
         await self.release_sender.wait_until_finished(record.request_id)
-        record.released = False
+        record.cache.released = False
         return ExchangeResult(AttemptStatus.FULL, 1)
 
     async def _release_expired_entry(self, record: Record) -> ExchangeResult:
--- a/ringledge/wire/servers/releases.py
+++ b/ringledge/wire/servers/releases.py
@@ -21,7 +21,7 @@
 
 def take_cache_holders(record: Record) -> set[str]:
     """Remove the known holders of a request's entry from its record, and log that they are to release it."""
-    holders, record.cache_holders = record.cache_holders, set()
+    holders = record.cache.take_holders()
     log.info("cache_entry_released", request=record.request_id, servers=sorted(holders))
     return holders
 
--- a/ringledge/wire/servers/unresponsive_peers.py
+++ b/ringledge/wire/servers/unresponsive_peers.py
@@ -100,16 +100,16 @@
         """
         record = attempt.record
         limit_ms = self._hold_limit_ms + (NEW_CONNECTION_SLACK_MS if attempt.delivered else 0.0)
-        if attempt.fetches_cache and self._clock.now_ms() - record.idle_since_ms >= limit_ms:
+        if attempt.fetches_cache and self._clock.now_ms() - record.cache.idle_since_ms >= limit_ms:
             self._release_unless_answered(attempt, state)
 
     def _release_unless_answered(self, attempt: Attempt, state: InFlightAttempt) -> None:
         """Release the entry of a decode attempt, unless its response has begun, however slowly it comes."""
         state.update_delivered(attempt)
         record = attempt.record
-        if not record.cache_holders or state.response_began():
+        if not record.cache.holders or state.response_began():
             return
-        record.released = True
+        record.cache.released = True
         self._release_sender.release(record.request_id, take_cache_holders(record), {})
 
 
--- a/tests/core/test_hung_prefill.py
+++ b/tests/core/test_hung_prefill.py
@@ -45,7 +45,7 @@
     attempt.written = True
     record.attempts.append(attempt)
     record_outcome(context, attempt, AttemptStatus.CANCELLED)
-    assert record.unobserved == {"p0": unobserved_ms}
+    assert record.cache.unobserved == {"p0": unobserved_ms}
 
 
 @pytest.mark.parametrize(("unobserved_ms", "released"), [(inf, 1), (CANCELLED_MS, 0)])
--- a/tests/core/test_invariants.py
+++ b/tests/core/test_invariants.py
@@ -180,7 +180,7 @@
     is_delivered: bool, violations: set[Invariant]
 ) -> None:
     fixture = InvariantFixture()
-    fixture.record.cache_holders, fixture.record.idle_since_ms = {"r0"}, fixture.now_ms
+    fixture.record.cache.holders, fixture.record.cache.idle_since_ms = {"r0"}, fixture.now_ms
     fixture.second.delivered = is_delivered
     fixture.now_ms += RELEASE_WITHIN_MS + CACHE_HOLD_SLACK_MS
     fixture.checker.check_open_requests([fixture.record])
--- a/tests/wire/servers/test_late_202.py
+++ b/tests/wire/servers/test_late_202.py
@@ -17,11 +17,11 @@
         async with upstream_harness() as harness:
             harness.pool_connection()
             attempt = harness.attempt()
-            attempt.record.cache_holders, attempt.record.idle_since_ms = {"r0"}, harness.clock.now_ms()
+            attempt.record.cache.holders, attempt.record.cache.idle_since_ms = {"r0"}, harness.clock.now_ms()
             harness.upstream.send(attempt)
             await anyio.wait_all_tasks_blocked()
             assert attempt.written
-            attempt.record.cache_holders = set()
+            attempt.record.cache.holders = set()
             harness.peer.send(PREFILLED)
             await harness.ended.wait()
             assert harness.outcomes == [AttemptStatus.ERROR]
--- a/tests/wire/servers/test_stalled_send.py
+++ b/tests/wire/servers/test_stalled_send.py
@@ -23,7 +23,7 @@
             record = attempt.record
             record.payload = Payload(b"/", LARGE)
             if has_entry:
-                record.cache_holders, record.idle_since_ms = {"r0"}, harness.clock.now_ms()
+                record.cache.holders, record.cache.idle_since_ms = {"r0"}, harness.clock.now_ms()
             began_s = anyio.current_time()
             harness.upstream.send(attempt)
             await harness.ended.wait()
--- a/tests/wire/servers/test_unresponsive_peers.py
+++ b/tests/wire/servers/test_unresponsive_peers.py
@@ -34,7 +34,7 @@
         caller: Any = SimpleNamespace()
         written_ms = self.now_ms - unanswered_ms
         self.record = Record(Request("a", expires_in_ms=9000), Payload(b"/", b""), caller, written_ms)
-        self.record.cache_holders, self.record.idle_since_ms = {"r0"}, written_ms
+        self.record.cache.holders, self.record.cache.idle_since_ms = {"r0"}, written_ms
         self.attempt = Attempt(self.record, 0, "w0", False, True, written_ms, 20_000.0)
         self.attempt.written = self.attempt.fetches_cache = True
         self.record.attempts.append(self.attempt)
@@ -116,17 +116,17 @@
             harness.pool_connection()
             attempt = harness.attempt()
             record = attempt.record
-            record.cache_holders, record.idle_since_ms = {"r0"}, harness.clock.now_ms()
+            record.cache.holders, record.cache.idle_since_ms = {"r0"}, harness.clock.now_ms()
             harness.upstream.send(attempt)
             await anyio.wait_all_tasks_blocked()
             assert attempt.written and not attempt.delivered
             harness.peer.send(response)
             await anyio.wait_all_tasks_blocked()
-            record.idle_since_ms -= 2 * HOLD_LIMIT_MS
+            record.cache.idle_since_ms -= 2 * HOLD_LIMIT_MS
             tasks.start_soon(harness.upstream.detect_unresponsive_peers)
             while len(checks) < 4:  # the first checks have ended
                 await anyio.sleep(0)
-            assert record.released == released
+            assert record.cache.released == released
             assert attempt.delivered is not released
             harness.peer.close()
             await harness.ended.wait()
