--- a/ringledge/core/stages/record_outcome.py
+++ b/ringledge/core/stages/record_outcome.py
@@ -7,6 +7,7 @@
 from ringledge.observe.logging import log
 from ringledge.routing.interface import AttemptOutcome, AttemptStatus, LoadReport
 
+ANSWERED_STATUSES = (AttemptStatus.OK, AttemptStatus.PREFILLED)
 # After these a 202, or a fetch of the KV cache, may have been under way: the server may hold an entry unseen.
 UNOBSERVED_STATUSES = (AttemptStatus.CANCELLED, AttemptStatus.TIMEOUT, AttemptStatus.RESET)
 
@@ -27,6 +28,8 @@
     attempt.duration_ms = now_ms - attempt.sent_ms
     if context.observer is not None:
         context.observer.on_attempt_ended(attempt, status, note)
+    if status not in ANSWERED_STATUSES:
+        _log_unanswered(attempt, now_ms)
     record.cache.attempt_ended(now_ms, attempt.delivered)
     context.dispatch(
         AttemptOutcome(
@@ -43,6 +46,24 @@
     remove_if_done(context, record)
 
 
+def _log_unanswered(attempt: Attempt, now_ms: float) -> None:
+    """Log an attempt that ended without a complete response, and what it may have left on servers."""
+    cache = attempt.record.cache
+    log.info(
+        "attempt_ended",
+        request=attempt.record.request_id,
+        attempt=attempt.number,
+        server=attempt.server,
+        how=attempt.outcome and attempt.outcome.value,
+        ms=round(attempt.duration_ms, 1),
+        written=attempt.written,
+        arrived=attempt.delivered,
+        holders=sorted(cache.holders),
+        unobserved=sorted(cache.unobserved),
+        held_ms=round(now_ms - cache.idle_since_ms, 1) if cache.holders or cache.unobserved else None,
+    )
+
+
 def _finish_response(context: Context, record: Record, status: AttemptStatus) -> None:
     """End the client's response, cleanly only where it is complete."""
     if record.closed:
--- a/ringledge/decide/servers/cache_hold.py
+++ b/ringledge/decide/servers/cache_hold.py
@@ -7,9 +7,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from math import inf
 
 
+class ReleaseReason(StrEnum):
+    """Why the entries of an open request are released; the values are labels of a metric and fields of the log."""
+
+    NO_SERVER_REACHED = "no_server_reached"  # no decode server took a connection within the hold limit
+    NOT_DELIVERED = "not_delivered"  # the decode in flight may not have arrived by the hold limit
+
+
 @dataclass(slots=True)
 class CacheHold:
     """The KV cache entries of one request."""
--- a/ringledge/wire/servers/exchange.py
+++ b/ringledge/wire/servers/exchange.py
@@ -10,6 +10,7 @@
 
 from ringledge.core.conductor import Conductor
 from ringledge.core.records import Attempt, Record
+from ringledge.decide.servers.cache_hold import ReleaseReason
 from ringledge.decide.servers.connect_timeout import hold_remaining_s
 from ringledge.observe.logging import log
 from ringledge.routing.interface import (
@@ -180,7 +181,8 @@
 
     async def _release_expired_entry(self, record: Record) -> ExchangeResult:
         """No decode server was reached within the hold limit: release the entry, and prefill anew."""
-        await self.release_sender.release_and_wait(record.request_id, take_cache_holders(record))
+        holders = take_cache_holders(self.context, record, ReleaseReason.NO_SERVER_REACHED)
+        await self.release_sender.release_and_wait(record.request_id, holders)
         return ExchangeResult(AttemptStatus.FULL, 1)
 
 
--- a/ringledge/wire/servers/releases.py
+++ b/ringledge/wire/servers/releases.py
@@ -8,6 +8,7 @@
 import anyio
 
 from ringledge.core.records import Record
+from ringledge.decide.servers.cache_hold import ReleaseReason
 from ringledge.decide.servers.reachability import Reachability
 from ringledge.decide.servers.release_state import ReleaseCall, ReleaseOutcome, ReleaseResult
 from ringledge.decide.servers.releases import ReleaseScheduler
@@ -19,10 +20,13 @@
 FINISH_TIMEOUT_S = 0.7  # for a release that its request waits for: the hold limit, and one call more
 
 
-def take_cache_holders(record: Record) -> set[str]:
-    """Remove the known holders of a request's entry from its record, and log that they are to release it."""
+def take_cache_holders(context: UpstreamContext, record: Record, reason: ReleaseReason) -> set[str]:
+    """Remove the known holders of an open request's entry, and log that they are to release it."""
+    held_ms = round(context.clock.now_ms() - record.cache.idle_since_ms, 1)
     holders = record.cache.take_holders()
-    log.info("cache_entry_released", request=record.request_id, servers=sorted(holders))
+    fields = {"why": reason.value, "held_ms": held_ms, "unobserved": sorted(record.cache.unobserved)}
+    log.info("cache_entry_released", request=record.request_id, servers=sorted(holders), **fields)
+    context.metrics.entry_releases.labels(reason.value).inc()
     return holders
 
 
--- a/ringledge/wire/servers/unresponsive_peers.py
+++ b/ringledge/wire/servers/unresponsive_peers.py
@@ -8,6 +8,7 @@
 import anyio
 
 from ringledge.core.records import Attempt
+from ringledge.decide.servers.cache_hold import ReleaseReason
 from ringledge.decide.servers.delivery import DeliveryChecks, UnansweredRequest
 from ringledge.observe.logging import log
 from ringledge.observe.stalls import HEARTBEAT_INTERVAL_S, stall_detector
@@ -32,6 +33,7 @@
         release_sender: ReleaseSender,
     ) -> None:
         """`in_flight`: all attempts in flight, kept up to date by its owner."""
+        self._context = context
         self._tasks = context.tasks
         self._servers = context.servers
         self._clock = context.clock
@@ -110,7 +112,8 @@
         if not record.cache.holders or state.response_began():
             return
         record.cache.released = True
-        self._release_sender.release(record.request_id, take_cache_holders(record), {})
+        holders = take_cache_holders(self._context, record, ReleaseReason.NOT_DELIVERED)
+        self._release_sender.release(record.request_id, holders, {})
 
 
 def _is_unanswered(attempt: Attempt, state: InFlightAttempt) -> bool:
--- a/tests/wire/servers/test_unresponsive_peers.py
+++ b/tests/wire/servers/test_unresponsive_peers.py
@@ -12,6 +12,7 @@
 from ringledge.core.records import Attempt, Record
 from ringledge.decide.servers.delivery import CHECK_AFTER_MS
 from ringledge.decide.servers.reachability import Reachability
+from ringledge.observe.metrics import Metrics
 from ringledge.routing.interface import (
     Request,
 )
@@ -47,7 +48,9 @@
         servers: Any = SimpleNamespace(address=lambda _: "127.0.0.1:9")
         clock: Any = SimpleNamespace(now_ms=lambda: self.now_ms)
         release_sender: Any = SimpleNamespace(release=lambda _, known, __: self.released.append(known))
-        context: Any = SimpleNamespace(tasks=tasks, servers=servers, clock=clock, hold_limit_ms=HOLD_LIMIT_MS)
+        context: Any = SimpleNamespace(
+            tasks=tasks, servers=servers, clock=clock, hold_limit_ms=HOLD_LIMIT_MS, metrics=Metrics()
+        )
         self.detector = UnresponsivePeerDetector(context, in_flight, connections, release_sender)
 
     async def open(self, *_: Any) -> Any:
