Count the time held on where an attempt ended that never arrived

Cause: Attempt.delivered was set with the last byte on a new connection, and the end of a delivered attempt starts the time that an entry may be held anew: evidence of a connection, taken for evidence of the request. Change: an attempt counts as delivered once its server has begun to answer; that its connection was new only moves the detector's limit, as before. The detector's test names that flag; its cases and expectations are unchanged. Why it works: nothing but an answer restarts the time, so undelivered attempts in a row share one limit.

--- a/ringledge/core/records.py
+++ b/ringledge/core/records.py
@@ -34,8 +34,8 @@
     expires_ms: float  # clock reading at which it times out, unless its response has started
     server_started_ms: float = 0.0  # start time of the server process that was chosen
     written: bool = False  # the request's last byte was passed to the socket: it may run from here on
-    # Its connection was new, or has answered. A reused connection may be dead without either side knowing.
-    delivered: bool = False
+    delivered: bool = False  # its server has begun to answer: nothing less proves that it has arrived
+    on_new_connection: bool = False  # it rarely is dead; a reused one may be, and nobody is told
     fetches_cache: bool = False  # sent while a KV cache entry was held, which it may have fetched
     streaming: bool = False  # the first token has arrived: the response is being relayed
     outcome: AttemptStatus | None = None
--- a/ringledge/decide/servers/cache_hold.py
+++ b/ringledge/decide/servers/cache_hold.py
@@ -12,7 +12,7 @@
 
 
 class ReleaseReason(StrEnum):
-    """Why the entries of an open request are released; the values are labels of a metric and fields of the log."""
+    """Why the entries of an open request are released; the values stand in logs and metrics."""
 
     NO_SERVER_REACHED = "no_server_reached"  # no decode server took a connection within the hold limit
     NOT_DELIVERED = "not_delivered"  # the decode in flight may not have arrived by the hold limit
--- a/ringledge/observe/metrics.py
+++ b/ringledge/observe/metrics.py
@@ -63,9 +63,7 @@
         "invariant_violations", "What must never happen and did, by invariant; has to stay 0", "invariant"
     )
     outcomes = _counter("attempt_outcomes", "Attempts ended, by outcome", "status")
-    entry_releases = _counter(
-        "entry_releases", "Releases of what is held for open requests, by reason", "why"
-    )
+    entry_releases = _counter("entry_releases", "Releases for open requests, by reason", "why")
     releases = _counter("releases", "Releases of held state: asked (calls), done, gone, lost", "how")
     release_ms = _histogram(
         "release_seconds",
--- a/ringledge/wire/servers/exchange.py
+++ b/ringledge/wire/servers/exchange.py
@@ -111,7 +111,7 @@
             log.info("send_failed", server=attempt.server, request=record.request_id, error=str(error))
             return ExchangeResult(AttemptStatus.CONNECT_FAILED, self._note_broken(conn, address))
         attempt.written = True
-        attempt.delivered = not conn.reused
+        attempt.on_new_connection = not conn.reused
         state.written_ms = self.context.clock.now_ms()
         self.context.metrics.sends.inc()
         return None
--- a/ringledge/wire/servers/unresponsive_peers.py
+++ b/ringledge/wire/servers/unresponsive_peers.py
@@ -101,7 +101,7 @@
         entry it waits for, whoever releases it.
         """
         record = attempt.record
-        limit_ms = self._hold_limit_ms + (NEW_CONNECTION_SLACK_MS if attempt.delivered else 0.0)
+        limit_ms = self._hold_limit_ms + (NEW_CONNECTION_SLACK_MS if attempt.on_new_connection else 0.0)
         if attempt.fetches_cache and self._clock.now_ms() - record.cache.idle_since_ms >= limit_ms:
             self._release_unless_answered(attempt, state)
 
--- a/tests/wire/servers/test_unresponsive_peers.py
+++ b/tests/wire/servers/test_unresponsive_peers.py
@@ -62,11 +62,11 @@
         """The pool takes the new connection."""
 
 
-async def released_entries(unanswered_ms: float, reachable: bool, delivered: bool) -> list[set[str]]:
+async def released_entries(unanswered_ms: float, reachable: bool, on_new_connection: bool) -> list[set[str]]:
     """What is released once the server has been checked."""
     async with anyio.create_task_group() as tasks:
         harness = DetectorHarness(tasks, unanswered_ms, reachable)
-        harness.attempt.delivered = delivered
+        harness.attempt.on_new_connection = on_new_connection
         tasks.start_soon(harness.detector.run)
         await harness.connection_attempted.wait()
         await anyio.wait_all_tasks_blocked()
@@ -75,7 +75,7 @@
 
 
 @pytest.mark.parametrize(
-    ("unanswered_ms", "reachable", "delivered", "released"),
+    ("unanswered_ms", "reachable", "on_new_connection", "released"),
     [
         (HOLD_LIMIT_MS, True, False, [{"r0"}]),  # a reused connection may be dead
         (HOLD_LIMIT_MS - 1, True, False, []),  # the limit is not reached
@@ -86,9 +86,9 @@
     ],
 )
 def test_entry_is_released_unless_its_attempt_is_delivered(
-    unanswered_ms: float, reachable: bool, delivered: bool, released: list[set[str]]
+    unanswered_ms: float, reachable: bool, on_new_connection: bool, released: list[set[str]]
 ) -> None:
-    assert anyio.run(released_entries, unanswered_ms, reachable, delivered) == released
+    assert anyio.run(released_entries, unanswered_ms, reachable, on_new_connection) == released
 
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
