Release what an earlier attempt may have left before the next one is sent

Cause: an attempt that ended without a whole answer was noted as a possible holder (Record.unobserved), but only the end of the request released it, and the time held was counted for certain holders alone. While the next prefill lay on a silent connection nothing else was looked at. The class: one rule kept per path, with the paths between attempts left out. Change: CacheHold counts the time for certain and possible entries alike. An attempt that does not use an entry is written only once a server has answered a release of what may be left; beside an attempt that may not have arrived, of either kind, it is released at the limit. A server that hangs stays noted until it has answered itself. Several may wait for one release. Why it works: a send is never the reason to stop the clock, only an answer is; and a further prefill is not hit by a release that comes while it runs, since that one is over.

--- a/ringledge/core/stages/record_outcome.py
+++ b/ringledge/core/stages/record_outcome.py
@@ -60,7 +60,7 @@
         arrived=attempt.delivered,
         holders=sorted(cache.holders),
         unobserved=sorted(cache.unobserved),
-        held_ms=round(now_ms - cache.idle_since_ms, 1) if cache.holders or cache.unobserved else None,
+        held_ms=round(cache.held_ms(now_ms), 1),
     )
 
 
@@ -107,7 +107,7 @@
     Only once no attempt will follow: a server that is sent the release drops everything held for the request
     on any server, and so the entry of a further prefill that is in flight.
     """
-    holders, unobserved = record.cache.take_holders(), record.cache.take_unobserved()
+    holders, unobserved = record.cache.take()
     if holders or unobserved:
         context.transport.release(record.request_id, holders, unobserved, record.streaming)
 
--- a/ringledge/decide/servers/cache_hold.py
+++ b/ringledge/decide/servers/cache_hold.py
@@ -1,11 +1,13 @@
 """What servers may hold of one request's KV cache, and for how long already; free of I/O and clocks.
 
-The time counts while no attempt of the request is in flight that has arrived. All times are in ms of the
-caller's clock.
+A server may hold an entry while an attempt of its request is out, and only for a limited time otherwise.
+An attempt that was written but has not arrived is not out, so the time counts on until the server of an
+attempt has begun to answer, or any server has answered a release. Times are in ms of the caller's clock.
 """
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import StrEnum
 from math import inf
@@ -15,7 +17,16 @@
     """Why the entries of an open request are released; the values stand in logs and metrics."""
 
     NO_SERVER_REACHED = "no_server_reached"  # no decode server took a connection within the hold limit
-    NOT_DELIVERED = "not_delivered"  # the decode in flight may not have arrived by the hold limit
+    NOT_DELIVERED = "not_delivered"  # the attempt in flight may not have arrived by the hold limit
+    BEFORE_ATTEMPT = "before_attempt"  # an earlier attempt may have left one that the next does not use
+
+
+@dataclass(slots=True, frozen=True)
+class _Release:
+    """A release in progress."""
+
+    idle_since_ms: float  # as it began
+    unobserved: dict[str, float]  # as it began
 
 
 @dataclass(slots=True)
@@ -25,8 +36,31 @@
     holders: set[str] = field(default_factory=set)  # servers that hold an entry
     # Servers on which an attempt may have left an entry unobserved, and when it ended (inf: it may yet run).
     unobserved: dict[str, float] = field(default_factory=dict)
-    idle_since_ms: float = 0.0  # since when no attempt that has arrived is in flight
+    # Since when an entry may be held while no attempt is known to be out; inf: none is held.
+    idle_since_ms: float = inf
     released: bool = False  # the entry was released while the policy still counts on it
+    _release: _Release | None = None
+
+    @property
+    def may_exist(self) -> bool:
+        """Whether a server may hold an entry."""
+        return bool(self.holders or self.unobserved)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether an entry may be held while no attempt is known to be out."""
+        return self.idle_since_ms < inf
+
+    @property
+    def releasing(self) -> bool:
+        """Whether a release is in progress."""
+        return self._release is not None
+
+    def held_ms(self, now_ms: float) -> float:
+        """For how long an entry may have been held while no attempt was out; 0 if none is held."""
+        return max(0.0, now_ms - self.idle_since_ms)
+
+    # What becomes of attempts.
 
     def prefilled(self, server: str) -> None:
         """A prefill has ended well: its server holds an entry."""
@@ -47,20 +81,50 @@
         self.unobserved[server] = now_ms if has_answered else inf
 
     def attempt_ended(self, now_ms: float, has_arrived: bool) -> None:
-        """An attempt has ended, whatever it left; `has_arrived`: its server had received it."""
-        if has_arrived:
+        """An attempt has ended, and what it left is noted; `has_arrived`: its server began to answer it."""
+        if not self.may_exist:
+            self.idle_since_ms = inf
+        elif has_arrived or self.idle_since_ms == inf:
             self.idle_since_ms = now_ms
 
     def stream_started(self) -> None:
         """The first token has arrived: with it servers release by themselves what they hold."""
         self.holders.clear()
+        self.idle_since_ms = inf
+
+    # Releases while the request is open.
 
-    def take_holders(self) -> set[str]:
-        """Remove the certain holders, which are told to release the entry."""
-        holders, self.holders = self.holders, set()
-        return holders
+    def begin_release(self, now_ms: float) -> set[str]:
+        """Have everything released; returns the servers that hold or may hold an entry.
 
-    def take_unobserved(self) -> dict[str, float]:
-        """Remove the servers that may hold an entry unobserved."""
-        unobserved, self.unobserved = self.unobserved, {}
-        return unobserved
+        Until a server has answered, they count as holding it, and the time counts on.
+        """
+        self.released = self.released or bool(self.holders)
+        self.unobserved = dict.fromkeys(self.holders, now_ms) | self.unobserved
+        self.holders.clear()
+        self._release = _Release(self.idle_since_ms, dict(self.unobserved))
+        return set(self.unobserved)
+
+    def end_release(self, answered_by: Collection[str]) -> None:
+        """The release has ended, answered by these servers; by none if it failed.
+
+        One answer releases all that is held, wherever it is. Only a server that may yet run an attempt holds
+        nothing more once it has answered itself.
+        """
+        release, self._release = self._release, None
+        if release is None or not answered_by:
+            return
+        for server, ended_ms in release.unobserved.items():
+            is_settled = ended_ms < inf or server in answered_by
+            if is_settled and self.unobserved.get(server) == ended_ms:
+                del self.unobserved[server]
+        if self.idle_since_ms == release.idle_since_ms:  # no attempt that had arrived ended meanwhile
+            self.idle_since_ms = inf
+
+    # The end of the request.
+
+    def take(self) -> tuple[set[str], dict[str, float]]:
+        """Remove the servers that hold an entry, and those that may, from the record."""
+        taken = self.holders, self.unobserved
+        self.holders, self.unobserved, self.idle_since_ms = set(), {}, inf
+        return taken
--- a/ringledge/memory/connection_pool.py
+++ b/ringledge/memory/connection_pool.py
@@ -20,7 +20,7 @@
     """What the pool needs of a connection."""
 
     idle_since: float  # monotonic seconds; set by the pool
-    reused: bool  # it has carried an exchange before; set by the pool
+    reused: bool  # it has carried a request before, or was idle; set by the pool
     streamed: bool  # its last response was a stream
 
     def readable(self) -> bool:
@@ -57,14 +57,18 @@
             del idle[position]
             # One that the server may close under the request would end as a reset, which may have run.
             if now_s - conn.idle_since < self.max_idle_s and not conn.readable():
+                conn.reused = conn.reused or now_s - conn.idle_since >= MIN_SAFE_IDLE_S
                 return conn
             self.discard(conn)
         return None
 
-    def release(self, address: str, conn: C) -> None:
-        """Return a connection whose exchange is complete."""
+    def release(self, address: str, conn: C, carried_request: bool = True) -> None:
+        """Return a connection whose exchange is complete.
+
+        One that has only carried a call without a request counts as new until it has been idle for a while.
+        """
         conn.idle_since = time.monotonic()
-        conn.reused = True
+        conn.reused = conn.reused or carried_request
         self._idle[address].append(conn)
 
     def set_limit(self, limit: int) -> None:
--- a/ringledge/wire/http/connection.py
+++ b/ringledge/wire/http/connection.py
@@ -30,7 +30,7 @@
         self.h11 = h11.Connection(our_role, max_incomplete_event_size=MAX_HEAD)
         self.read_by = math.inf  # when what it is sending now must have come
         self.idle_since = 0.0  # the pool's note
-        self.reused = False  # the pool's: it has carried an exchange before
+        self.reused = False  # the pool's: it has carried a request before, or was idle
         self.streamed = False  # the pool's: its last answer was a stream
         self.entry: AdmittedConnection | None = None  # the front's: what the doors said of it
         self.keep_alive = b""  # the front's: what answers tell of how long it may rest
--- a/ringledge/wire/servers/connections.py
+++ b/ringledge/wire/servers/connections.py
@@ -84,12 +84,12 @@
             reuse = is_reusable(conn)
             return head, body
         finally:
-            self.give_back(address, conn, reuse)
+            self.give_back(address, conn, reuse, carried_request=False)
 
-    def give_back(self, address: str, conn: Connection, reuse: bool) -> None:
+    def give_back(self, address: str, conn: Connection, reuse: bool, carried_request: bool = True) -> None:
         """Put an acquired connection into the pool, or close it."""
         if reuse:
-            self.pool.release(address, conn)
+            self.pool.release(address, conn, carried_request)
         else:
             self.pool.discard(conn)
 
--- /dev/null
+++ b/ringledge/wire/servers/entry_releases.py
@@ -0,0 +1,46 @@
+"""Releases the KV cache entries of open requests, whose attempts go on afterwards."""
+
+from __future__ import annotations
+
+from ringledge.core.records import Record
+from ringledge.decide.servers.cache_hold import ReleaseReason
+from ringledge.observe.logging import log
+from ringledge.wire.servers.context import UpstreamContext
+from ringledge.wire.servers.releases import ReleaseSender
+
+
+class EntryReleases:
+    """Has entries released, and records the answer with the request."""
+
+    def __init__(self, context: UpstreamContext, sender: ReleaseSender) -> None:
+        self._context = context
+        self._sender = sender
+
+    def start(self, record: Record, reason: ReleaseReason) -> None:
+        """Release a request's entries beside its attempt in flight."""
+        servers = self._begin(record, reason)
+        self._context.tasks.start_soon(self._finish, record, servers)
+
+    async def release(self, record: Record, reason: ReleaseReason) -> None:
+        """Release a request's entries, and wait until no call of the release is in flight, or too long."""
+        await self._finish(record, self._begin(record, reason))
+
+    def _begin(self, record: Record, reason: ReleaseReason) -> set[str]:
+        cache, now_ms = record.cache, self._context.clock.now_ms()
+        log.info(
+            "cache_entry_released",
+            request=record.request_id,
+            why=reason.value,
+            held_ms=round(cache.held_ms(now_ms), 1),
+            servers=sorted(cache.holders),
+            unobserved=sorted(cache.unobserved),
+        )
+        self._context.metrics.entry_releases.labels(reason.value).inc()
+        return cache.begin_release(now_ms)
+
+    async def _finish(self, record: Record, servers: set[str]) -> None:
+        answered_by = frozenset[str]()
+        try:
+            answered_by = await self._sender.release_and_wait(record.request_id, servers)
+        finally:  # also when the attempt that waits for it is cancelled
+            record.cache.end_release(answered_by)
--- a/ringledge/wire/servers/exchange.py
+++ b/ringledge/wire/servers/exchange.py
@@ -24,8 +24,9 @@
 from ringledge.wire.http.sockets import LocalError
 from ringledge.wire.servers.connections import ServerConnections
 from ringledge.wire.servers.context import UpstreamContext
+from ringledge.wire.servers.entry_releases import EntryReleases
 from ringledge.wire.servers.in_flight import InFlightAttempt
-from ringledge.wire.servers.releases import ReleaseSender, take_cache_holders
+from ringledge.wire.servers.releases import ReleaseSender
 from ringledge.wire.servers.responses import (
     cached_tokens,
     parse_json_object,
@@ -55,6 +56,7 @@
     context: UpstreamContext
     connections: ServerConnections
     release_sender: ReleaseSender
+    entry_releases: EntryReleases
     conductor: Conductor
 
     async def run(self, attempt: Attempt, state: InFlightAttempt, address: str) -> ExchangeResult:
@@ -80,6 +82,8 @@
             if remaining_s <= 0:
                 return await self._release_expired_entry(record)
             timeout_s = min(timeout_s, remaining_s)
+        elif record.cache.is_idle:
+            await self.entry_releases.release(record, ReleaseReason.BEFORE_ATTEMPT)
         try:
             conn = await self.connections.acquire(attempt.server, address, timeout_s, attempt.at_most_once)
         except OSError as error:
@@ -102,7 +106,7 @@
         self.conductor.on_attempt_sent(attempt, budget_ms)
         fields = {"attempt": attempt.number, "kept": conn.reused, "told_ms": budget_ms}
         log.debug("attempt_sent", request=record.request_id, server=attempt.server, **fields)
-        attempt.fetches_cache = bool(record.cache.holders) and not attempt.is_prefill
+        attempt.fetches_cache = record.cache.may_exist and not attempt.is_prefill
         state.received_bytes = conn.received_bytes
         try:
             with anyio.fail_after(self._send_timeout_s(attempt)):
@@ -181,8 +185,8 @@
 
     async def _release_expired_entry(self, record: Record) -> ExchangeResult:
         """No decode server was reached within the hold limit: release the entry, and prefill anew."""
-        holders = take_cache_holders(self.context, record, ReleaseReason.NO_SERVER_REACHED)
-        await self.release_sender.release_and_wait(record.request_id, holders)
+        await self.entry_releases.release(record, ReleaseReason.NO_SERVER_REACHED)
+        record.cache.released = False
         return ExchangeResult(AttemptStatus.FULL, 1)
 
 
--- a/ringledge/wire/servers/releases.py
+++ b/ringledge/wire/servers/releases.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import anyio
 
-from ringledge.core.records import Record
-from ringledge.decide.servers.cache_hold import ReleaseReason
 from ringledge.decide.servers.reachability import Reachability
 from ringledge.decide.servers.release_state import ReleaseCall, ReleaseOutcome, ReleaseResult
 from ringledge.decide.servers.releases import ReleaseScheduler
@@ -20,16 +20,6 @@
 FINISH_TIMEOUT_S = 0.7  # for a release that its request waits for: the hold limit, and one call more
 
 
-def take_cache_holders(context: UpstreamContext, record: Record, reason: ReleaseReason) -> set[str]:
-    """Remove the known holders of an open request's entry, and log that they are to release it."""
-    held_ms = round(context.clock.now_ms() - record.cache.idle_since_ms, 1)
-    holders = record.cache.take_holders()
-    fields = {"why": reason.value, "held_ms": held_ms, "unobserved": sorted(record.cache.unobserved)}
-    log.info("cache_entry_released", request=record.request_id, servers=sorted(holders), **fields)
-    context.metrics.entry_releases.labels(reason.value).inc()
-    return holders
-
-
 class ServerCaller(Protocol):
     """Makes small exchanges with servers."""
 
@@ -41,6 +31,14 @@
         """One exchange without a request body; OSError, TimeoutError or a protocol error if it fails."""
 
 
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    """Waits for the end of a request's release."""
+
+    finished: anyio.Event = field(default_factory=anyio.Event)
+    answered_by: set[str] = field(default_factory=set)
+
+
 class ReleaseSender:
     """The releases of one router process; its task runs only while a release is in progress."""
 
@@ -55,7 +53,7 @@
         )
         self._running = False
         self._call_ended = anyio.Event()
-        self._finished: dict[str, anyio.Event] = {}  # by request that waits for its release
+        self._waiters = defaultdict[str, list[_Waiter]](list)  # by request whose release is waited for
 
     def release(
         self, request: str, holders: set[str], abandoned: Mapping[str, float], stream_began: bool = False
@@ -67,21 +65,31 @@
             self._running = True
             self._tasks.start_soon(self._run)
 
-    async def release_and_wait(self, request: str, holders: set[str]) -> None:
-        """Release, and wait until no call of it is in flight: entries reserved after this stay."""
+    async def release_and_wait(self, request: str, holders: set[str]) -> frozenset[str]:
+        """Release, and wait until no call of it is in flight: entries reserved after this stay.
+
+        Returns the servers that answered within `FINISH_TIMEOUT_S`; after that the release goes on.
+        """
         self.release(request, holders, {})
-        await self.wait_until_finished(request)
+        return await self.wait_until_finished(request)
+
+    async def wait_until_finished(self, request: str) -> frozenset[str]:
+        """Wait until no release of a request is in progress, for `FINISH_TIMEOUT_S` at most.
 
-    async def wait_until_finished(self, request: str) -> None:
-        """Wait until no release of a request is in progress, for `FINISH_TIMEOUT_S` at most."""
+        Returns the servers that answered meanwhile.
+        """
         if self.scheduler.is_finished(request):
-            return
-        finished = self._finished[request] = anyio.Event()
+            return frozenset()
+        waiter = _Waiter()
+        self._waiters[request].append(waiter)
         try:
             with anyio.move_on_after(FINISH_TIMEOUT_S):
-                await finished.wait()
+                await waiter.finished.wait()
         finally:  # also when the request is cancelled meanwhile
-            del self._finished[request]
+            self._waiters[request].remove(waiter)
+            if not self._waiters[request]:
+                del self._waiters[request]
+        return frozenset(waiter.answered_by)
 
     async def _run(self) -> None:
         """Send calls when they are due, until no release is in progress."""
@@ -125,8 +133,11 @@
             self.scheduler.call_failed(now_ms, call)
         self._send_due_calls()
         self._call_ended.set()
-        if call.request in self._finished and self.scheduler.is_finished(call.request):
-            self._finished[call.request].set()
+        for waiter in self._waiters.get(call.request, []):
+            if answered:
+                waiter.answered_by.add(call.server)
+            if self.scheduler.is_finished(call.request):
+                waiter.finished.set()
 
     async def _is_answered(self, call: ReleaseCall) -> bool:
         """Make the call; returns whether the server answered it in time."""
--- a/ringledge/wire/servers/unresponsive_peers.py
+++ b/ringledge/wire/servers/unresponsive_peers.py
@@ -14,8 +14,8 @@
 from ringledge.observe.stalls import HEARTBEAT_INTERVAL_S, stall_detector
 from ringledge.wire.servers.connections import ServerConnections
 from ringledge.wire.servers.context import UpstreamContext
+from ringledge.wire.servers.entry_releases import EntryReleases
 from ringledge.wire.servers.in_flight import InFlightAttempt
-from ringledge.wire.servers.releases import ReleaseSender, take_cache_holders
 
 # Of the 300 ms that an entry may be held beyond the configured limit: time for a queue at the server.
 NEW_CONNECTION_SLACK_MS = 150.0
@@ -30,17 +30,16 @@
         context: UpstreamContext,
         in_flight: dict[Attempt, InFlightAttempt],
         connections: ServerConnections,
-        release_sender: ReleaseSender,
+        entry_releases: EntryReleases,
     ) -> None:
         """`in_flight`: all attempts in flight, kept up to date by its owner."""
-        self._context = context
         self._tasks = context.tasks
         self._servers = context.servers
         self._clock = context.clock
         self._hold_limit_ms = context.hold_limit_ms
         self._in_flight = in_flight
         self._connections = connections
-        self._release_sender = release_sender
+        self._entry_releases = entry_releases
         self._delivery_checks = DeliveryChecks(connections.reachability)
 
     async def run(self) -> None:
@@ -94,26 +93,22 @@
                 state.scope.cancel()
 
     def _release_expired_entry(self, attempt: Attempt, state: InFlightAttempt) -> None:
-        """Release the entry for a decode attempt that may not have been delivered, at its hold limit.
+        """Release what may be held beside an attempt that may not have been delivered, at the hold limit.
 
         A reused connection may be dead without notice while its server is well and accepts new ones; a new
         connection rarely is, but may be dead or slow too. A server that has received the request keeps the
         entry it waits for, whoever releases it.
         """
-        record = attempt.record
         limit_ms = self._hold_limit_ms + (NEW_CONNECTION_SLACK_MS if attempt.on_new_connection else 0.0)
-        if attempt.fetches_cache and self._clock.now_ms() - record.cache.idle_since_ms >= limit_ms:
+        if attempt.record.cache.held_ms(self._clock.now_ms()) >= limit_ms:
             self._release_unless_answered(attempt, state)
 
     def _release_unless_answered(self, attempt: Attempt, state: InFlightAttempt) -> None:
-        """Release the entry of a decode attempt, unless its response has begun, however slowly it comes."""
+        """Release what servers may hold, unless the response has begun, however slowly it comes."""
         state.update_delivered(attempt)
-        record = attempt.record
-        if not record.cache.holders or state.response_began():
-            return
-        record.cache.released = True
-        holders = take_cache_holders(self._context, record, ReleaseReason.NOT_DELIVERED)
-        self._release_sender.release(record.request_id, holders, {})
+        cache = attempt.record.cache
+        if cache.is_idle and not cache.releasing and not state.response_began():
+            self._entry_releases.start(attempt.record, ReleaseReason.NOT_DELIVERED)
 
 
 def _is_unanswered(attempt: Attempt, state: InFlightAttempt) -> bool:
--- a/ringledge/wire/servers/upstream.py
+++ b/ringledge/wire/servers/upstream.py
@@ -15,6 +15,7 @@
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.servers.connections import ServerConnections
 from ringledge.wire.servers.context import UpstreamContext
+from ringledge.wire.servers.entry_releases import EntryReleases
 from ringledge.wire.servers.exchange import ExchangeResult, ServerExchanges
 from ringledge.wire.servers.in_flight import InFlightAttempt
 from ringledge.wire.servers.releases import ReleaseSender
@@ -31,8 +32,9 @@
         self.reachability = Reachability(context.zone)
         self._connections = ServerConnections(context, self.reachability)
         self._release_sender = ReleaseSender(context, self._connections)
+        self._entry_releases = EntryReleases(context, self._release_sender)
         self._peer_detector = UnresponsivePeerDetector(
-            context, self._in_flight, self._connections, self._release_sender
+            context, self._in_flight, self._connections, self._entry_releases
         )
         self._exchanges: ServerExchanges | None = None  # until the conductor is set
         self.endpoints_wanted = anyio.Event()  # the whole endpoint list is to be fetched
@@ -44,7 +46,9 @@
 
     @conductor.setter
     def conductor(self, conductor: Conductor) -> None:
-        self._exchanges = ServerExchanges(self._context, self._connections, self._release_sender, conductor)
+        self._exchanges = ServerExchanges(
+            self._context, self._connections, self._release_sender, self._entry_releases, conductor
+        )
 
     @property
     def pool(self) -> ConnectionPool[Connection]:
