Show that a void release is not repeated where its decode is rejected

A release that comes while a decode waits for the entry is void; the entry then counts as gone. If the decode ends with a rejection or an error, nothing is noted, and nobody releases it.

--- a/tests/test_unobserved_entries.py
+++ b/tests/test_unobserved_entries.py
@@ -87,6 +87,23 @@
     assert released_after_s(node, ended_s) < HELD_S
 
 
+@pytest.mark.parametrize("status", [503, 500])
+def test_entry_is_released_again_once_the_decode_that_waited_for_it_was_rejected(
+    node: Node, status: int
+) -> None:
+    keep_connections(node)
+    node.clients = [node.post("a1")]
+    next_attempt(node.reader)[1].read()
+    call = next_attempt(node.writer)[1]
+    released_after_s(node, time.monotonic())  # in vain: the entry is kept for the decode that waits for it
+    node.logged("release_ended")
+    call.answer(status, X_Rejected="1")
+    next_attempt(node.reader)[1].read()
+    next_attempt(node.writer)[1].serve("x")
+    assert take(node.clients[0]).status == 200
+    assert [node.deleted.get(timeout=WAIT_S).path.rpartition("/")[2], node.deleted.qsize()] == ["a1", 0]
+
+
 def test_entry_is_released_in_time_over_two_decodes_that_never_arrive(node: Node) -> None:
     node.clients = [node.post("a1")]
     next_attempt(node.reader)[1].read()
