Release an entry again where its release came beside an attempt that has ended since

Cause: a release was taken for effective once it was answered, though an attempt in flight may have arrived and keeps what it waits for: evidence of one thing (the call was heard) taken for another (nothing is held). Change: CacheHold notes whether a written attempt is in flight while a release runs. If so the entries stay noted, and the time they are held starts anew with that attempt's end, or with the answer where it ended meanwhile. Why it works: the next attempt finds the entries noted and the clock running, and releases them before it is written.

--- a/ringledge/core/records.py
+++ b/ringledge/core/records.py
@@ -99,6 +99,11 @@
         """Whether it is closed and no attempt is in flight."""
         return self.closed and not any(attempt.in_flight for attempt in self.attempts)
 
+    @property
+    def has_written_attempt(self) -> bool:
+        """Whether an attempt that was written completely is in flight: it may have arrived."""
+        return any(attempt.in_flight and attempt.written for attempt in self.attempts)
+
     @property
     def may_have_run(self) -> bool:
         """Whether an attempt was written to a server that generates, and is not proved never to have run."""
--- a/ringledge/decide/servers/cache_hold.py
+++ b/ringledge/decide/servers/cache_hold.py
@@ -27,6 +27,8 @@
 
     idle_since_ms: float  # as it began
     unobserved: dict[str, float]  # as it began
+    # An attempt that had been written was in flight: if it has arrived, the entry it waits for stays.
+    attempt_in_flight: bool
 
 
 @dataclass(slots=True)
@@ -94,32 +96,43 @@
 
     # Releases while the request is open.
 
-    def begin_release(self, now_ms: float) -> set[str]:
+    def begin_release(self, now_ms: float, attempt_in_flight: bool) -> set[str]:
         """Have everything released; returns the servers that hold or may hold an entry.
 
-        Until a server has answered, they count as holding it, and the time counts on.
+        Until a server has answered, they count as holding it, and the time counts on. `attempt_in_flight`:
+        an attempt that was written is in flight, so that the release may be void.
         """
         self.released = self.released or bool(self.holders)
         self.unobserved = dict.fromkeys(self.holders, now_ms) | self.unobserved
         self.holders.clear()
-        self._release = _Release(self.idle_since_ms, dict(self.unobserved))
+        self._release = _Release(self.idle_since_ms, dict(self.unobserved), attempt_in_flight)
         return set(self.unobserved)
 
-    def end_release(self, answered_by: Collection[str]) -> None:
+    def end_release(self, now_ms: float, answered_by: Collection[str], attempt_in_flight: bool) -> None:
         """The release has ended, answered by these servers; by none if it failed.
 
-        One answer releases all that is held, wherever it is. Only a server that may yet run an attempt holds
-        nothing more once it has answered itself.
+        One answer releases all that is held, wherever it is, unless an attempt waits for it: then the time
+        starts anew with the end of that attempt. Only a server that may yet run an attempt holds nothing more
+        once it has answered itself.
         """
         release, self._release = self._release, None
         if release is None or not answered_by:
             return
+        is_idle_as_before = self.idle_since_ms == release.idle_since_ms  # else an attempt has ended meanwhile
+        if attempt_in_flight and is_idle_as_before:
+            self.idle_since_ms = inf
+        elif release.attempt_in_flight and is_idle_as_before:
+            self.idle_since_ms = now_ms
+        elif not (release.attempt_in_flight or attempt_in_flight):
+            self._forget_released(release, answered_by)
+            if is_idle_as_before:
+                self.idle_since_ms = inf
+
+    def _forget_released(self, release: _Release, answered_by: Collection[str]) -> None:
         for server, ended_ms in release.unobserved.items():
             is_settled = ended_ms < inf or server in answered_by
             if is_settled and self.unobserved.get(server) == ended_ms:
                 del self.unobserved[server]
-        if self.idle_since_ms == release.idle_since_ms:  # no attempt that had arrived ended meanwhile
-            self.idle_since_ms = inf
 
     # The end of the request.
 
--- a/ringledge/wire/servers/entry_releases.py
+++ b/ringledge/wire/servers/entry_releases.py
@@ -36,11 +36,12 @@
             unobserved=sorted(cache.unobserved),
         )
         self._context.metrics.entry_releases.labels(reason.value).inc()
-        return cache.begin_release(now_ms)
+        return cache.begin_release(now_ms, record.has_written_attempt)
 
     async def _finish(self, record: Record, servers: set[str]) -> None:
         answered_by = frozenset[str]()
         try:
             answered_by = await self._sender.release_and_wait(record.request_id, servers)
         finally:  # also when the attempt that waits for it is cancelled
-            record.cache.end_release(answered_by)
+            now_ms = self._context.clock.now_ms()
+            record.cache.end_release(now_ms, answered_by, record.has_written_attempt)
