--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -11,6 +11,15 @@
 KNOTS = (3, 5)  # moments at which several troubles meet
 SAME_PART = 0.7  # of a moment's troubles that meet at one conductor, or at one server
 SPREAD_S = 0.9  # within which the troubles of a knot begin
+MAX_DEADLINE_S, KILL_GRACE_S = 3.0, 0.7
+CROSSINGS = 0.6  # of the plans with a prefill that is lost while the next one meets silence
+MEETS_S = 0.1  # behind the first lost responses
+CROWDS = 0.15  # of the plans with a crowd
+SIGNAL_SERIES = (
+    ("SIGHUP", "SIGTERM", "SIGTERM", "SIGHUP"),
+    ("SIGTERM", "SIGHUP", "SIGINT"),
+    ("SIGINT", "SIGTERM", "SIGHUP", "SIGHUP"),
+)
 NO_DESCRIPTORS = ("ENFILE", "EMFILE")
 
 # What may go wrong, and how often relative to the others.
@@ -19,13 +28,17 @@
     "conductor_stop": 5,  # SIGTERM, SIGKILL when the grace is over, started again at once
     "conductor_stop_early": 3,  # the same, and SIGTERM again while the new process starts
     "conductor_reload": 4,  # SIGHUP; discovery moves, sometimes with half a file first
-    "conductor_upgrade": 3,  # a successor beside it
+    "conductor_signals": 3,  # SIGHUP, SIGTERM and SIGINT in series; the kill follows the first that ends it
+    "conductor_upgrade": 3,  # a successor beside it, sometimes told to end before that one is ready
     "server_kill": 3,  # and started again
     "server_hang": 3,  # SIGSTOP, SIGCONT
+    "server_queue": 4,  # decodes wait for their KV cache entry, and some are rejected or fail behind the wait
     "server_drain": 5,  # told by discovery; back later
     "path_silent": 5,  # connections stay open and carry nothing; new ones never come up
+    "path_stalls": 4,  # connections come up and take what is written, and carry nothing while it lasts
     "path_forgets": 4,  # the connections there are carry nothing more; new ones are well
     "path_reset": 4,
+    "path_breaks": 4,  # a response resets its connection instead of passing: its server has done the work
     "path_pieces": 2,
     "discovery_mute": 4,  # answers nothing, its watches are silent
     "discovery_reset": 3,  # its watches are reset
@@ -70,12 +83,19 @@
     keepalive_ms: float
     rate: float  # requests a second for each conductor
     troubles: list[Trouble]
+    deadline_ms: float = 3000.0  # of every class: the longest that a client waits
+    crowd: bool = False  # idle and half-open clients come in bursts, up to the limit on descriptors
 
     @property
     def servers(self) -> list[str]:
         """All servers."""
         return self.prefill + self.decode + self.mixed
 
+    @property
+    def kill_after_s(self) -> float:
+        """From SIGTERM to SIGKILL, by the protocol: the longest deadline, 3 s at most, and 0.7 s."""
+        return min(self.deadline_ms / 1000, MAX_DEADLINE_S) + KILL_GRACE_S
+
     @property
     def host(self) -> str:
         """A loopback address of its own, so that days beside each other share no ports."""
@@ -110,10 +130,26 @@
         met = rng.choice(plan.conductors), rng.choice(plan.servers)
         for _ in range(rng.randint(2, 4)):
             plan.troubles.append(_trouble(rng, plan, middle_s + rng.uniform(0, SPREAD_S), met))
+    if rng.random() < CROSSINGS:
+        plan.troubles += _crossing(rng, plan)
+    plan.deadline_ms = rng.choice((3000.0, 3000.0, 1200.0, 600.0))
+    plan.crowd = rng.random() < CROWDS
     plan.troubles.sort(key=lambda trouble: trouble.at_s)
     return plan
 
 
+def _crossing(rng: random.Random, plan: Plan) -> list[Trouble]:
+    """Responses of one prefill server are lost while what is sent to the others does not arrive."""
+    at_s = round(rng.uniform(1.0, PLAY_S - 3.0), 3)
+    until_s = round(at_s + rng.uniform(1.0, 2.5), 3)
+    answers = rng.choice(plan.prefill)
+    stalled = [server for server in plan.prefill if server != answers]
+    return [
+        Trouble("path_breaks", answers, at_s, until_s),
+        *(Trouble("path_stalls", server, at_s + MEETS_S, until_s) for server in stalled),
+    ]
+
+
 def _trouble(rng: random.Random, plan: Plan, at_s: float, met: tuple[str, str]) -> Trouble:
     """One trouble; `met`: the conductor and the server that several troubles of a moment have in common."""
     kind = rng.choices(list(KINDS), list(KINDS.values()))[0]
@@ -144,5 +180,7 @@
     "conductor_reload": lambda rng, _: {"half_file": rng.random() < 0.5, "times": rng.randint(1, 3)},
     "conductor_stop_early": lambda rng, _: {"after_s": round(rng.uniform(0.3, 1.2), 3)},
     "path_silent": lambda rng, _: {"zone": rng.random() < 0.4},  # of the one server, or of its whole zone
+    "conductor_signals": lambda rng, _: {"series": list(rng.choice(SIGNAL_SERIES))},
+    "conductor_upgrade": lambda rng, _: {"early": rng.random() < 0.4},
     "maintenance": lambda rng, plan: {"conductor": rng.choice(plan.conductors)},
 }
--- a/benchmarks/soak/settings.py
+++ b/benchmarks/soak/settings.py
@@ -26,7 +26,8 @@
     specifics = {"role_by_kind": ["read", "write", "both"], "token_aim_ms": [50.0] * 4, "resume": False,
                  "let_go_by_ms": 500.0, "read_in_place": True}  # fmt: skip
     return {
-        "azs": ["east", "west"], "shapes": ["prefill", "decode", "mixed"], "caps": caps, "classes": CLASSES,
+        "azs": ["east", "west"], "shapes": ["prefill", "decode", "mixed"], "caps": caps,
+        "classes": [each | {"deadline_ms": plan.deadline_ms} for each in CLASSES],
         "tenants": [{"name": "farm", "fraction": 1.0}], "safety": safety, "specifics": specifics,
         "stats": {"how": "silent", "fields": []}, "replicas_of_me": len(plan.conductors),
         "position": position, "tick_ms": 2.0, "zone": position % 2, "membership_mode": "automatic",
--- a/benchmarks/soak/troubles.py
+++ b/benchmarks/soak/troubles.py
@@ -60,13 +60,21 @@
         await conductor.stop()
         await conductor.restart()
 
+    async def _conductor_signals(self, trouble: Trouble) -> None:
+        conductor = self._day.conductors[trouble.target]
+        conductor.expected = True
+        await conductor.end(conductor.process, [signal.Signals[name] for name in trouble.detail["series"]])
+        await conductor.restart()
+
     async def _conductor_upgrade(self, trouble: Trouble) -> None:
         conductor = self._day.conductors[trouble.target]
         conductor.check()
         old, conductor.expected = conductor.process, True
         conductor.old.append(old)
         conductor.start()
-        if await conductor.ready():
+        if trouble.detail["early"]:
+            await asyncio.gather(conductor.ready(), conductor.end(old))
+        elif await conductor.ready():
             await conductor.end(old)
 
     async def _conductor_reload(self, trouble: Trouble) -> None:
