Release at the hold limit itself, and ask further servers sooner the later it is

Cause: the detector looked every 100 ms whatever was due, allowed 150 ms more on new connections, and hedged as if the whole limit lay ahead. Change: the detector wakes when the first release is due, also for attempts that are not written yet; 50 ms more on new connections; a late release counts its hedges by what is left until 250 of the 350 ms beyond the limit.

--- a/ringledge/decide/servers/releases.py
+++ b/ringledge/decide/servers/releases.py
@@ -29,6 +29,7 @@
 MIN_CALL_INTERVAL_MS = 30.0  # between two calls of a release: a few round trips and a handshake
 RETRY_INTERVAL_MS = 350.0  # between two rounds while the holder doesn't answer: an entry may stay 500 ms
 RETRY_WINDOW_MS = 8_000.0  # for how long rounds are repeated: a network partition is mostly over by then
+ANSWER_SLACK_MS = 250.0  # of the 350 that an entry may be held beyond the limit, for a release to be answered
 GIVE_UP_MS = 20_000.0  # without any answer: by then the server has released by itself, or is down
 
 
@@ -70,12 +71,14 @@
         holders: set[str],
         abandoned: Mapping[str, float],
         stream_began: bool = False,
+        idle_since_ms: float = inf,
     ) -> None:
         """Start a release: no attempt of the request is in flight any more.
 
         `holders`: servers that certainly hold an entry. `abandoned`: servers where a prefill was abandoned,
         and when. `stream_began`: a decode server began to stream, which has released everything except at
         those `abandoned` servers that have not answered since; without such servers nothing is started.
+        `idle_since_ms`: since when the entries may have been held, where that is long ago.
         """
         all_holders = (*sorted(holders), *sorted(abandoned.keys() - holders))
         unconfirmed = {
@@ -85,7 +88,7 @@
         }
         if stream_began and not unconfirmed:
             return
-        deadline_ms = now_ms + self._hold_limit_ms
+        deadline_ms = min(now_ms, idle_since_ms + ANSWER_SLACK_MS) + self._hold_limit_ms
         release = ActiveRelease(request, all_holders, frozenset(unconfirmed), now_ms, deadline_ms)
         self._active[request] = release
         self._schedule(release, now_ms)
--- a/ringledge/wire/servers/entry_releases.py
+++ b/ringledge/wire/servers/entry_releases.py
@@ -41,7 +41,9 @@
     async def _finish(self, record: Record, servers: set[str]) -> None:
         answered_by = frozenset[str]()
         try:
-            answered_by = await self._sender.release_and_wait(record.request_id, servers)
+            answered_by = await self._sender.release_and_wait(
+                record.request_id, servers, record.cache.idle_since_ms
+            )
         finally:  # also when the attempt that waits for it is cancelled
             now_ms = self._context.clock.now_ms()
             record.cache.end_release(now_ms, answered_by, record.has_written_attempt)
--- a/ringledge/wire/servers/releases.py
+++ b/ringledge/wire/servers/releases.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from math import inf
 from typing import Protocol
 
 import anyio
@@ -56,21 +57,27 @@
         self._waiters = defaultdict[str, list[_Waiter]](list)  # by request whose release is waited for
 
     def release(
-        self, request: str, holders: set[str], abandoned: Mapping[str, float], stream_began: bool = False
+        self,
+        request: str,
+        holders: set[str],
+        abandoned: Mapping[str, float],
+        stream_began: bool = False,
+        idle_since_ms: float = inf,
     ) -> None:
         """Release what servers hold for a request; the arguments are those of `ReleaseScheduler.add`."""
-        self.scheduler.add(self._clock.now_ms(), request, holders, abandoned, stream_began)
+        self.scheduler.add(self._clock.now_ms(), request, holders, abandoned, stream_began, idle_since_ms)
         self._send_due_calls()
         if not self._running:
             self._running = True
             self._tasks.start_soon(self._run)
 
-    async def release_and_wait(self, request: str, holders: set[str]) -> frozenset[str]:
+    async def release_and_wait(self, request: str, holders: set[str], idle_since_ms: float) -> frozenset[str]:
         """Release, and wait until no call of it is in flight: entries reserved after this stay.
 
-        Returns the servers that answered within `FINISH_TIMEOUT_S`; after that the release goes on.
+        `idle_since_ms`: since when the entries may have been held. Returns the servers that answered within
+        `FINISH_TIMEOUT_S`; after that the release goes on.
         """
-        self.release(request, holders, {})
+        self.release(request, holders, {}, idle_since_ms=idle_since_ms)
         return await self.wait_until_finished(request)
 
     async def wait_until_finished(self, request: str) -> frozenset[str]:
--- a/ringledge/wire/servers/unresponsive_peers.py
+++ b/ringledge/wire/servers/unresponsive_peers.py
@@ -18,8 +18,9 @@
 from ringledge.wire.servers.in_flight import InFlightAttempt
 
 # Of the 300 ms that an entry may be held beyond the configured limit: time for a queue at the server.
-NEW_CONNECTION_SLACK_MS = 150.0
+NEW_CONNECTION_SLACK_MS = 50.0
 CHECK_INTERVAL_S = HEARTBEAT_INTERVAL_S
+MIN_CHECK_INTERVAL_S = 0.005  # towards the moment in which an entry is to be released
 
 
 class UnresponsivePeerDetector:
@@ -46,20 +47,42 @@
         """Cancel unresponsive streams, and check servers that owe answers, for ever."""
         stall_detector.record_heartbeat()
         while True:
-            await anyio.sleep(CHECK_INTERVAL_S)
+            await anyio.sleep(self._next_check_s())
             stall_detector.record_heartbeat()  # also here, so that the process needn't wake for a second loop
             if self._in_flight:
                 self._check_attempts()
 
+    def _next_check_s(self) -> float:
+        """How long until the next check: the interval, or less where an entry is to be released before."""
+        due_ms = (self._release_due_ms(*each) for each in self._in_flight.items())
+        remaining_s = (min(due_ms, default=math.inf) - self._clock.now_ms()) / 1000
+        return min(CHECK_INTERVAL_S, max(MIN_CHECK_INTERVAL_S, remaining_s))
+
+    def _release_due_ms(self, attempt: Attempt, state: InFlightAttempt) -> float:
+        """When what may be held beside an attempt is to be released, unless its response begins before.
+
+        A reused connection may be dead without notice while its server is well and accepts new ones; a new
+        connection rarely is, but may be dead or slow too. A server that has received the request keeps the
+        entry it waits for, whoever releases it.
+        """
+        cache = attempt.record.cache
+        if cache.releasing or state.response_began():
+            return math.inf
+        slack_ms = NEW_CONNECTION_SLACK_MS if attempt.on_new_connection else 0.0
+        return cache.idle_since_ms + self._hold_limit_ms + slack_ms
+
     def _check_attempts(self) -> None:
         now_s = time.monotonic()
         unanswered = list[UnansweredRequest]()
         for attempt, state in list(self._in_flight.items()):
             if state.chunk_deadline_s < now_s and not state.relaying:
                 state.scope.cancel()
-            elif _is_unanswered(attempt, state) and attempt.in_flight:
+                continue
+            if _is_unanswered(attempt, state) and attempt.in_flight:
                 unanswered.append(UnansweredRequest(attempt.server, state.written_ms))
-                self._release_expired_entry(attempt, state)
+                state.update_delivered(attempt)
+            if self._release_due_ms(attempt, state) <= self._clock.now_ms():
+                self._release_unless_answered(attempt, state)
         for server in self._delivery_checks.take_due_servers(self._clock.now_ms(), unanswered):
             self._tasks.start_soon(self._check_server, server)
 
@@ -92,17 +115,6 @@
             else:
                 state.scope.cancel()
 
-    def _release_expired_entry(self, attempt: Attempt, state: InFlightAttempt) -> None:
-        """Release what may be held beside an attempt that may not have been delivered, at the hold limit.
-
-        A reused connection may be dead without notice while its server is well and accepts new ones; a new
-        connection rarely is, but may be dead or slow too. A server that has received the request keeps the
-        entry it waits for, whoever releases it.
-        """
-        limit_ms = self._hold_limit_ms + (NEW_CONNECTION_SLACK_MS if attempt.on_new_connection else 0.0)
-        if attempt.record.cache.held_ms(self._clock.now_ms()) >= limit_ms:
-            self._release_unless_answered(attempt, state)
-
     def _release_unless_answered(self, attempt: Attempt, state: InFlightAttempt) -> None:
         """Release what servers may hold, unless the response has begun, however slowly it comes."""
         state.update_delivered(attempt)
--- a/tests/wire/servers/test_unresponsive_peers.py
+++ b/tests/wire/servers/test_unresponsive_peers.py
@@ -63,7 +63,7 @@
     def release(self, *_: Any) -> None:
         """The pool takes the new connection."""
 
-    async def release_and_wait(self, _: str, servers: set[str]) -> frozenset[str]:
+    async def release_and_wait(self, _: str, servers: set[str], __: float) -> frozenset[str]:
         """The release goes on until the test ends."""
         self.released.append(servers)
         await anyio.sleep_forever()
