--- a/tests/core/test_hung_prefill.py
+++ b/tests/core/test_hung_prefill.py
@@ -27,10 +27,8 @@
 SENT_MS, CANCELLED_MS, GOES_ON_MS, ENDED_MS = 0.0, 500.0, 700.0, 800.0
 
 
-@pytest.mark.parametrize(("answered", "unobserved_ms"), [(True, CANCELLED_MS), (False, inf)])
-def test_cancelled_prefill_on_a_silent_server_stays_unobserved_for_ever(
-    answered: bool, unobserved_ms: float
-) -> None:
+def cancelled_prefill(answered: bool, status: AttemptStatus = AttemptStatus.CANCELLED) -> Record:
+    """The record of a request whose prefill was written and ended so."""
     context: Any = SimpleNamespace(
         transport=SimpleNamespace(answered_since=lambda server, at_ms: answered),
         clock=SimpleNamespace(now_ms=lambda: CANCELLED_MS),
@@ -44,8 +42,21 @@
     attempt = Attempt(record, 0, "p0", True, False, SENT_MS, 5000.0)
     attempt.written = True
     record.attempts.append(attempt)
-    record_outcome(context, attempt, AttemptStatus.CANCELLED)
-    assert record.cache.unobserved == {"p0": unobserved_ms}
+    record_outcome(context, attempt, status)
+    return record
+
+
+@pytest.mark.parametrize(("answered", "unobserved_ms"), [(True, CANCELLED_MS), (False, inf)])
+def test_cancelled_prefill_on_a_silent_server_stays_unobserved_for_ever(
+    answered: bool, unobserved_ms: float
+) -> None:
+    assert cancelled_prefill(answered).cache.unobserved == {"p0": unobserved_ms}
+
+
+@pytest.mark.parametrize("status", [AttemptStatus.ERROR, AttemptStatus.RESET])
+def test_prefill_whose_response_was_spoilt_may_have_left_an_entry(status: AttemptStatus) -> None:
+    record = cancelled_prefill(answered=True, status=status)
+    assert record.cache.unobserved == {"p0": CANCELLED_MS}
 
 
 @pytest.mark.parametrize(("unobserved_ms", "released"), [(inf, 1), (CANCELLED_MS, 0)])
--- a/tests/core/test_invariants.py
+++ b/tests/core/test_invariants.py
@@ -173,6 +173,18 @@
     assert Metrics.read(fixture.metrics.violations)[Invariant.RESPONSE_OVERDUE.value,] == 1
 
 
+def test_entry_left_unobserved_is_reported_while_the_next_attempt_has_not_arrived() -> None:
+    fixture = InvariantFixture()
+    fixture.record.cache.ended_unobserved("r0", fixture.now_ms, has_answered=True)
+    fixture.record.cache.attempt_ended(fixture.now_ms, has_arrived=False)
+    fixture.now_ms += RELEASE_WITHIN_MS + CACHE_HOLD_SLACK_MS
+    fixture.checker.check_open_requests([fixture.record])
+    assert not fixture.violations()
+    fixture.now_ms += 1.0
+    fixture.checker.check_open_requests([fixture.record])
+    assert fixture.violations() == {Invariant.CACHE_HELD_TOO_LONG}
+
+
 @pytest.mark.parametrize(
     ("is_delivered", "violations"), [(False, {Invariant.CACHE_HELD_TOO_LONG}), (True, set())]
 )
