Take an entry for possible behind any answer that is none of the protocol's

Callers saw (by its test): nothing yet; a spoilt 202 that parses as another status left an entry that nobody released before the request's end. Cause: only attempts without an answer counted as unobserved; an error answer counted as proof that nothing is held. Change: ERROR is one of UNOBSERVED_STATUSES; a retry is then written once a release has been answered.

--- a/ringledge/core/stages/record_outcome.py
+++ b/ringledge/core/stages/record_outcome.py
@@ -9,7 +9,12 @@
 
 ANSWERED_STATUSES = (AttemptStatus.OK, AttemptStatus.PREFILLED)
 # After these a 202, or a fetch of the KV cache, may have been under way: the server may hold an entry unseen.
-UNOBSERVED_STATUSES = (AttemptStatus.CANCELLED, AttemptStatus.TIMEOUT, AttemptStatus.RESET)
+UNOBSERVED_STATUSES = (
+    AttemptStatus.CANCELLED,
+    AttemptStatus.TIMEOUT,
+    AttemptStatus.RESET,
+    AttemptStatus.ERROR,  # any answer that is none of the protocol's: it may be a spoilt 202
+)
 
 
 def record_outcome(
