Count an entry that may be held unseen in the program's own check

It now goes by CacheHold's time, which also runs for possible entries and until a release is answered.

--- a/ringledge/core/invariants.py
+++ b/ringledge/core/invariants.py
@@ -36,7 +36,7 @@
     SENT_AFTER_END = "sent_after_end"  # an attempt was sent for a closed request
     SENT_TO_UNAVAILABLE = "sent_to_closed"  # an attempt was sent to a server that drains or is not listed
     TIMEOUT_BEYOND_DEADLINE = "told_too_much"  # a server's time limit is after the client's deadline
-    CACHE_HELD_TOO_LONG = "held_too_long"  # a KV cache entry is held with no delivered attempt in flight
+    CACHE_HELD_TOO_LONG = "held_too_long"  # a KV cache entry may be held with no delivered attempt in flight
     EVENT_HANDLING_FAILED = "handling_failed"  # an exception in the policy or in executing its actions
 
 
@@ -104,11 +104,11 @@
         return overdue
 
     def _is_cache_held_too_long(self, record: Record, now_ms: float) -> bool:
-        if self._max_cache_hold_ms is None or not record.cache.holders:
+        if self._max_cache_hold_ms is None:
             return False
         if any(attempt.in_flight and attempt.delivered for attempt in record.attempts):
             return False
-        return now_ms - record.cache.idle_since_ms > self._max_cache_hold_ms
+        return record.cache.held_ms(now_ms) > self._max_cache_hold_ms
 
     def _record_once(self, record: Record, invariant: Invariant) -> None:
         """Record a violation that lasts, once for its request."""
