--- a/tests/test_unobserved_entries.py
+++ b/tests/test_unobserved_entries.py
@@ -124,3 +124,21 @@
         assert next_attempt([*node.reader, *node.writer])[1].method == "DELETE"
     reached_s = time.monotonic() - prefilled_s
     assert reached_s < HELD_S - STALL_S
+
+
+def test_server_that_hung_is_told_to_release_soon_after_it_goes_on(node: Node) -> None:
+    node.clients = [node.post("a1", X_Call_Class="booking")]
+    server, call = next_attempt(node.reader)
+    server.deaf = True
+    assert call.closed()  # the decisions have given it up
+    call.drop()
+    others = [each for each in node.reader if each is not server]
+    next_attempt(others)  # never arrives either
+    server.deaf = False
+    goes_on_s = time.monotonic()
+    while time.monotonic() - goes_on_s < HELD_S:
+        released = [each for each in server.seen if each.method == "DELETE" and each.done.is_set()]
+        if released:
+            break
+        time.sleep(0.01)
+    assert [each.id or each.path.rpartition("/")[2] for each in released] == ["a1"]
