--- a/ringledge/decide/servers/resumption.py
+++ b/ringledge/decide/servers/resumption.py
@@ -1,4 +1,4 @@
-"""When to call servers that may have hung, and would run an abandoned attempt once they resume; free of I/O."""
+"""When to call servers that may hang, and would run an abandoned attempt on resuming; free of I/O."""
 
 from __future__ import annotations
 
--- a/ringledge/wire/servers/unresponsive_peers.py
+++ b/ringledge/wire/servers/unresponsive_peers.py
@@ -86,7 +86,7 @@
                 state.update_delivered(attempt)
             if self._release_due_ms(attempt, state) <= self._clock.now_ms():
                 self._release_unless_answered(attempt, state)
-        self._resumed_servers.check({attempt.record for attempt in self._in_flight})
+        self._resumed_servers.check(dict.fromkeys(attempt.record for attempt in self._in_flight))
         for server in self._delivery_checks.take_due_servers(self._clock.now_ms(), unanswered):
             self._tasks.start_soon(self._check_server, server)
 
