--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -164,6 +164,8 @@
             for line in path.read_bytes().splitlines():
                 if any(mark in line for mark in ITS_OWN):
                     self._log.write("found", conductor=self.name, line=line.decode(errors="replace")[:600])
+                elif b'"event":"stalled"' in line:
+                    self._log.write("held_up", s=orjson.loads(line)["away_ms"] / 1000)
 
 
 def tail(path: Path) -> str:
--- a/tests/benchmarks/test_soak_oracle.py
+++ b/tests/benchmarks/test_soak_oracle.py
@@ -7,9 +7,10 @@
 
 import pytest
 
+from benchmarks.soak.day import Verdict
 from benchmarks.soak.events import Event
 from benchmarks.soak.history import collect
-from benchmarks.soak.oracle import judge
+from benchmarks.soak.oracle import HELD_UP_S, TIMED_RULES, Violation, judge
 from benchmarks.soak.plan import KINDS, Plan, Trouble, draw
 
 START_S = 100.0
@@ -167,6 +168,65 @@
     assert not rules(runs_twice, refused, kind="query")
 
 
+def verdict(rule: str, held_up_s: float) -> Verdict:
+    return Verdict(1, 1, {"200": 1}, [Violation(rule, ID, "")], 0, [], held_up_s)
+
+
+def test_timed_rules_are_left_out_only_where_a_process_was_held_up() -> None:
+    for rule in TIMED_RULES:
+        assert verdict(rule, HELD_UP_S).judged() and not verdict(rule, HELD_UP_S + 0.01).judged()
+    for rule in ("duplicate", "refused_after_run", "lost", "cut", "crash"):
+        assert verdict(rule, 10.0).judged()
+
+
+def void_release(events: list[Event]) -> None:
+    """The entry is released while its decode, which has arrived, waits; that ends, and nothing follows."""
+    without(events, "first", "ran")
+    change(events, "answered", t=START_S + 2.0, status=503)
+    events.append(at(1.6, "released", "p0", id=ID))
+    change(events, "answer", t=START_S + 3.2, status=500, first_s=0.0)
+    events.append(at(3.2, "released", "p0", id=ID))
+
+
+def released_in_time(events: list[Event]) -> None:
+    """The same, and a release follows the decode's end."""
+    void_release(events)
+    events.append(at(2.1, "released", "p0", id=ID))
+
+
+def test_release_beside_a_decode_that_waits_for_the_entry_is_void() -> None:
+    assert "held" in rules(void_release)
+    assert "held" not in rules(released_in_time)
+
+
+def overrun(term_s: float, kill_s: float) -> Story:
+    """SIGTERM, and SIGKILL when the grace is over."""
+
+    def story(events: list[Event]) -> None:
+        without(events, "killed")
+        events.append(at(term_s, "sigterm", conductor="n0"))
+        events.append(at(kill_s, "killed", conductor="n0", grace=True))
+
+    return story
+
+
+@pytest.mark.parametrize(
+    ("term_s", "found"),
+    [(0.2, {"lost"}), (0.5, {"lost"})],  # taken behind SIGTERM: more and less than 0.7 s
+)
+def test_kill_behind_the_grace_does_not_excuse_a_request_without_an_answer(
+    term_s: float, found: set[str]
+) -> None:
+    assert rules(no_answer, overrun(term_s, 1.45)) >= found
+
+
+@pytest.mark.parametrize(("term_s", "found"), [(0.1, {"cut"}), (0.9, set())])
+def test_kill_behind_the_grace_excuses_a_stream_that_was_taken_soon_behind_the_signal(
+    term_s: float, found: set[str]
+) -> None:
+    assert rules(cut, overrun(term_s, 1.45)) == found
+
+
 @pytest.mark.parametrize("story", [no_answer, late, cut, held, half])
 def test_what_a_kill_costs_is_no_break(story: Story) -> None:
     def kill_then(events: list[Event]) -> None:
