--- a/tests/test_start_crossings.py
+++ b/tests/test_start_crossings.py
@@ -15,6 +15,7 @@
 from tests.test_platform_restart import Restart
 
 DEADLINE_MS = 500.0  # the longest of the settings
+LATE_S = 0.5  # behind its time a request is lost
 KILL_S = DEADLINE_MS / 1000 + 0.7  # from SIGTERM to SIGKILL
 
 
@@ -40,6 +41,15 @@
     assert not killed.reader[0].seen
 
 
+def test_request_with_little_time_is_answered_while_the_start_waits_for_the_list(killed: Node) -> None:
+    restart = Restart(killed, StandIn())  # discovery says nothing
+    with restart.dial() as client:
+        client.sendall(request("a1").replace(b"X-Budget-Ms: 4800", b"X-Budget-Ms: 40"))
+        sent_s = time.monotonic()
+        assert client.recv(65536).startswith(b"HTTP/1.1 503")
+        assert time.monotonic() - sent_s < 0.04 + LATE_S
+
+
 def test_a_reload_that_met_half_a_file_is_made_once_the_file_is_whole(node: Node) -> None:
     moved = StandIn()
     whole = json.dumps(node.config | {"discovery": moved.address})
