Answer requests in their time while a start waits for the endpoint list

Cause: the listening socket is open from the start, so that the machine takes requests, but nothing was accepted while the start waited for discovery, 1.5 s at most. Change: where there is no predecessor the platform's front accepts at once; a request waits at StartGate until the list is there, its own time at most; a stop meanwhile closes the gate and answers 503, as before. Why it works: its client's time runs where it is read, so what is over is answered, and nothing is begun before the list.

--- a/ringledge/lifecycle/components/platform.py
+++ b/ringledge/lifecycle/components/platform.py
@@ -37,10 +37,15 @@
             on_rejected=platform.refused,
             is_served_past_limit=platform.keeps if is_gated else None,
             reject_unparsed=platform.turn_away if is_gated else None,
+            serves_during_start=True,
         )
     )
 
     def on_ready() -> None:
-        platform.ready = not context.shutdown.is_requested()
+        if context.shutdown.is_requested():
+            platform.start_gate.close()
+            return
+        platform.ready = True
+        platform.start_gate.open()
 
     return Component(on_ready=on_ready)
--- a/ringledge/lifecycle/fronts.py
+++ b/ringledge/lifecycle/fronts.py
@@ -42,6 +42,8 @@
     is_served_past_limit: Callable[[h11.Request], bool] | None = None
     # Rejects a request before it is parsed, if it has to; the bytes of its body that are still to come.
     reject_unparsed: Callable[[Connection], int | None] | None = None
+    # It answers in time while the start still waits for the endpoint list.
+    serves_during_start: bool = False
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -50,6 +52,7 @@
 
     front: Front
     listener: socket.socket
+    serves_during_start: bool = False
 
 
 class Fronts:
@@ -95,7 +98,8 @@
         )
         if is_public:
             self._public_fronts.append(front)
-        self.clients.append(ListeningFront(front, self._listen(service.address)))
+        listener = self._listen(service.address)
+        self.clients.append(ListeningFront(front, listener, service.serves_during_start))
 
     def open_operator(self, address: str, handler: Handler, error_body: ErrorBody) -> None:
         """Open the operators' front, whose limits no client can use up."""
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -105,9 +105,11 @@
         gc.freeze()  # what exists now lasts: later collections need not traverse it
         if predecessor is not None:
             tasks.start_soon(self._handover.follow_predecessor, predecessor, is_serving)
+        early = [each for each in fronts.clients if each.serves_during_start and predecessor is None]
+        fronts.serve(early, tasks)
         await self._wait_for_endpoint_list()
         accepts_new = not shutdown.is_requested()  # else nothing new is begun: there may be no time for it
-        fronts.serve(fronts.clients, tasks)
+        fronts.serve([each for each in fronts.clients if each not in early], tasks)
         for component in self._composition.components:
             component.on_ready()
         tasks.start_soon(self._handover.serve_successors)
--- a/ringledge/wire/clients/platform.py
+++ b/ringledge/wire/clients/platform.py
@@ -17,6 +17,7 @@
 from ringledge.memory.names import Names
 from ringledge.wire.clients.platform_request import read_request
 from ringledge.wire.clients.response import STREAM_HEAD, PlatformResponse, write_while_connected
+from ringledge.wire.clients.start_gate import StartGate
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.errors import HttpError, ShedError
 from ringledge.wire.http.headers import Headers, fields, header
@@ -52,6 +53,7 @@
         self._names, self._conductor, self._gate, self._turns = names, conductor, gate, turns
         self._held = held
         self.ready = False
+        self.start_gate = StartGate()
 
     async def handle(self, conn: Connection, head: h11.Request) -> None:
         """Answer one request."""
@@ -72,13 +74,14 @@
             await self._turns.take()
         began = time.perf_counter()
         request = read_request(self._names, head, body)
+        if self._gate is not None:
+            self._gate.record_body_check(len(body), time.perf_counter() - began)
         left_ms = request.expires_in_ms - conn.waited_ms()  # its client's time runs from its last byte on
+        left_ms = await self.start_gate.wait(left_ms)
         if left_ms <= 0:
             self.refused(head)
             return await respond(conn, 503, OVER, retry_after(None, self._names))
         request = replace(request, expires_in_ms=left_ms)
-        if self._gate is not None:
-            self._gate.record_body_check(len(body), time.perf_counter() - began)
         payload = Payload(head.target, body, header(head, b"content-type") or b"application/json")
         exchange = PlatformResponse(conn, self._held)
         try:
