--- a/tests/wire/http/test_busy_process.py
+++ b/tests/wire/http/test_busy_process.py
@@ -82,3 +82,26 @@
 
     waited_ms = anyio.run(run)
     assert waited_ms >= AWAY_S * 1000 - 20, "a long request is taken for younger than it is"
+
+
+def test_request_before_which_nothing_was_read_has_waited_though_more_came_behind_it() -> None:
+    """Guards against the same where a client sends on: the kernel tells the age of the newest bytes alone."""
+
+    async def run() -> float:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            client = socket.create_connection(listener.getsockname(), 10)
+            client.sendall(REQUEST)
+            time.sleep(AWAY_S)  # it lies in the backlog: that is the case
+            client.sendall(b"x" * 10_000)
+            served, _ = listener.accept()
+        served.setblocking(False)
+        conn = Connection(served, h11.SERVER)
+        conn.marks = ArrivalMarks()
+        with client:
+            await next_head(conn)
+            waited_ms = conn.waited_ms()
+            conn.close()
+        return waited_ms
+
+    waited_ms = anyio.run(run)
+    assert waited_ms >= AWAY_S * 1000 - 20, "a request is taken for as young as what came behind it"
