Name parts of the soak by what they are

deaf, knots, take, come and look_at are cannot_accept, clusters, receive_answer, received and parse. No change of behaviour; the oracle's tests pass.

--- a/benchmarks/soak/answers.py
+++ b/benchmarks/soak/answers.py
@@ -22,7 +22,7 @@
     """The answers of one connection: a parser's callbacks."""
 
     def __init__(self) -> None:
-        self.come: list[Answer] = []  # the last one may not be whole
+        self.received: list[Answer] = []  # the last one may not be whole
         self._line = b""
         self._parser = httptools.HttpResponseParser(self)
 
@@ -32,16 +32,16 @@
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
-        self.come.append(Answer())
+        self.received.append(Answer())
         self._line = b""
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
-        self.come[-1].status = self._parser.get_status_code()
+        self.received[-1].status = self._parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser: events tell when their server wrote them."""
-        answer, now_s = self.come[-1], time.monotonic()
+        answer, now_s = self.received[-1], time.monotonic()
         answer.first_s = answer.first_s or now_s
         *lines, self._line = (self._line + body).split(b"\n")
         for line in lines:
@@ -51,4 +51,4 @@
 
     def on_message_complete(self) -> None:
         """Called by the parser."""
-        self.come[-1].whole = True
+        self.received[-1].whole = True
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -73,12 +73,12 @@
         fresh = self.fresh and not ahead and self.begun_s - self.opened_s < FRESH_S
         self.log.write("posted", id=name, fresh=fresh, ahead=ahead, begun_s=self.begun_s)
 
-    async def take(self, name: str) -> bool:
+    async def receive_answer(self, name: str) -> bool:
         """Take the answer; whether the connection may go on."""
         error = ""
         try:
             async with asyncio.timeout(ANSWER_S):
-                while not (self.answers.come and self.answers.come[0].whole):
+                while not (self.answers.received and self.answers.received[0].whole):
                     data = await self.reader.read(65536)
                     if not data:
                         error = "end"
@@ -88,7 +88,7 @@
             error = "timeout"
         except (OSError, httptools.HttpParserError) as broken:
             error = type(broken).__name__
-        answer = self.answers.come.pop(0) if self.answers.come else Answer()
+        answer = self.answers.received.pop(0) if self.answers.received else Answer()
         self.log.write("answer", id=name, error=error, fresh=self.fresh, **asdict(answer))
         self.fresh = False
         if error:
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -102,7 +102,7 @@
         streams = answer["status"] == 200 and request.posted_s <= termed_s + STOP_TAKES_S + NOISE_S
         return streams or request.posted_s >= killed_s - NOISE_S
 
-    def deaf(self, conductor: str, from_s: float, until_s: float) -> bool:
+    def cannot_accept(self, conductor: str, from_s: float, until_s: float) -> bool:
         """Whether the system let the conductor accept nothing for a while then."""
         calls = ("accept", "descriptors")
         return any(
--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -77,8 +77,10 @@
         return
     if not answer["status"]:
         sent = bool(request.attempts)
-        deaf = history.plan.crowd or history.deaf(request.conductor, request.begun_s, answer["t"])
-        crowded = deaf and not sent
+        cannot_accept = history.plan.crowd or history.cannot_accept(
+            request.conductor, request.begun_s, answer["t"]
+        )
+        crowded = cannot_accept and not sent
         if not request.floods and not crowded and (request.fresh or sent):
             yield (
                 "lost",
@@ -87,7 +89,7 @@
         return
     final_s = answer["first_s"] if answer["status"] == 200 and answer["first_s"] else answer["t"]
     late_s = final_s - posted_s - request.budget_s
-    if request.floods or request.ahead or history.deaf(request.conductor, request.begun_s, final_s):
+    if request.floods or request.ahead or history.cannot_accept(request.conductor, request.begun_s, final_s):
         return
     if history.plan.crowd and not request.attempts:
         return  # it may have lain in the backlog
@@ -198,7 +200,7 @@
     """Who stops in the middle gets an error or a close."""
     if request.half_end is None or history.killed(request.conductor, request.half_s, request.half_end["t"]):
         return
-    if history.deaf(request.conductor, request.half_s, request.half_end["t"]):
+    if history.cannot_accept(request.conductor, request.half_s, request.half_end["t"]):
         return
     took_s = request.half_end["t"] - request.half_s
     if request.half_end["error"] == "open" or took_s > HALF_S + NOISE_S:
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 PLAY_S = 16.0  # of clients' load
-KNOTS = (3, 5)  # moments at which several troubles meet
+CLUSTERS = (3, 5)  # moments at which several troubles meet
 SAME_PART = 0.7  # of a moment's troubles that meet at one conductor, or at one server
-SPREAD_S = 0.9  # within which the troubles of a knot begin
+SPREAD_S = 0.9  # within which the troubles of a cluster begin
 MAX_DEADLINE_S, KILL_GRACE_S = 3.0, 0.7
 CROSSINGS = 0.6  # of the plans with a prefill that is lost while the next one meets silence
 MEETS_S = 0.1  # behind the first lost responses
@@ -124,9 +124,9 @@
         rng.uniform(6, 14),
         [],
     )
-    knots = rng.randint(*KNOTS)
-    for knot in range(knots):
-        middle_s = PLAY_S * (knot + rng.uniform(0.3, 0.8)) / knots
+    clusters = rng.randint(*CLUSTERS)
+    for cluster in range(clusters):
+        middle_s = PLAY_S * (cluster + rng.uniform(0.3, 0.8)) / clusters
         met = rng.choice(plan.conductors), rng.choice(plan.servers)
         for _ in range(rng.randint(2, 4)):
             plan.troubles.append(_trouble(rng, plan, middle_s + rng.uniform(0, SPREAD_S), met))
--- a/benchmarks/soak/plays.py
+++ b/benchmarks/soak/plays.py
@@ -29,7 +29,7 @@
     for _ in range(client.rng.randint(1, 6)):
         name, data = client.request()
         await client.send(name, data)
-        if not await client.take(name) and not await client.connect():
+        if not await client.receive_answer(name) and not await client.connect():
             return
         await asyncio.sleep(client.rng.choice((0.0, 0.01, 0.2, 0.6)))
     await client.close()
@@ -39,11 +39,11 @@
     """Sends again in the moment in which the conductor ends the rest."""
     name, data = client.request()
     await client.send(name, data)
-    if await client.take(name):
+    if await client.receive_answer(name):
         await asyncio.sleep(client.rng.uniform(1.9, 2.4))
         name, data = client.request()
         await client.send(name, data)
-        await client.take(name)
+        await client.receive_answer(name)
     await client.close()
 
 
@@ -63,8 +63,8 @@
     (one, first), (two, second) = client.request(), client.request()
     await client.send(one, first)
     await client.send(two, second, ahead=True)
-    if await client.take(one):
-        await client.take(two)
+    if await client.receive_answer(one):
+        await client.receive_answer(two)
     await client.close()
 
 
@@ -75,7 +75,7 @@
     await asyncio.sleep(client.rng.uniform(0.0, 0.2))
     client.log.write("floods", id=name)
     client.writer.write(FLOOD)
-    await client.take(name)
+    await client.receive_answer(name)
     await client.close()
 
 
@@ -102,7 +102,7 @@
         client.writer.write(data[start : start + step])
         await asyncio.sleep(client.rng.uniform(0.0, 0.05))
     await client.send(name, b"")
-    await client.take(name)
+    await client.receive_answer(name)
     await client.close()
 
 
@@ -112,7 +112,7 @@
     while time.monotonic() < until_s:
         name, data = client.request()
         await client.send(name, data)
-        if not await client.take(name):
+        if not await client.receive_answer(name):
             return
         await asyncio.sleep(client.rng.uniform(0.02, 0.3))
     await client.close()
--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -69,7 +69,7 @@
     def _tell(self, event: str, **fields: Any) -> None:
         self.log.write(event, id=self.id, server=self.path.server, link=self.number, **fields)
 
-    def look_at(self, side: Side, data: bytes) -> None:
+    def parse(self, side: Side, data: bytes) -> None:
         """Parse what passes; bytes that are no HTTP are passed on unseen."""
         self.answering = side is self.sides[1]
         with suppress(httptools.HttpParserError):
@@ -131,7 +131,7 @@
     def data_received(self, data: bytes) -> None:
         """Called by asyncio."""
         if not self.number:
-            self.link.look_at(self, data)
+            self.link.parse(self, data)
         self.waiting.append(data)
         self.pump()
 
@@ -159,7 +159,7 @@
                 if path.breaks() and self.link.open and self.link.rng.random() < BREAKS:
                     self.link.reset()
                     return
-                self.link.look_at(self, data)
+                self.link.parse(self, data)
             transport = self.other.transport
             if transport is None or transport.is_closing():
                 break
