--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -25,18 +25,7 @@
 
 # Rules that a process which got no processor may seem to break: they compare the times of two witnesses.
 TIMED_RULES = frozenset(
-    (
-        "late",
-        "second_copy",
-        "sent_after_left",
-        "told_too_much",
-        "held",
-        "half",
-        "drain",
-        "not_ready",
-        "not_moved",
-        "found_itself",
-    )
+    "late second_copy sent_after_left told_too_much held half drain not_ready not_moved found_itself".split()
 )
 HELD_UP_S = 0.15  # that a conductor may be held up for: within that, every rule holds
 
