Name once in the soak's oracle what does not carry a request

NOT_CARRIED was defined and not used, its three names stood twice beside it. The same kinds in both places; lint, types and the oracle's tests pass. The whole check was not run on this commit.

--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -22,7 +22,6 @@
 NOT_CARRIED = ("path_silent", "path_stalls", "path_forgets")  # what is sent does not arrive
 KEPT_S = 0.02  # that two attempts may seem to overlap
 
-
 # Rules that a process which got no processor may seem to break: they compare the times of two witnesses.
 TIMED_RULES = frozenset(
     "late second_copy sent_after_left told_too_much held half drain not_ready not_moved found_itself".split()
@@ -94,15 +93,7 @@
     if history.excused(request, answer["t"]) or not request.attempts:
         return
     last = request.attempts[-1]
-    silent = (
-        "path_silent",
-        "path_stalls",
-        "path_forgets",
-        "server_hang",
-        "server_kill",
-        "path_reset",
-        "path_breaks",
-    )
+    silent = (*NOT_CARRIED, "server_hang", "server_kill", "path_reset", "path_breaks")
     if last.how == "broke" or history.troubled(last.server, silent, last.sent_s - 1.0, answer["t"]):
         return
     yield "cut", f"{answer['error']}, its server's side was {last.how or 'open'}"
@@ -179,9 +170,7 @@
 def _reached_s(history: History, attempt: Attempt) -> float:
     """When its last byte had reached its server: one that hangs has what its system took."""
     hung = history.troubled(attempt.server, ("server_hang",), attempt.sent_s, attempt.sent_s)
-    silent = history.troubled(
-        attempt.server, ("path_silent", "path_stalls", "path_forgets"), attempt.sent_s, attempt.sent_s
-    )
+    silent = history.troubled(attempt.server, NOT_CARRIED, attempt.sent_s, attempt.sent_s)
     return attempt.sent_s if hung and not silent else attempt.arrived_s
 
 
