Count what clients send ahead in the memory for bodies, over all connections

What callers saw: a process past its memory limit, which the platform kills.

Cause: each connection may read 1 MB ahead while a request is open, or an eighth of what bodies leave free, and nothing counts the bytes that are held that way. A receive buffer doubled when it grew and never became smaller.

Change: ConnectionMemory holds what one connection uses of BodyMemory: its bodies, as before, and what its receive buffer has grown by. The read-ahead of a connection is an eighth of what both leave free, 16 KB at least and 1 MB at most. Buffers grow by 64 KB at most and have their first size once they are empty.

--- a/ringledge/wire/clients/front.py
+++ b/ringledge/wire/clients/front.py
@@ -22,7 +22,7 @@
 from ringledge.wire.clients.open_connections import IDLE_TIMEOUT_S, OpenConnections
 from ringledge.wire.clients.request_loop import RequestHandling, RequestLoop
 from ringledge.wire.http.arrival_times import ArrivalTimes
-from ringledge.wire.http.body_memory import BodyMemory
+from ringledge.wire.http.body_memory import BodyMemory, ConnectionMemory
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.socket_reader import unread_ms
 from ringledge.wire.http.sockets import enable_keepalive
@@ -211,7 +211,7 @@
     def _activate(self, idle: IdleConnection) -> Connection:
         """Create a connection with a parser on an idle connection's socket."""
         conn = Connection(idle.sock, h11.SERVER)
-        conn.body_memory = self._body_memory
+        conn.memory = ConnectionMemory(self._body_memory)
         conn.turns = self._turns
         conn.closes_after_answer = self.connections.closing
         conn.on_queue_delay = self._on_queue_delay
--- a/ringledge/wire/clients/open_connections.py
+++ b/ringledge/wire/clients/open_connections.py
@@ -174,7 +174,7 @@
             self.update_gauge()
 
     def _forget(self, conn: Connection) -> None:
-        conn.release_body_memory()
+        conn.memory.release_body()
         self.active.discard(conn)
         self.between_requests.pop(conn, None)
         self.reading.pop(conn, None)
--- a/ringledge/wire/clients/request_loop.py
+++ b/ringledge/wire/clients/request_loop.py
@@ -63,7 +63,7 @@
         try:
             conn.read_deadline_s = read_deadline_s
             while await self._exchange(conn, over_limit):
-                conn.release_body_memory()
+                conn.memory.release_body()
                 conn.had_request = True
                 self._connections.reading.pop(conn, None)
                 self._connections.between_requests.setdefault(conn, anyio.current_time())
--- a/ringledge/wire/http/connection.py
+++ b/ringledge/wire/http/connection.py
@@ -10,9 +10,8 @@
 import anyio.lowlevel
 import h11
 
-from ringledge.wire.http.body_memory import BodyMemory
-from ringledge.wire.http.errors import HttpError
-from ringledge.wire.http.headers import Headers, with_connection_close, with_keep_alive
+from ringledge.wire.http.body_memory import ConnectionMemory
+from ringledge.wire.http.headers import with_connection_close, with_keep_alive
 from ringledge.wire.http.socket_reader import READ_AHEAD_BYTES, SocketReader
 from ringledge.wire.http.turn_queue import TurnQueue
 
@@ -20,7 +19,6 @@
     from ringledge.decide.connections.admission import AdmittedConnection
 
 MAX_HEAD_BYTES = 32 * 1024  # h11's limit for an incomplete message head
-READ_AHEAD_DIVISOR = 8  # a peer may send ahead at most this part of the free memory for bodies
 # What a connection may parse before other tasks run; a request in the usual form needs less.
 MAX_TURN_BYTES = 16 * 1024
 MAX_TURN_HEAD_BYTES = 4 * 1024  # the time for parsing a head grows with the number of its headers
@@ -53,9 +51,8 @@
         self.admitted = False  # the admission gate has admitted the request that is being read
         self.closes_after_answer = False  # the next response has `Connection: close`
         self.paused = False  # reading is paused after a rejected request
-        self.body_memory: BodyMemory | None = None  # None: unlimited
+        self.memory = ConnectionMemory()
 
-        self._reserved_bytes = 0  # bytes of `body_memory` that the current request has reserved
         self._write_blocked = False  # a task waits until the socket is writable
 
     async def next_event(self) -> h11.Event | type[h11.PAUSED]:
@@ -97,6 +94,7 @@
         data = self.buffer.take(max(0, limit - self._turn_bytes))
         if not data:
             return False
+        self.on_buffer_changed()
         self._turn_bytes += len(data)
         self._pending_bytes += len(data)
         self.h11.receive_data(data)
@@ -183,32 +181,12 @@
                 self._write_blocked = False
 
     def max_read_ahead(self) -> int:
-        """How many bytes may be buffered while no task waits: at most a part of the free body memory."""
-        max_bytes = super().max_read_ahead()
-        if self.body_memory is None:
-            return max_bytes
-        return max(
-            READ_AHEAD_BYTES,
-            min(
-                max_bytes,
-                int((self.body_memory.limit_bytes - self.body_memory.used_bytes) / READ_AHEAD_DIVISOR),
-            ),
-        )
-
-    def reserve_body_memory(self, size: int) -> None:
-        """Count bytes of a request body; HttpError 503 if that exceeds the body memory."""
-        if self.body_memory is not None:
-            self._reserved_bytes += size
-            self.body_memory.used_bytes += size
-            if self.body_memory.used_bytes > self.body_memory.limit_bytes:
-                retry_after: Headers = [(b"Retry-After", b"1")]
-                raise HttpError(503, "no memory for one more request", "overloaded", headers=retry_after)
-
-    def release_body_memory(self) -> None:
-        """Free the body memory of a request that has ended."""
-        if self.body_memory is not None:
-            self.body_memory.used_bytes -= self._reserved_bytes
-            self._reserved_bytes = 0
+        """How many bytes may be buffered while no task waits: at most a part of the free memory."""
+        return int(max(READ_AHEAD_BYTES, min(super().max_read_ahead(), self.memory.max_read_ahead())))
+
+    def on_buffer_changed(self) -> None:
+        """Count the memory of the receive buffer beyond its initial size."""
+        self.memory.set_read_ahead(0 if self.closed else self.buffer.grown_bytes)
 
     def next_cycle(self) -> bool:
         """Start another exchange if both sides have completed this one; returns whether they have."""
@@ -226,6 +204,7 @@
         """Return the socket, still open; tasks that wait here find the connection closed."""
         self.closed = True
         self.pause_reading()
+        self.on_buffer_changed()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
         if self._write_blocked:
--- a/ringledge/wire/http/messages.py
+++ b/ringledge/wire/http/messages.py
@@ -32,7 +32,7 @@
             size += len(event.data)
             if size > max_bytes:
                 raise HttpError(413, f"the body is longer than {max_bytes} bytes")
-            conn.reserve_body_memory(len(event.data))
+            conn.memory.reserve_body(len(event.data))
             parts.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             return b"".join(parts)
--- a/ringledge/wire/http/receive_buffer.py
+++ b/ringledge/wire/http/receive_buffer.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
+MAX_GROWTH_BYTES = 64 * 1024  # at a time, so that the buffer is hardly longer than what it holds
+
 
 class ReceiveBuffer:
-    """Bytes read from a socket and not parsed yet; grows as needed, and is compacted in place."""
+    """Bytes read from a socket and not parsed yet.
+
+    The buffer grows as needed and is compacted in place. Once it is empty it has its initial size again.
+    """
 
     def __init__(self, size: int = 16 * 1024) -> None:
+        self._initial_size = size
         self._data = bytearray(size)
         self._start = self._end = 0
 
+    @property
+    def grown_bytes(self) -> int:
+        """By how many bytes the buffer is longer than its initial size."""
+        return len(self._data) - self._initial_size
+
     def __len__(self) -> int:
         """How many bytes are buffered."""
         return self._end - self._start
@@ -21,7 +32,7 @@
             self._data[:size] = self._data[self._start : self._end]
             self._start, self._end = 0, size
         if len(self._data) - self._end < min_bytes:
-            self._data.extend(bytes(max(min_bytes, len(self._data))))
+            self._data.extend(bytes(max(min_bytes, min(len(self._data), MAX_GROWTH_BYTES))))
         return memoryview(self._data)[self._end :]
 
     def commit(self, size: int) -> None:
@@ -36,6 +47,8 @@
     def clear(self) -> None:
         """Discard the buffered bytes."""
         self._start = self._end = 0
+        if self.grown_bytes:
+            self._data = bytearray(self._initial_size)
 
     def take(self, max_bytes: int) -> bytes:
         """Remove and return the first `max_bytes` buffered bytes."""
--- a/ringledge/wire/http/socket_reader.py
+++ b/ringledge/wire/http/socket_reader.py
@@ -133,6 +133,7 @@
             except OSError as error:
                 self._error, size = error, 0
         self.buffer.commit(size)
+        self.on_buffer_changed()
         self.received_bytes += size
         self._record_arrival(size, age_s)
         if not size:
@@ -153,6 +154,9 @@
                 age_s = 0.0
             self.arrival_times.add(size, now_s, now_s - age_s if paused_since_s is None else paused_since_s)
 
+    def on_buffer_changed(self) -> None:
+        """Called after bytes were added to the buffer."""
+
     def max_read_ahead(self) -> int:
         """How many bytes may be buffered while no task waits for input."""
         return READ_AHEAD_BYTES if self._on_disconnect is None else MAX_READ_AHEAD_BYTES
