Look idempotency keys and streams of the chat front up within a tenant

A stream could be followed by any tenant that knew its name.

Cause: StreamSessionStore kept keys and names without the tenant. Change: a session holds its tenant, keys are looked up by tenant and key, and a stream of another tenant is answered 404 like one that is not there. A client that comes back for its stream has to send the X-Caller that it sent before.

--- a/ringledge/wire/clients/chat/front.py
+++ b/ringledge/wire/clients/chat/front.py
@@ -24,22 +24,23 @@
     Request,
     RouterSettings,
 )
+from ringledge.wire.clients.chat.admission import ChatAdmission
 from ringledge.wire.clients.chat.answer import SessionSink
 from ringledge.wire.clients.chat.question import (
     build_request,
     header_text,
+    idempotency_key,
     parse_chat_request,
     prompt_text,
 )
-from ringledge.wire.clients.chat.replies import ResponseWriter
+from ringledge.wire.clients.chat.replies import ResponseWriter, models_body
 from ringledge.wire.clients.chat.stream_sessions import SessionEnd, StreamSession, StreamSessionStore
 from ringledge.wire.clients.chat_settings import ChatConfig
-from ringledge.wire.clients.platform import shed_error
 from ringledge.wire.clients.response import write_while_connected
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.errors import HttpError
 from ringledge.wire.http.headers import header
-from ringledge.wire.http.messages import MAX_BODY_BYTES, read_body, require_method, respond
+from ringledge.wire.http.messages import read_body, require_method, respond
 
 if TYPE_CHECKING:
     from ringledge.core.gate import AdmissionGate
@@ -47,7 +48,6 @@
     from ringledge.wire.clients.chat.queued import QueuedChat
 
 COMPLETIONS_PATH = b"/v1/chat/completions"
-MAX_KEY_BYTES = 256  # of an idempotency key, which is retained for as long as its session
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +77,7 @@
         self._names = names
         self._conductor = conductor
         self.sessions = StreamSessionStore(config.sessions, options.max_retained_bytes, config.resume_for_s)
-        self._gate = gate
+        self._admission = ChatAdmission(gate, names, config)
         self._queued = queued
         self._writer = ResponseWriter(conductor, names, self._is_idempotent, self._continue_response)
         if buffered_bytes is not None:
@@ -89,7 +89,7 @@
         if path == b"/v1/models":
             require_method(head, b"GET")
             await read_body(conn, head)
-            await respond(conn, 200, orjson.dumps(self._models()))
+            await respond(conn, 200, models_body(self._config))
             return
         if self._queued is not None and path.startswith(b"/v1/queue/"):
             await self._queued.handle(conn, head)
@@ -97,11 +97,11 @@
         if path != COMPLETIONS_PATH:
             raise HttpError(404, f"no such path: {path.decode('ascii', 'replace')}", "unknown_url")
         require_method(head, b"POST")
-        self._check_head_admission(head)
+        self._admission.check_head(head)
         body = await read_body(conn, head)
         last_event = header(head, b"last-event-id")
         if last_event:
-            session, seen = self._resume(last_event.decode("ascii", "replace"))
+            session, seen = self._resume(self._tenant(head), last_event.decode("ascii", "replace"))
             write_whole = False
         else:
             started = await self._start(conn, head, body)
@@ -122,27 +122,6 @@
             session.followers.discard(conn)
             self._on_left(session)
 
-    def _check_head_admission(self, head: h11.Request) -> None:
-        """Shed a request before its body is read, if its head has its class or the gate rejects all."""
-        if self._gate is None or header(head, b"last-event-id") or header(head, b"idempotency-key"):
-            return  # it may continue a request that was admitted already
-        class_name = header_text(head, b"x-call-class")
-        length = header(head, b"content-length")
-        if class_name in self._names.classes:
-            self._check_admission(self._names.classes.index(class_name), head, int(length or 0))
-        elif reason := self._gate.rejects_all():
-            class_index = self._names.classes.index(next(iter(self._config.models.values())))
-            raise shed_error(self._gate.reject(class_index, reason))
-
-    def _check_admission(self, class_index: int, head: h11.Request, size: int) -> None:
-        """Raise ShedError if the gate rejects the request."""
-        if self._gate is not None:
-            caller = header_text(head, b"x-caller") or self._config.tenant
-            tenant = self._names.index(self._names.tenants, caller)
-            rejection = self._gate.admit(class_index, tenant, min(size, MAX_BODY_BYTES))
-            if rejection is not None:
-                raise shed_error(rejection)
-
     def _may_reject(self, session: StreamSession) -> bool:
         """Whether the request may be rejected, which promises the client that a retry is safe."""
         return session.record is None or self._conductor.may_reject(session.record)
@@ -159,25 +138,40 @@
             session.end = SessionEnd.CLIENT_DISCONNECTED
             log.info("chat_ended", session=session.name, how=SessionEnd.CLIENT_DISCONNECTED.value, events=0)
 
+    def _tenant(self, head: h11.Request) -> str:
+        return header_text(head, b"x-caller") or self._config.tenant
+
     async def _start(self, conn: Connection, head: h11.Request, body: bytes) -> StreamSession | None:
-        """Start a session, or return the one that the idempotency key has started before.
+        """Start a session, or return the one that the tenant's idempotency key has started before.
 
         Returns None if the request is queued, in which case it has been answered.
         """
         chat_request = parse_chat_request(body)
-        key = header(head, b"idempotency-key")
-        if key and len(key) > MAX_KEY_BYTES:
-            raise HttpError(400, f"longer than {MAX_KEY_BYTES} bytes", "invalid_value", "Idempotency-Key")
-        existing = self.sessions.get_by_idempotency_key(key.decode("ascii", "replace")) if key else None
-        if existing is not None:
-            record = existing.record
-            if existing.end in (None, SessionEnd.SERVED):
-                return existing
-            if record is not None and record.may_have_run and not self._is_idempotent(existing.class_index):
-                raise HttpError(409, "this request may have run before; it is not run again", "may_have_run")
+        key = idempotency_key(head)
+        if key is None:
+            return await self._start_new(conn, head, chat_request, len(body), None)
+        tenant = self._tenant(head)
+        existing = self.sessions.get_by_idempotency_key(tenant, key)
+        if existing is not None and not self._may_start_again(existing):
+            return existing
+        return await self._start_new(conn, head, chat_request, len(body), key)
+
+    def _may_start_again(self, session: StreamSession) -> bool:
+        """Whether a repeated request runs anew; HttpError 409 if neither that nor an answer is possible."""
+        if session.end in (None, SessionEnd.SERVED):
+            return False
+        record = session.record
+        if record is not None and record.may_have_run and not self._is_idempotent(session.class_index):
+            raise HttpError(409, "this request may have run before; it is not run again", "may_have_run")
+        return True
+
+    async def _start_new(
+        self, conn: Connection, head: h11.Request, chat_request: dict[str, Any], size: int, key: str | None
+    ) -> StreamSession | None:
+        """Start a session for a request with a body of `size` bytes; None if it has been answered."""
         class_index, request = build_request(self._config, self._names, self._settings, head, chat_request)
         if key or not header_text(head, b"x-call-class"):  # else the gate has decided by the head
-            self._check_admission(class_index, head, len(body))
+            self._admission.check(class_index, head, size)
         if self._queued is not None and await self._queued.answer_if_queued(
             conn, head, chat_request, request
         ):
@@ -185,16 +179,21 @@
         if not self.sessions.make_room():
             raise HttpError(429, "too many answers are under way", "rate_limit_exceeded")
         session = StreamSession(
-            f"chatcmpl-{uuid4().hex}", chat_request, class_index, request.max_output_tokens, len(body)
+            f"chatcmpl-{uuid4().hex}",
+            self._tenant(head),
+            chat_request,
+            class_index,
+            request.max_output_tokens,
+            size,
         )
-        self.sessions.add(session, key.decode("ascii", "replace") if key else None)
+        self.sessions.add(session, key)
         self._submit(session, request, chat_request)
         return session
 
-    def _resume(self, last_event: str) -> tuple[StreamSession, int]:
-        """The session that a client resumes, and the number of events that the client has received."""
+    def _resume(self, tenant: str, last_event: str) -> tuple[StreamSession, int]:
+        """The session that a tenant's client resumes, and the number of events that it has received."""
         name, _, number = last_event.rpartition(":")
-        session = self.sessions.get(name)
+        session = self.sessions.get(tenant, name)
         if session is None or not number.isdecimal() or int(number) > len(session.events):
             raise HttpError(404, "this stream is not known any more", "stream_not_found", "Last-Event-ID")
         # A broken response, or a continuation that was rejected, failed or left, can be continued again.
@@ -235,13 +234,6 @@
     def _is_idempotent(self, class_index: int) -> bool:
         return self._settings.classes[class_index].idempotency is Idempotency.IDEMPOTENT
 
-    def _models(self) -> dict[str, Any]:
-        data = [
-            {"id": name, "object": "model", "created": 0, "owned_by": "ringledge"}
-            for name in self._config.models
-        ]
-        return {"object": "list", "data": data}
-
     async def evict_expired_sessions(self) -> None:
         """Until cancelled, evict sessions whose retention time is over."""
         while True:
--- a/ringledge/wire/clients/chat/question.py
+++ b/ringledge/wire/clients/chat/question.py
@@ -19,6 +19,8 @@
 from ringledge.wire.http.errors import HttpError
 from ringledge.wire.http.headers import header
 
+MAX_KEY_BYTES = 256  # of an idempotency key, which is retained for as long as its session
+
 
 def parse_chat_request(body: bytes) -> dict[str, Any]:
     """Parse and validate the body of a request; HttpError names the invalid field."""
@@ -139,6 +141,14 @@
     return int.from_bytes(blake2b(text, digest_size=8).digest(), "big") >> 11
 
 
+def idempotency_key(head: h11.Request) -> str | None:
+    """The request's idempotency key, or None; HttpError if it is too long."""
+    key = header(head, b"idempotency-key")
+    if key and len(key) > MAX_KEY_BYTES:
+        raise HttpError(400, f"longer than {MAX_KEY_BYTES} bytes", "invalid_value", "Idempotency-Key")
+    return key.decode("ascii", "replace") if key else None
+
+
 def header_text(head: h11.Request, name: bytes) -> str | None:
     """A header's text, or None if it is absent or empty."""
     value = header(head, name)
--- a/ringledge/wire/clients/chat/queued.py
+++ b/ringledge/wire/clients/chat/queued.py
@@ -32,6 +32,7 @@
 )
 from ringledge.store.metrics import QueueMetrics
 from ringledge.store.queue import Queue
+from ringledge.wire.clients.chat.question import idempotency_key
 from ringledge.wire.clients.chat.queue_responses import (
     LOCATION_PREFIX,
     RETRY_AFTER,
@@ -82,16 +83,16 @@
 
         Raises HttpError if the queue rejects it, or if it is queued and the client wants it run now.
         """
-        idempotency_key = _idempotency_key(head)
-        if idempotency_key is not None:
-            entry = await self._find_entry(self._tenant(head), idempotency_key, request.class_index)
+        key = idempotency_key(head)
+        if key is not None:
+            entry = await self._find_entry(self._tenant(head), key, request.class_index)
             if entry is not None:
                 await _respond_to_repeated_request(conn, head, entry)
                 return True
         if not prefers_async(head) or self._site_state() is SiteState.AVAILABLE:
             return False
         now_s = await self._now_s()
-        entry = await self._enqueue(self._queued_request(head, idempotency_key, chat_request, request, now_s))
+        entry = await self._enqueue(self._queued_request(head, key, chat_request, request, now_s))
         await respond_accepted(conn, entry)
         return True
 
@@ -141,7 +142,7 @@
     def _queued_request(
         self,
         head: h11.Request,
-        idempotency_key: str | None,
+        key: str | None,
         chat_request: dict[str, Any],
         request: Request,
         now_s: float,
@@ -155,7 +156,7 @@
             estimated_tokens=request.prompt_tokens + request.max_output_tokens,
             created_s=now_s,
             expires_s=now_s + self._options.expiry_s,
-            idempotency_key=idempotency_key,
+            idempotency_key=key,
         )
 
     async def _now_s(self) -> float:
@@ -196,11 +197,6 @@
     return "respond-async" in preferences
 
 
-def _idempotency_key(head: h11.Request) -> str | None:
-    value = header(head, b"idempotency-key")
-    return value.decode("ascii", "replace") if value else None
-
-
 async def _respond_to_repeated_request(conn: Connection, head: h11.Request, entry: Entry) -> None:
     """Answer a request whose idempotency key is queued; HttpError 409 if the client wants it run now."""
     if entry.outcome is not None:
--- a/ringledge/wire/clients/chat/replaying.py
+++ b/ringledge/wire/clients/chat/replaying.py
@@ -108,7 +108,12 @@
             return None
         session_name = f"chatcmpl-{entry.name}"
         session = StreamSession(
-            session_name, chat_request, class_index, request.max_output_tokens, len(queued.body)
+            session_name,
+            queued.tenant,
+            chat_request,
+            class_index,
+            request.max_output_tokens,
+            len(queued.body),
         )
         idempotent = self._is_idempotent(class_index) and queued.idempotent
         attempt = _ReplayAttempt(session, self._conductor, on_result, idempotent)
--- a/ringledge/wire/clients/chat/replies.py
+++ b/ringledge/wire/clients/chat/replies.py
@@ -11,6 +11,7 @@
 from ringledge.core.conductor import Conductor
 from ringledge.memory.names import WireNames
 from ringledge.wire.clients.chat.stream_sessions import SessionEnd, StreamSession
+from ringledge.wire.clients.chat_settings import ChatConfig
 from ringledge.wire.clients.platform import retry_after_headers
 from ringledge.wire.clients.response import STREAM_HEAD
 from ringledge.wire.http.connection import Connection
@@ -119,6 +120,12 @@
     return orjson.dumps(completion)
 
 
+def models_body(config: ChatConfig) -> bytes:
+    """The list of the models that the front serves."""
+    data = [{"id": name, "object": "model", "created": 0, "owned_by": "ringledge"} for name in config.models]
+    return orjson.dumps({"object": "list", "data": data})
+
+
 def _envelope(session: StreamSession, object_type: str) -> dict[str, Any]:
     return {
         "id": session.name,
--- a/ringledge/wire/clients/chat/stream_sessions.py
+++ b/ringledge/wire/clients/chat/stream_sessions.py
@@ -35,6 +35,7 @@
     """One response, whose events are retained by number so that each can be sent again."""
 
     name: str
+    tenant: str
     chat_request: dict[str, Any]  # the client's request as parsed
     class_index: int
     max_tokens: float  # of the whole response
@@ -79,7 +80,8 @@
         self.max_bytes = max_bytes
         self.retention_s = retention_s
         self._sessions: dict[str, StreamSession] = {}
-        self._names_by_key: dict[str, str] = {}  # the session that each idempotency key has started
+        # The session that each tenant has started with an idempotency key.
+        self._names_by_key: dict[tuple[str, str], str] = {}
 
     def __len__(self) -> int:
         """The number of sessions that are retained."""
@@ -116,15 +118,16 @@
         """Add a new session, and the idempotency key that started it."""
         self._sessions[session.name] = session
         if key:
-            self._names_by_key[key] = session.name
+            self._names_by_key[session.tenant, key] = session.name
 
-    def get(self, name: str) -> StreamSession | None:
-        """The session of that name."""
-        return self._sessions.get(name)
+    def get(self, tenant: str, name: str) -> StreamSession | None:
+        """The tenant's session of that name; None if another tenant has it."""
+        session = self._sessions.get(name)
+        return session if session is not None and session.tenant == tenant else None
 
-    def get_by_idempotency_key(self, key: str) -> StreamSession | None:
-        """The session that was started with that idempotency key."""
-        return self._sessions.get(self._names_by_key.get(key, ""))
+    def get_by_idempotency_key(self, tenant: str, key: str) -> StreamSession | None:
+        """The session that the tenant has started with that idempotency key."""
+        return self._sessions.get(self._names_by_key.get((tenant, key), ""))
 
     def evict_expired(self) -> None:
         """Evict ended sessions that were not used within the retention time."""
--- a/tests/memory/test_buffered_bytes.py
+++ b/tests/memory/test_buffered_bytes.py
@@ -20,7 +20,7 @@
 ) -> StreamSession:
     clients = {ConnectedClient() for _ in range(followers)}
     return StreamSession(
-        name, {}, 0, 100.0, size_bytes=size, last_used_s=last_used_s, end=end, followers={*clients}
+        name, "farm", {}, 0, 100.0, size_bytes=size, last_used_s=last_used_s, end=end, followers={*clients}
     )
 
 
@@ -38,9 +38,11 @@
     buffered.stream_bytes = 40
     assert buffered.total_bytes == 1340
     assert buffered.evict(150) == 200
-    assert sessions.get("oldest") is sessions.get("middle") is None and sessions.get("newest")
+    assert sessions.get("farm", "oldest") is sessions.get("farm", "middle") is None and sessions.get(
+        "farm", "newest"
+    )
     assert buffered.evict(10_000) == 100 and buffered.total_bytes == 1040
-    assert sessions.get("running") and sessions.get("followed")
+    assert sessions.get("farm", "running") and sessions.get("farm", "followed")
 
 
 @pytest.mark.parametrize("size", [0, -5])
--- a/tests/wire/clients/chat/test_departures.py
+++ b/tests/wire/clients/chat/test_departures.py
@@ -27,7 +27,7 @@
 def session(*disconnected: bool, is_streaming: bool = False, end: SessionEnd | None = None) -> StreamSession:
     record: Any = SimpleNamespace(streaming=is_streaming)
     return StreamSession(
-        "a", {}, 0, 100.0, record=record, end=end, followers={Follower(each) for each in disconnected}
+        "a", "farm", {}, 0, 100.0, record=record, end=end, followers={Follower(each) for each in disconnected}
     )
 
 
