Hold an idempotency key from its look-up until its request is entered

Cause: the front looked the key up in its sessions, waited for the queue's file, and only then entered the session. Change: KeyedLocks holds the tenant's key over these steps; the repeat waits, finds the session and follows it. The lock exists only while it is held.

--- a/ringledge/wire/clients/chat/front.py
+++ b/ringledge/wire/clients/chat/front.py
@@ -26,6 +26,7 @@
 )
 from ringledge.wire.clients.chat.admission import ChatAdmission
 from ringledge.wire.clients.chat.answer import SessionSink
+from ringledge.wire.clients.chat.keyed_locks import KeyedLocks
 from ringledge.wire.clients.chat.question import (
     build_request,
     header_text,
@@ -78,6 +79,7 @@
         self._conductor = conductor
         self.sessions = StreamSessionStore(config.sessions, options.max_retained_bytes, config.resume_for_s)
         self._admission = ChatAdmission(gate, names, config)
+        self._starts = KeyedLocks()
         self._queued = queued
         self._writer = ResponseWriter(conductor, names, self._is_idempotent, self._continue_response)
         if buffered_bytes is not None:
@@ -151,10 +153,12 @@
         if key is None:
             return await self._start_new(conn, head, chat_request, len(body), None)
         tenant = self._tenant(head)
-        existing = self.sessions.get_by_idempotency_key(tenant, key)
-        if existing is not None and not self._may_start_again(existing):
-            return existing
-        return await self._start_new(conn, head, chat_request, len(body), key)
+        # Looking the key up in the queue takes a while, in which a repeated request may arrive.
+        async with self._starts.hold((tenant, key)):
+            existing = self.sessions.get_by_idempotency_key(tenant, key)
+            if existing is not None and not self._may_start_again(existing):
+                return existing
+            return await self._start_new(conn, head, chat_request, len(body), key)
 
     def _may_start_again(self, session: StreamSession) -> bool:
         """Whether a repeated request runs anew; HttpError 409 if neither that nor an answer is possible."""
--- a/tests/wire/clients/chat/test_tenants.py
+++ b/tests/wire/clients/chat/test_tenants.py
@@ -1,4 +1,4 @@
-"""What a chat client names is looked up among its own tenant's entries."""
+"""What a chat client names is looked up among its own tenant's entries; repeats at one instant run once."""
 
 from __future__ import annotations
 
@@ -6,8 +6,10 @@
 from pathlib import Path
 from typing import Any
 
+import anyio
 import pytest
 
+from ringledge.wire.clients.chat.keyed_locks import KeyedLocks
 from ringledge.wire.clients.chat.stream_sessions import StreamSession, StreamSessionStore
 from tests.loopback import SETTINGS, Answer, Node, take
 from tests.wire.clients.chat.helpers import (
@@ -66,9 +68,38 @@
     assert text(resume("farm", name).body) == "b"
 
 
+def test_repeats_at_one_instant_run_once_and_all_get_the_answer(node: Node) -> None:
+    """Guards against a booking that runs twice: both repeats looked their key up before either entered it."""
+    clients = [ask(node, "farm", "booking-2") for _ in range(4)]
+    wait_for_decode(node).serve("booked")
+    assert [text(take(client).body) for client in clients] == ["booked"] * 4
+    assert [call.method for call in node.reader[0].seen].count("POST") == 1
+
+
 def test_session_store_separates_tenants() -> None:
     sessions = StreamSessionStore(10, 1e9, 1e9)
     session = StreamSession("a", "farm", {}, 0, 100.0)
     sessions.add(session, "key")
     assert sessions.get("farm", "a") is session is sessions.get_by_idempotency_key("farm", "key")
     assert sessions.get("dairy", "a") is sessions.get_by_idempotency_key("dairy", "key") is None
+
+
+def test_keyed_locks_exclude_one_key_only_and_are_forgotten() -> None:
+    locks, order = KeyedLocks(), list[str]()
+
+    async def hold(key: str | None, name: str) -> None:
+        async with locks.hold(key):
+            order.append(f"{name} in")
+            await anyio.sleep(0)
+            await anyio.sleep(0)
+            order.append(f"{name} out")
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            for key, name in (("k", "first"), ("k", "second"), ("other", "third"), (None, "fourth")):
+                tasks.start_soon(hold, key, name)
+
+    anyio.run(run)
+    assert order.index("first out") < order.index("second in")
+    assert max(order.index("third in"), order.index("fourth in")) < order.index("first out")
+    assert len(locks) == 0
