Leave out records above their writer's limit in place of ending the process

Cause, by the traceback in the log: RoleFollower.update writes a record for each listed server; WriterLog.validate raises ValueError beyond 1,024 keys of a writer, deleted ones included; the task is one of the main task group's.

The follower of roles does not take the server for published; the planner ends its round. Any other exception in a round of following the roles is logged and costs that round alone.

Not mended: deleted keys still count until a restart (docs/incidents/release-ended-routers.md).

--- a/benchmarks/ratio_records.py
+++ b/benchmarks/ratio_records.py
@@ -18,9 +18,10 @@
         self._member = member
         self._delay_s = rng.uniform(0.0, 0.5)
 
-    def write(self, now_s: float, key: str, value: bytes) -> None:
+    def write(self, now_s: float, key: str, value: bytes) -> bool:
         versions = self._records[key.split("/")[0]].setdefault((self._member, key), deque(maxlen=4))
         versions.append((now_s + self._rng.uniform(0.1, 0.5), value))
+        return True
 
     def delete(self, now_s: float, key: str) -> None:
         self._records[key.split("/")[0]].pop((self._member, key), None)
--- a/ringledge/decide/interface.py
+++ b/ringledge/decide/interface.py
@@ -73,8 +73,11 @@
 class RecordStore(Protocol):
     """Small records replicated to every member; each has one writer and is deleted after that is gone."""
 
-    def write(self, now_s: float, key: str, value: bytes) -> None:
-        """Write a record of the local member; it replaces the earlier value of the key."""
+    def write(self, now_s: float, key: str, value: bytes) -> bool:
+        """Write a record of the local member; it replaces the earlier value of the key.
+
+        Returns False if the record exceeds a limit and was not written.
+        """
         ...
 
     def delete(self, now_s: float, key: str) -> None:
--- a/ringledge/decide/records/replicated_records.py
+++ b/ringledge/decide/records/replicated_records.py
@@ -49,7 +49,7 @@
 
 
 class ReplicatedRecords:
-    """The local member's replica; implements RecordStore and Decider. Times are in s of its monotonic clock.
+    """The local member's replica; implements Decider. Times are in s of its monotonic clock.
 
     The caller reports the active members with `update_members`; `rng` draws recipients and orders.
     """
@@ -70,7 +70,7 @@
         self._next_compare_s = -math.inf
 
     def write(self, now_s: float, key: str, value: bytes) -> None:
-        """Write a record of the local member. ValueError: it is too long or there are too many keys."""
+        """Write a record of the local member; RecordLimitError if it exceeds a limit."""
         self._own_log.validate(key, value)
         if self._own_log.value(key) != value:
             self._append(now_s, key, value)
--- a/ringledge/decide/records/writer_log.py
+++ b/ringledge/decide/records/writer_log.py
@@ -19,6 +19,10 @@
 MAX_VERSION = (1 << 53) - 1  # the version with the longest encoding
 
 
+class RecordLimitError(ValueError):
+    """A record is too long, or its writer has too many keys."""
+
+
 class WriterLog:
     """The known records of a writer under one start number.
 
@@ -40,16 +44,16 @@
         return WriterVersion(self.writer, self.start, self.version)
 
     def validate(self, key: str, value: bytes) -> None:
-        """Raise ValueError if a write would not fit a datagram, or would add a key above the limit."""
+        """Raise RecordLimitError if a write would not fit a datagram, or would add a key above the limit."""
         if not 0 < len(key.encode()) <= MAX_KEY_BYTES or len(value) > MAX_VALUE_BYTES:
-            raise ValueError(
+            raise RecordLimitError(
                 f"a record has a key of 1 to {MAX_KEY_BYTES} and a value of at most {MAX_VALUE_BYTES} bytes"
             )
         longest = Record(self.writer, self.start, MAX_VERSION, MAX_VERSION, key, value)
         if encoded_size(longest) > MAX_PAYLOAD_BYTES:
-            raise ValueError(f"record {key!r}: longer than a datagram with its writer's name")
+            raise RecordLimitError(f"record {key!r}: longer than a datagram with its writer's name")
         if key not in self._records and len(self._records) >= MAX_KEYS_PER_WRITER:
-            raise ValueError(f"record {key!r}: more than {MAX_KEYS_PER_WRITER} keys of one writer")
+            raise RecordLimitError(f"record {key!r}: more than {MAX_KEYS_PER_WRITER} keys of one writer")
 
     def write(self, key: str, value: bytes | None) -> Record:
         """Add a new version at the writer itself; None deletes the key's value."""
--- a/ringledge/members/component.py
+++ b/ringledge/members/component.py
@@ -63,7 +63,7 @@
         me = Member(name, start, address, self._settings.site)
         self.membership = Membership(me, seeds, self._settings.probe, rng)
         replica = ReplicatedRecords(me, self._settings.records, rng)
-        self.records = RecordWriter(replica, self._wake_service)
+        self.records = RecordWriter(replica, self._wake_service, self._metrics.record_unwritten)
         self.hooks = Hooks(on_membership_change=[_log_change])
         self.service: MemberService | None = None
         self._deciders = DeciderTable(self.membership, replica)
--- a/ringledge/members/metrics.py
+++ b/ringledge/members/metrics.py
@@ -40,6 +40,16 @@
             "ringledge_members_deaths", "Members taken for dead, by why", ["why"], registry=registry
         )
 
+        self._unwritten = Counter(
+            "ringledge_members_records_unwritten",
+            "Records of this member that were left out, being above a limit",
+            registry=registry,
+        )
+
+    def record_unwritten(self) -> None:
+        """Count a record of the local member that exceeded a limit."""
+        self._unwritten.inc()
+
     def record_sent(self, size_bytes: int) -> None:
         """Count a sent datagram."""
         self._record(Direction.SENT, size_bytes)
--- a/ringledge/members/planner.py
+++ b/ringledge/members/planner.py
@@ -115,12 +115,13 @@
         return result
 
     def _publish(self, server: str, assignment: RoleAssignment, is_held: LeaseCheck) -> bool:
-        """Publish an assignment; returns False if the lease is no longer held."""
+        """Publish an assignment; returns False if the lease is no longer held, or at a limit of records."""
         if not is_held():
             return False
         now_s = self._clock()
         key, value = encode_assignment(server, assignment)
-        self._records.write(now_s, key, value)
+        if not self._records.write(now_s, key, value):
+            return False
         self._published.add(key)
         self._registry.receive(now_s, server, assignment)
         return True
--- a/ringledge/members/role_keeper.py
+++ b/ringledge/members/role_keeper.py
@@ -129,7 +129,10 @@
     async def run(self) -> None:
         """Call `update` once per planning interval until cancelled."""
         while True:
-            self.update(time.monotonic())
+            try:
+                self.update(time.monotonic())
+            except Exception as error:  # roles stay as they are; requests are served
+                log.exception("role_update_failed", error)
             await anyio.sleep(self._settings.planning_interval_s)
 
     def update(self, now_s: float) -> None:
@@ -190,9 +193,9 @@
                 continue
             observation = self._observe(view.server, view.warmth, work)
             if has_changed(self._published.get(view.server), observation):
-                self._published[view.server] = observation
                 key = SERVER_PREFIX + view.server
-                self._records.write(now_s, key, msgspec.msgpack.encode(observation))
+                if self._records.write(now_s, key, msgspec.msgpack.encode(observation)):
+                    self._published[view.server] = observation
         for server in self._published.keys() - listed:
             del self._published[server]
             self._records.delete(now_s, SERVER_PREFIX + server)
--- a/tests/decide/ratio/test_simulation.py
+++ b/tests/decide/ratio/test_simulation.py
@@ -176,10 +176,11 @@
     def __init__(self) -> None:
         self.published = list[tuple[str, RoleAssignment]]()
 
-    def write(self, now_s: float, key: str, value: bytes) -> None:
+    def write(self, now_s: float, key: str, value: bytes) -> bool:
         assignment = decode_assignment(key, value)
         assert assignment is not None
         self.published.append(assignment)
+        return True
 
     def delete(self, now_s: float, key: str) -> None:
         pass
--- a/tests/decide/records/test_replicated_records.py
+++ b/tests/decide/records/test_replicated_records.py
@@ -12,6 +12,7 @@
 from ringledge.decide.records.replicated_records import ReplicatedRecords
 from ringledge.decide.records.settings import RecordsConfig
 from ringledge.decide.records.writer_log import WriterLog
+from ringledge.members.record_writer import RecordWriter
 from tests.decide.membership.test_swim import CONVERGENCE_LIMIT_S, started_group
 
 
@@ -26,7 +27,7 @@
 
 def test_latest_write_reaches_all_members_and_a_deletion_too() -> None:
     group = started_group(6)
-    store: RecordStore = group.nodes["n0"].records
+    store: RecordStore = RecordWriter(group.nodes["n0"].records, lambda: None)
     for number in range(5):
         store.write(group.now_s, "plan/a", b"%d" % number)
         write(group, "n1", "plan/a", b"other")
--- a/tests/decide/servers/test_health_checks.py
+++ b/tests/decide/servers/test_health_checks.py
@@ -36,9 +36,10 @@
         self.name = name
         self.writes = 0
 
-    def write(self, now_s: float, key: str, value: bytes) -> None:
+    def write(self, now_s: float, key: str, value: bytes) -> bool:
         self.shared.records[self.name, key] = value
         self.writes += 1
+        return True
 
     def delete(self, now_s: float, key: str) -> None:
         del self.shared.records[self.name, key]
--- a/tests/store/test_component.py
+++ b/tests/store/test_component.py
@@ -48,8 +48,9 @@
         self.own: dict[str, bytes] = {}
         self.others: dict[tuple[str, str], bytes] = {}
 
-    def write(self, now_s: float, key: str, value: bytes) -> None:
+    def write(self, now_s: float, key: str, value: bytes) -> bool:
         self.own[key] = value
+        return True
 
     def delete(self, now_s: float, key: str) -> None:
         self.own.pop(key, None)
