Do not send a queued booking again after a refusal behind which it may have run

Cause: the replay took every refusal for a proof that nothing had run. Of a class whose repeats all writers discard, the decisions also refuse what may have run, which allows a repeat within the window; the queue repeats whenever the entry's turn comes. Change: a refusal counts as never run only where no attempt may have run, or where the class is safe to repeat. Else the entry ends as "may have run", on the disk, so that over its life at most one request may have run and no time of a send has to be kept.

Cost: such bookings are answered 409 in place of being repeated.

--- a/ringledge/wire/clients/chat/replaying.py
+++ b/ringledge/wire/clients/chat/replaying.py
@@ -72,7 +72,9 @@
         record = self._session.record
         # Without a record, the conductor has not returned from `accept`, so nothing can have been sent.
         may_have_run = record is not None and (record.streaming or record.may_have_run)
-        if end is SessionEnd.REJECTED or not may_have_run:
+        # A rejection after a possible run promises that a retry within the deduplication window is safe. The
+        # entry may be sent again much later, so only an idempotent one is.
+        if not may_have_run or (end is SessionEnd.REJECTED and self._idempotent):
             return SendResult(SendOutcome.REJECTED, False)
         return SendResult(SendOutcome.FAILED, True)
 
--- a/tests/wire/clients/chat/queued.py
+++ b/tests/wire/clients/chat/queued.py
@@ -48,13 +48,16 @@
     classes=(
         RequestClass(1200, 5000, Idempotency.IDEMPOTENT),
         RequestClass(2500, 5000, Idempotency.NON_IDEMPOTENT),
+        RequestClass(2500, 5000, Idempotency.KEYED, dedup_window_ms=3000),
     ),
     kinds=(ServerKind(Role.PREFILL), ServerKind(Role.DECODE)),
     max_attempts=3,
     may_cancel=True,
 )
-NAMES = WireNames((), ("prefill", "decode"), ("query", "booking"), ("farm", "yard"), 30.0, 0.25, 1000.0)
-CONFIG = ChatConfig("127.0.0.1:0", {"ask": "query", "book": "booking"}, "farm")
+NAMES = WireNames(
+    (), ("prefill", "decode"), ("query", "booking", "keyed"), ("farm", "yard"), 30.0, 0.25, 1000.0
+)
+CONFIG = ChatConfig("127.0.0.1:0", {"ask": "query", "book": "booking", "keyed": "keyed"}, "farm")
 ASYNC = {"Prefer": "respond-async"}
 UP = Availability.UP
 
--- a/tests/wire/clients/chat/test_queue.py
+++ b/tests/wire/clients/chat/test_queue.py
@@ -170,3 +170,23 @@
         assert [result.may_have_run for result in results] == [False]
 
     run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize(("model", "may_have_run"), [("ask", False), ("book", True), ("keyed", True)])
+def test_rejection_after_a_possible_run_is_not_taken_for_a_proof_that_nothing_ran(
+    tmp_path: Path, model: str, may_have_run: bool
+) -> None:
+    """Guards against a booking that is sent again long after the window in which servers discard repeats."""
+
+    async def scenario(process: SiteProcess) -> None:
+        await process.queue.adopt(1)
+        accepted = await process.post(model, **ASYNC)
+        name = accepted.body["id"]
+        results = await process.replay(name, 1)
+        process.conductor.on_attempt_outcome(process.port.sent[0], AttemptStatus.PREFILLED)
+        process.conductor.shut_down()  # the decode server has the request and says nothing
+        assert [result.may_have_run for result in results] == [may_have_run]
+        entry = await process.queue.record_failed_attempt(name, 1, may_have_run)
+        assert entry.outcome is (EntryOutcome.UNKNOWN if may_have_run else None)
+
+    run_scenario(tmp_path, scenario)
