Retain the requests of chat sessions encoded, and count what they take

Cause: a session kept the parsed request and counted its text: 23.6 MB held for 2.5 MB counted, ten requests. The encoded request in the core's record was not counted at all. Change: RetainedRequest holds the bytes and the three fields that answers need; a continuation parses it again. retained_bytes counts the request twice.

--- a/ringledge/wire/clients/chat/front.py
+++ b/ringledge/wire/clients/chat/front.py
@@ -33,6 +33,7 @@
     idempotency_key,
     parse_chat_request,
     prompt_text,
+    retained_request,
 )
 from ringledge.wire.clients.chat.replies import ResponseWriter, models_body
 from ringledge.wire.clients.chat.stream_sessions import SessionEnd, StreamSession, StreamSessionStore
@@ -110,7 +111,7 @@
             if started is None:
                 return  # queued requests have been answered already
             session, seen = started, 0
-            write_whole = not session.chat_request["stream"]
+            write_whole = not session.request.stream
         session.followers.add(conn)
         try:
             writer = self._writer
@@ -151,14 +152,14 @@
         chat_request = parse_chat_request(body)
         key = idempotency_key(head)
         if key is None:
-            return await self._start_new(conn, head, chat_request, len(body), None)
+            return await self._start_new(conn, head, chat_request, body, None)
         tenant = self._tenant(head)
         # Looking the key up in the queue takes a while, in which a repeated request may arrive.
         async with self._starts.hold((tenant, key)):
             existing = self.sessions.get_by_idempotency_key(tenant, key)
             if existing is not None and not self._may_start_again(existing):
                 return existing
-            return await self._start_new(conn, head, chat_request, len(body), key)
+            return await self._start_new(conn, head, chat_request, body, key)
 
     def _may_start_again(self, session: StreamSession) -> bool:
         """Whether a repeated request runs anew; HttpError 409 if neither that nor an answer is possible."""
@@ -170,12 +171,12 @@
         return True
 
     async def _start_new(
-        self, conn: Connection, head: h11.Request, chat_request: dict[str, Any], size: int, key: str | None
+        self, conn: Connection, head: h11.Request, chat_request: dict[str, Any], body: bytes, key: str | None
     ) -> StreamSession | None:
-        """Start a session for a request with a body of `size` bytes; None if it has been answered."""
+        """Start a session for a request; None if it has been answered."""
         class_index, request = build_request(self._config, self._names, self._settings, head, chat_request)
         if key or not header_text(head, b"x-call-class"):  # else the gate has decided by the head
-            self._admission.check(class_index, head, size)
+            self._admission.check(class_index, head, len(body))
         if self._queued is not None and await self._queued.answer_if_queued(
             conn, head, chat_request, request
         ):
@@ -185,10 +186,10 @@
         session = StreamSession(
             f"chatcmpl-{uuid4().hex}",
             self._tenant(head),
-            chat_request,
+            retained_request(chat_request, body),
             class_index,
             request.max_output_tokens,
-            size,
+            len(body),
         )
         self.sessions.add(session, key)
         self._submit(session, request, chat_request)
@@ -211,7 +212,7 @@
         """Request the rest of a broken response, with the response so far appended to the prompt."""
         assert session.record is not None
         previous, text = session.record.request, session.text
-        chat_request = session.chat_request
+        chat_request = session.request.parse()
         if text:
             reply = {"role": "assistant", "content": text}
             flags = {"continue_final_message": True, "add_generation_prompt": False}
--- a/ringledge/wire/clients/chat/question.py
+++ b/ringledge/wire/clients/chat/question.py
@@ -15,6 +15,7 @@
     Request,
     RouterSettings,
 )
+from ringledge.wire.clients.chat.stream_sessions import RetainedRequest
 from ringledge.wire.clients.chat_settings import ChatConfig
 from ringledge.wire.http.errors import HttpError
 from ringledge.wire.http.headers import header
@@ -59,6 +60,13 @@
     return chat_request
 
 
+def retained_request(chat_request: dict[str, Any], body: bytes) -> RetainedRequest:
+    """The valid request that was parsed from a body, as a session retains it."""
+    stream_options = chat_request.get("stream_options") or {}
+    include_usage = bool(stream_options.get("include_usage"))
+    return RetainedRequest(body, chat_request["model"], bool(chat_request.get("stream")), include_usage)
+
+
 def build_request(
     config: ChatConfig,
     names: WireNames,
--- a/ringledge/wire/clients/chat/replaying.py
+++ b/ringledge/wire/clients/chat/replaying.py
@@ -21,7 +21,7 @@
 )
 from ringledge.store.entry import Entry
 from ringledge.wire.clients.chat.answer import SessionSink
-from ringledge.wire.clients.chat.question import ChatOrigin, class_and_request
+from ringledge.wire.clients.chat.question import ChatOrigin, class_and_request, retained_request
 from ringledge.wire.clients.chat.replies import completion_body
 from ringledge.wire.clients.chat.stream_sessions import SessionEnd, StreamSession
 from ringledge.wire.clients.chat_settings import ChatConfig
@@ -112,7 +112,7 @@
         session = StreamSession(
             session_name,
             queued.tenant,
-            chat_request,
+            retained_request(chat_request, queued.body),
             class_index,
             request.max_output_tokens,
             len(queued.body),
--- a/ringledge/wire/clients/chat/replies.py
+++ b/ringledge/wire/clients/chat/replies.py
@@ -98,7 +98,7 @@
             "choices": [{"index": 0, "delta": {}, "finish_reason": session.finish_reason or "stop"}]
         }
         tail = _sse(stop_chunk, f"{session.name}:{seen_count}")
-        if session.usage and (session.chat_request.get("stream_options") or {}).get("include_usage"):
+        if session.usage and session.request.include_usage:
             tail += _sse(final_chunk | {"choices": [], "usage": session.usage})
         await conn.send(h11.Data(data=tail + b"data: [DONE]\n\n"), h11.EndOfMessage())
 
@@ -131,7 +131,7 @@
         "id": session.name,
         "object": object_type,
         "created": session.created_s,
-        "model": session.chat_request["model"],
+        "model": session.request.model,
     }
 
 
--- a/ringledge/wire/clients/chat/stream_sessions.py
+++ b/ringledge/wire/clients/chat/stream_sessions.py
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 import anyio
+import orjson
 
 from ringledge.core.records import RequestRecord
 
@@ -30,13 +31,28 @@
         """Whether the client has closed the connection."""
 
 
+@dataclass(slots=True, frozen=True)
+class RetainedRequest:
+    """A client's request as a session retains it: encoded, as a parsed one can take many times its size."""
+
+    body: bytes
+    model: str
+    stream: bool
+    include_usage: bool
+
+    def parse(self) -> dict[str, Any]:
+        """The request as parsed."""
+        request: dict[str, Any] = orjson.loads(self.body)
+        return request
+
+
 @dataclass(slots=True, eq=False)
 class StreamSession:
     """One response, whose events are retained by number so that each can be sent again."""
 
     name: str
     tenant: str
-    chat_request: dict[str, Any]  # the client's request as parsed
+    request: RetainedRequest
     class_index: int
     max_tokens: float  # of the whole response
     size_bytes: int = 0  # of the request and the response so far
@@ -60,6 +76,11 @@
             return False
         return all(follower.peer_disconnected() for follower in self.followers)
 
+    @property
+    def retained_bytes(self) -> int:
+        """The size of the request, of its copy in the core's record, and of the response so far."""
+        return len(self.request.body) + self.size_bytes
+
     @property
     def text(self) -> str:
         """The response so far."""
@@ -102,7 +123,7 @@
 
     def size_bytes(self) -> int:
         """The size of all sessions, running and ended."""
-        return sum(session.size_bytes for session in self._sessions.values())
+        return sum(session.retained_bytes for session in self._sessions.values())
 
     def evict(self, size_bytes: int) -> int:
         """Evict ended sessions, least recently used first, to free `size_bytes`; return the bytes freed."""
@@ -110,7 +131,7 @@
         for session in sorted(self._evictable(), key=lambda session: session.last_used_s):
             if evicted_bytes >= size_bytes:
                 break
-            evicted_bytes += session.size_bytes
+            evicted_bytes += session.retained_bytes
             self._delete(session)
         return evicted_bytes
 
--- a/tests/memory/test_buffered_bytes.py
+++ b/tests/memory/test_buffered_bytes.py
@@ -5,7 +5,12 @@
 import pytest
 
 from ringledge.memory.buffered_bytes import BufferedBytes
-from ringledge.wire.clients.chat.stream_sessions import SessionEnd, StreamSession, StreamSessionStore
+from ringledge.wire.clients.chat.stream_sessions import (
+    RetainedRequest,
+    SessionEnd,
+    StreamSession,
+    StreamSessionStore,
+)
 
 
 class ConnectedClient:
@@ -19,8 +24,9 @@
     name: str, size: int, last_used_s: float, end: SessionEnd | None, followers: int = 0
 ) -> StreamSession:
     clients = {ConnectedClient() for _ in range(followers)}
+    request = RetainedRequest(b"", "yard", True, False)
     return StreamSession(
-        name, "farm", {}, 0, 100.0, size_bytes=size, last_used_s=last_used_s, end=end, followers={*clients}
+        name, "farm", request, 0, 100.0, size, last_used_s=last_used_s, end=end, followers={*clients}
     )
 
 
--- a/tests/wire/clients/chat/test_departures.py
+++ b/tests/wire/clients/chat/test_departures.py
@@ -9,7 +9,7 @@
 import pytest
 
 from ringledge.wire.clients.chat.answer import SessionSink
-from ringledge.wire.clients.chat.stream_sessions import SessionEnd, StreamSession
+from ringledge.wire.clients.chat.stream_sessions import RetainedRequest, SessionEnd, StreamSession
 from tests.loopback import Node
 from tests.wire.clients.chat.helpers import CHAT_REQUEST
 
@@ -27,7 +27,14 @@
 def session(*disconnected: bool, is_streaming: bool = False, end: SessionEnd | None = None) -> StreamSession:
     record: Any = SimpleNamespace(streaming=is_streaming)
     return StreamSession(
-        "a", "farm", {}, 0, 100.0, record=record, end=end, followers={Follower(each) for each in disconnected}
+        "a",
+        "farm",
+        RetainedRequest(b"", "yard", True, False),
+        0,
+        100.0,
+        record=record,
+        end=end,
+        followers={Follower(each) for each in disconnected},
     )
 
 
--- a/tests/wire/clients/chat/test_tenants.py
+++ b/tests/wire/clients/chat/test_tenants.py
@@ -10,7 +10,7 @@
 import pytest
 
 from ringledge.wire.clients.chat.keyed_locks import KeyedLocks
-from ringledge.wire.clients.chat.stream_sessions import StreamSession, StreamSessionStore
+from ringledge.wire.clients.chat.stream_sessions import RetainedRequest, StreamSession, StreamSessionStore
 from tests.loopback import SETTINGS, Answer, Node, take
 from tests.wire.clients.chat.helpers import (
     BOOKING_REQUEST,
@@ -78,7 +78,7 @@
 
 def test_session_store_separates_tenants() -> None:
     sessions = StreamSessionStore(10, 1e9, 1e9)
-    session = StreamSession("a", "farm", {}, 0, 100.0)
+    session = StreamSession("a", "farm", RetainedRequest(b"", "yard", True, False), 0, 100.0)
     sessions.add(session, "key")
     assert sessions.get("farm", "a") is session is sessions.get_by_idempotency_key("farm", "key")
     assert sessions.get("dairy", "a") is sessions.get_by_idempotency_key("dairy", "key") is None
