Parse nothing more on a connection that is closed while it waits for its turn

Cause, by reading the paths that may close a connection: a task used to wait for bytes alone, and found the connection closed there. It may now wait for a turn with a request's end in the parser, so that an eviction meanwhile would have been followed by a request for a client that is gone. Change: the wait for a turn raises ClosedResourceError like the wait for bytes.

Shown: a test of both waits in tests/wire/clients/test_turns.py; nobody has seen the fault.

--- a/ringledge/wire/http/connection.py
+++ b/ringledge/wire/http/connection.py
@@ -107,17 +107,22 @@
         """
         if self.has_unparsed_bytes():
             await self._wait_for_turn()
-            return not self.closed
+            return True
         has_input = await self.fill() > 0
         self._begin_turn()
         return has_input
 
     async def _wait_for_turn(self) -> None:
-        """Let other tasks run before more of the input that has already been received is parsed."""
+        """Let other tasks run before more of the input that has already been received is parsed.
+
+        Raises ClosedResourceError if the connection is closed meanwhile.
+        """
         if self.turns is None:
             await anyio.lowlevel.checkpoint()
         else:
             await self.turns.wait()
+        if self.closed:
+            raise anyio.ClosedResourceError
         self._begin_turn()
 
     def _begin_turn(self) -> None:
--- a/tests/wire/clients/test_turns.py
+++ b/tests/wire/clients/test_turns.py
@@ -129,6 +129,29 @@
     assert max(Counter(iteration for _, iteration in handled).values()) == 1
 
 
+@pytest.mark.parametrize("sent", [GET * 2, b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 9000])
+def test_nothing_is_parsed_on_a_connection_that_was_closed_during_its_wait(sent: bytes) -> None:
+    """Guards against a request that is served for a client whose connection was evicted meanwhile."""
+
+    async def run() -> None:
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        theirs.sendall(sent)
+        conn = Connection(ours, h11.SERVER)
+        conn.turns = TurnQueue()
+        assert await conn.wait_for_message()
+        if conn.next_event_nowait() is not None:
+            assert isinstance(conn.next_event_nowait(), h11.EndOfMessage)
+            await respond(conn, 200, b"")
+            assert conn.next_cycle()
+        asyncio.get_running_loop().call_soon(conn.close)
+        with pytest.raises(anyio.ClosedResourceError):
+            await conn.wait_for_message()
+        theirs.close()
+
+    anyio.run(run)
+
+
 def run_turns(body: Callable[[TurnQueue, IterationCounter], list[asyncio.Task[None]]]) -> None:
     async def run() -> None:
         await asyncio.wait(body(TurnQueue(), IterationCounter()))
