End a stream as complete only behind its final event, and time its events, not its chunks

Cause: framing was taken for content. The end of the body (last chunk, length, or the close of a response without either) counted as the end of the stream, whatever events were missing; and the timeout and the size limit of a started stream counted complete chunks, so that a chunk of many events, or one of over 64 KB, was cut off while its events arrived. A first event was held back until its chunk was complete. The time for which a slow client held a relay up counted against the server.

Change: EventProgress follows the events over all pieces. A stream is complete behind `data: [DONE]`; any other end is a reset. The size limit is that of one event.

--- a/ringledge/wire/servers/exchange.py
+++ b/ringledge/wire/servers/exchange.py
@@ -149,15 +149,14 @@
     async def _relay_stream(
         self, attempt: Attempt, state: InFlightAttempt, conn: Connection, head: h11.Response
     ) -> ExchangeResult:
-        """Relay a stream up to its last chunk."""
-        chunked = header(head, b"transfer-encoding") is not None
-        opening = await read_first_event(conn, chunked)
+        """Relay a stream up to its last chunk, which has to follow its final event."""
+        opening = await read_first_event(conn)
         if state.scope.cancel_called:  # timed out in this loop turn: a stream started now would be cut off
             return ExchangeResult(AttemptStatus.TIMEOUT)
         state.scope.deadline = math.inf
         if not self.conductor.on_first_token(attempt):
             return ExchangeResult(AttemptStatus.CANCELLED)
-        relay = StreamRelay(self.conductor, attempt, state, conn, chunked)
+        relay = StreamRelay(self.conductor, attempt, state, conn)
         tail = parse_stream_tail(await relay.run(opening))
         attempt.completion_tokens = tail.output_tokens
         load = tail.load or parse_load_report(header(head, b"x-load-report"))
--- a/ringledge/wire/servers/in_flight.py
+++ b/ringledge/wire/servers/in_flight.py
@@ -19,8 +19,8 @@
     conn: Connection | None = None
     written_ms: float = math.inf  # clock reading when the last byte of the request was written
     received_bytes: int = 0  # bytes received on the connection before the request was written
-    # Monotonic time at which a stream counts as unresponsive unless a complete chunk arrives before.
-    chunk_deadline_s: float = math.inf
+    # Monotonic time at which a stream counts as unresponsive unless a complete event arrives before.
+    event_deadline_s: float = math.inf
     relaying: bool = False  # waiting for the client to read: the server is not to blame for a delay
 
     def response_began(self) -> bool:
--- a/ringledge/wire/servers/responses.py
+++ b/ringledge/wire/servers/responses.py
@@ -12,10 +12,9 @@
 from ringledge.routing.interface import LoadReport
 from ringledge.routing.simulator_decoder import LOAD_FIELDS
 from ringledge.wire.http.connection import Connection
-from ringledge.wire.servers.event_buffer import EVENT_TERMINATORS
+from ringledge.wire.servers.event_progress import EventProgress
 
-# Limit for a chunk, and for a stream up to its first event; events are far shorter.
-MAX_CHUNK_BYTES = 64 * 1024
+MAX_OPENING_BYTES = 64 * 1024  # of a stream up to its first event; events are far shorter
 MAX_INTERIM_RESPONSES = 8  # 1xx responses accepted before the final one
 MAX_PLAUSIBLE_VALUE = 1e9  # load values and token counts from this value on are ignored
 DATA_EVENT = re.compile(rb"^data:(.*?)\r?\n\r?\n", re.MULTILINE | re.DOTALL)
@@ -41,26 +40,26 @@
     raise h11.RemoteProtocolError("too many interim responses")
 
 
-async def read_first_event(conn: Connection, chunked: bool) -> bytes:
-    """Read the beginning of a stream up to its first data event, in complete chunks.
+async def read_first_event(conn: Connection) -> bytes:
+    """Read the beginning of a stream up to its first data event, and what has arrived with that.
 
     Raises h11.RemoteProtocolError if the event is missing or malformed: the client has received nothing yet,
     so that the request can be retried.
     """
-    opening = bytearray()
+    opening, progress = bytearray(), EventProgress()
     searched_bytes = 0
-    while len(opening) <= MAX_CHUNK_BYTES:
+    while len(opening) <= MAX_OPENING_BYTES:
         event = await conn.next_event()
         if not isinstance(event, h11.Data):
             raise h11.RemoteProtocolError("the stream ended before its first event")
         opening += event.data
-        if not opening.endswith(EVENT_TERMINATORS) or not (event.chunk_end or not chunked):
+        if not progress.feed(bytes(event.data)):
             continue
         if first := DATA_EVENT.search(opening, searched_bytes):
             if not parse_json_object(first[1]):
                 raise h11.RemoteProtocolError("the first event is malformed")
             return bytes(opening)
-        searched_bytes = len(opening)  # a data line before this blank line would have matched
+        searched_bytes = len(opening) - progress.incomplete_bytes
     raise h11.RemoteProtocolError("the beginning of the stream contains no event")
 
 
--- a/ringledge/wire/servers/stream_relay.py
+++ b/ringledge/wire/servers/stream_relay.py
@@ -12,10 +12,13 @@
 from ringledge.core.records import Attempt
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.servers.event_buffer import EventBuffer
+from ringledge.wire.servers.event_progress import EventProgress
 from ringledge.wire.servers.in_flight import InFlightAttempt
-from ringledge.wire.servers.responses import MAX_CHUNK_BYTES
 
-CHUNK_TIMEOUT_S = 3.0  # a server that sends no complete chunk for this long is down; its stream is cut off
+# A server that completes no event for this long is down, and its stream is cut off: the client may be left
+# waiting for 5 s after the last event, and the timeout is checked at an interval by a process that may stall.
+EVENT_TIMEOUT_S = 4.5
+MAX_EVENT_BYTES = 64 * 1024  # events are far shorter
 TAIL_BYTES = 2048  # kept from the end of a stream, where usage and load report are
 
 
@@ -27,14 +30,15 @@
     attempt: Attempt
     state: InFlightAttempt
     conn: Connection
-    chunked: bool
     _events: EventBuffer = field(default_factory=EventBuffer)
-    _chunk_bytes: int = 0  # received so far of the current chunk
+    _progress: EventProgress = field(default_factory=EventProgress)
 
     async def run(self, opening: bytes) -> bytes:
         """Relay the opening and the rest of the stream, and return its last bytes; raises h11's errors."""
-        await self._relay(opening)
-        self._extend_chunk_deadline()
+        self._progress.feed(opening)
+        self._events.feed(opening, time.monotonic())
+        self._extend_event_deadline()
+        await self._relay(self._events.take_complete(time.monotonic()))
         try:
             return await self._relay_rest(opening)
         except h11.RemoteProtocolError:
@@ -48,6 +52,8 @@
             if isinstance(event, h11.Data):
                 tail = (tail + self._buffer(event))[-TAIL_BYTES:]
             elif isinstance(event, h11.EndOfMessage):
+                if not self._progress.is_complete:
+                    raise h11.RemoteProtocolError("the stream ended before its final event")
                 await self._relay(self._events.take_all())
                 return tail
             else:
@@ -66,21 +72,23 @@
     def _buffer(self, event: h11.Data) -> bytes:
         """Buffer a piece of the stream until its event is complete; returns the piece as bytes."""
         piece = bytes(event.data)
-        self._chunk_bytes = len(piece) + (0 if event.chunk_start else self._chunk_bytes)
-        if self._chunk_bytes > MAX_CHUNK_BYTES:
-            raise h11.RemoteProtocolError("a chunk exceeds the size limit")
+        if self._progress.feed(piece):
+            self._extend_event_deadline()
+        if self._progress.incomplete_bytes > MAX_EVENT_BYTES:
+            raise h11.RemoteProtocolError("an event exceeds the size limit")
         self._events.feed(piece, time.monotonic())
-        if event.chunk_end or not self.chunked:
-            self._extend_chunk_deadline()
         return piece
 
-    def _extend_chunk_deadline(self) -> None:
-        """Restart the chunk timeout after a complete chunk."""
-        self.state.chunk_deadline_s = time.monotonic() + CHUNK_TIMEOUT_S
+    def _extend_event_deadline(self) -> None:
+        """Restart the timeout of the next event."""
+        self.state.event_deadline_s = time.monotonic() + EVENT_TIMEOUT_S
 
     async def _relay(self, data: bytes) -> None:
         """Pass data to the client side; a wait for a slow client does not count against the server."""
         if data:
+            started_s = time.monotonic()
             self.state.relaying = True
             await self.conductor.relay_chunk(self.attempt, data)
             self.state.relaying = False
+            # Nothing was read from the server during the wait.
+            self.state.event_deadline_s += time.monotonic() - started_s
--- a/ringledge/wire/servers/unresponsive_peers.py
+++ b/ringledge/wire/servers/unresponsive_peers.py
@@ -79,7 +79,7 @@
         now_s = time.monotonic()
         unanswered = list[UnansweredRequest]()
         for attempt, state in list(self._in_flight.items()):
-            if state.chunk_deadline_s < now_s and not state.relaying:
+            if state.event_deadline_s < now_s and not state.relaying:
                 state.scope.cancel()
                 continue
             if _is_unanswered(attempt, state) and attempt.in_flight:
--- /dev/null
+++ b/tests/test_incomplete_streams.py
@@ -0,0 +1,73 @@
+"""A stream is relayed as complete only behind its final event, however its server frames and ends it."""
+
+from __future__ import annotations
+
+import http.client
+import time
+
+import pytest
+
+from ringledge.wire.servers.stream_relay import EVENT_TIMEOUT_S
+from tests.loopback import Node, event, read, take
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+EVENTS = (event("one") + event("two")).encode()
+PARTS = {
+    "events": EVENTS,
+    "finish-reason": EVENTS + b'data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\n',
+    "usage": EVENTS + b'data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":3}}\n\n',
+    "within-event": EVENTS + b'data: {"choi',
+    "within-final-event": EVENTS + b"data: [DON",
+}
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+FRAMINGS = ("last-chunk", "length", "close")
+SLOW_STREAM_S = EVENT_TIMEOUT_S + 1.5
+SLOW_EVENT_INTERVAL_S = 0.5
+
+
+def framed(part: bytes, framing: str) -> bytes:
+    if framing == "last-chunk":
+        return CHUNKED + b"%x\r\n%s\r\n0\r\n\r\n" % (len(part), part)
+    field = b"Content-Length: %d" % len(part) if framing == "length" else b"Connection: close"
+    return HEAD + field + b"\r\n\r\n" + part
+
+
+@pytest.mark.parametrize("name", ["query", "booking"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("part", PARTS)
+def test_stream_without_its_final_event_is_not_ended_as_complete(
+    node: Node, name: str, framing: str, part: str
+) -> None:
+    client, call = read(node, X_Call_Class=name)
+    call.say(framed(PARTS[part], framing))
+    call.drop()
+    with pytest.raises(http.client.IncompleteRead) as error_info:
+        take(client)
+    assert error_info.value.partial.startswith(EVENTS)
+    assert [entry.id for entry in node.writer[0].seen if entry.method == "POST"] == ["a1"]
+
+
+@pytest.mark.parametrize("first", ["within-chunk", "own-chunk"])
+def test_long_chunk_that_is_written_slowly_is_not_cut_off(node: Node, first: str) -> None:
+    """Events arrive all the time while the chunk that contains them is incomplete."""
+    client, call = read(node)
+    final = b"data: [DONE]\n\n"
+    call.say(CHUNKED)
+    if first == "own-chunk":
+        call.chunk(event("first"))
+    count = int(SLOW_STREAM_S / SLOW_EVENT_INTERVAL_S) + 1
+    events = event("slow").encode() * count
+    call.say(b"%x\r\n" % (len(events) + len(final)))
+    for position in range(0, len(events), len(events) // count):
+        call.say(events[position : position + len(events) // count])
+        time.sleep(SLOW_EVENT_INTERVAL_S)  # the server's pace, which is what is tested
+    call.say(final + b"\r\n0\r\n\r\n")
+    call.drop()
+    assert take(client).body.endswith(events + final)
+
+
+def test_chunk_larger_than_the_limit_of_an_event_is_relayed(node: Node) -> None:
+    client, call = read(node)
+    events = event("x" * 1_000) * 100
+    call.begin().chunk(event("first") + events).end()
+    assert events.encode() in take(client).body
