Await the chunk of a first event for a tenth of a second before it is passed on

Change: the chunk is awaited up to the delay that is allowed for a piece of an event (0.1 s), then the event is passed on. A stream that ends within that chunk is a failed attempt, which may be repeated.

--- a/ringledge/wire/servers/exchange.py
+++ b/ringledge/wire/servers/exchange.py
@@ -150,7 +150,8 @@
         self, attempt: Attempt, state: InFlightAttempt, conn: Connection, head: h11.Response
     ) -> ExchangeResult:
         """Relay a stream up to its last chunk, which has to follow its final event."""
-        opening = await read_first_event(conn)
+        chunked = header(head, b"transfer-encoding") is not None
+        opening = await read_first_event(conn, chunked)
         if state.scope.cancel_called:  # timed out in this loop turn: a stream started now would be cut off
             return ExchangeResult(AttemptStatus.TIMEOUT)
         state.scope.deadline = math.inf
--- a/ringledge/wire/servers/responses.py
+++ b/ringledge/wire/servers/responses.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import math
 import re
 from dataclasses import dataclass
 from typing import Any
 
+import anyio
 import h11
 import orjson
 
 from ringledge.routing.interface import LoadReport
 from ringledge.routing.simulator_decoder import LOAD_FIELDS
 from ringledge.wire.http.connection import Connection
+from ringledge.wire.servers.event_buffer import MAX_DELAY_S
 from ringledge.wire.servers.event_progress import EventProgress
 
 MAX_OPENING_BYTES = 64 * 1024  # of a stream up to its first event; events are far shorter
@@ -40,29 +43,43 @@
     raise h11.RemoteProtocolError("too many interim responses")
 
 
-async def read_first_event(conn: Connection) -> bytes:
+async def read_first_event(conn: Connection, chunked: bool) -> bytes:
     """Read the beginning of a stream up to its first data event, and what has arrived with that.
 
-    Raises h11.RemoteProtocolError if the event is missing or malformed: the client has received nothing yet,
-    so that the request can be retried.
+    The chunk in which the event ends is awaited as well, but not for long, since it may contain many events;
+    so is the rest of a further event that has begun.
+    Raises h11.RemoteProtocolError if the event is missing, or it or its chunk is malformed: the client has
+    received nothing yet, so that the request can be retried.
     """
     opening, progress = bytearray(), EventProgress()
-    searched_bytes = 0
+    searched_bytes, has_event, deadline_s = 0, False, math.inf
     while len(opening) <= MAX_OPENING_BYTES:
-        event = await conn.next_event()
+        with anyio.CancelScope(deadline=deadline_s) as rest_of_chunk:
+            event = await conn.next_event()
+        if rest_of_chunk.cancelled_caught:
+            return bytes(opening)
         if not isinstance(event, h11.Data):
-            raise h11.RemoteProtocolError("the stream ended before its first event")
+            raise h11.RemoteProtocolError("the stream ended before the end of its first event")
         opening += event.data
-        if not progress.feed(bytes(event.data)):
-            continue
-        if first := DATA_EVENT.search(opening, searched_bytes):
-            if not parse_json_object(first[1]):
-                raise h11.RemoteProtocolError("the first event is malformed")
+        if progress.feed(bytes(event.data)) and not has_event:
+            has_event = _begins_with_event(opening, searched_bytes)
+            searched_bytes = len(opening) - progress.incomplete_bytes
+            deadline_s = anyio.current_time() + MAX_DELAY_S if has_event else math.inf
+        if has_event and not progress.incomplete_bytes and (event.chunk_end or not chunked):
             return bytes(opening)
-        searched_bytes = len(opening) - progress.incomplete_bytes
+    if has_event:
+        return bytes(opening)
     raise h11.RemoteProtocolError("the beginning of the stream contains no event")
 
 
+def _begins_with_event(opening: bytearray, searched_bytes: int) -> bool:
+    """Whether the first data event has arrived; h11.RemoteProtocolError if it is malformed."""
+    first = DATA_EVENT.search(opening, searched_bytes)
+    if first is not None and not parse_json_object(first[1]):
+        raise h11.RemoteProtocolError("the first event is malformed")
+    return first is not None
+
+
 def parse_stream_tail(tail: bytes) -> StreamTail:
     """Parse usage and load report from the last lines of a stream; zeros and None if they are missing."""
     cached = 0
