Keep of an open request only what is used, of an ended one nothing, and bound unsent streams together

Cause: the memory of a request was counted by its body alone, and freed by the garbage collector. - A parsed head stayed until the response ended: 32 KB of short fields take 0.4 to 1 MB. - A record and its attempts refer to each other, so the body of an ended request stayed until a collection of the oldest generation; nothing counted it any more. - A request was joined with its head into a copy, held while its server read it. - The buffer of a closed connection stayed as long as its task's frames. - Each stream could leave 64 KB unsent, and nobody added that up.

Change: of a head with over 64 fields those are kept that a front reads, and a head over 4 KB counts with its body; a closed request releases its body; a body over 16 KB is written without a copy; a closed connection releases its buffer; a stream may leave unsent a part of what all of them leave free.

--- a/ringledge/core/port.py
+++ b/ringledge/core/port.py
@@ -15,6 +15,9 @@
     content_type: bytes = b"application/json"
 
 
+RELEASED_PAYLOAD = Payload(b"", b"")  # of a request that is sent to no server any more
+
+
 class ResponseSink(Protocol):
     """Delivers the response of one request to its client.
 
--- a/ringledge/core/records.py
+++ b/ringledge/core/records.py
@@ -62,7 +62,7 @@
     """One request, from its arrival until the last of its attempts has an outcome."""
 
     request: Request
-    payload: Payload  # as received; forwarded unchanged
+    payload: Payload  # as received; forwarded unchanged; released once the request is closed
     sink: ResponseSink
     arrived_ms: float
     attempts: list[Attempt] = field(default_factory=list)
--- a/ringledge/core/stages/record_outcome.py
+++ b/ringledge/core/stages/record_outcome.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ringledge.core.context import StageContext
+from ringledge.core.port import RELEASED_PAYLOAD
 from ringledge.core.records import Attempt, RequestRecord, RequestResult
 from ringledge.observe.logging import log
 from ringledge.routing.interface import AttemptOutcome, AttemptStatus, LoadReport
@@ -105,9 +106,10 @@
 
 
 def close_request(context: StageContext, record: RequestRecord, result: RequestResult) -> None:
-    """Mark the request as closed: it needs no answer any more."""
+    """Mark the request as closed: it needs no answer any more, and is sent to no server."""
     record.closed = True
     record.result = result
+    record.payload = RELEASED_PAYLOAD  # the record may stay in memory for long, as part of a reference cycle
     context.metrics.answers.labels(result.value, str(record.request.class_index)).inc()
 
 
--- a/ringledge/wire/clients/platform.py
+++ b/ringledge/wire/clients/platform.py
@@ -148,6 +148,7 @@
         if conn.write_nowait(head + body) < len(head) + len(body):
             conn.close()  # the client does not even read a short response
         conn.buffer.clear()
+        conn.on_buffer_changed()
         self._count_rejected_class(fields.get(b"x-call-class", b""))
         return remaining_bytes
 
--- a/ringledge/wire/clients/request_loop.py
+++ b/ringledge/wire/clients/request_loop.py
@@ -14,7 +14,7 @@
 from ringledge.wire.clients.open_connections import CloseReason, OpenConnections
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.errors import ConnectionIdleError, FloodError, HttpError, ShedError
-from ringledge.wire.http.headers import header
+from ringledge.wire.http.headers import header, header_bytes, without_unused_headers
 from ringledge.wire.http.messages import MAX_BODY_BYTES, read_body, respond
 
 # Limit for the time from a request's first byte, or the opening of a new connection, to its last byte.
@@ -22,6 +22,7 @@
 BODY_SKIP_TIMEOUT_S = 1.0  # for receiving the rest of a body whose request was shed
 # Wait before the next read from a client whose request was rejected: it may send requests continuously.
 REJECTION_PAUSE_S = 0.5
+MAX_UNCOUNTED_HEAD_BYTES = 4 * 1024  # a longer head counts as part of its body, which is kept as long
 
 OnRejected = Callable[[h11.Request], None]
 Handler = Callable[[Connection, h11.Request], Awaitable[None]]
@@ -165,6 +166,9 @@
             header(head, b"content-length") or head.http_version < b"1.1"
         ):  # request smuggling: a peer that uses the other header finds a second request in the body
             raise HttpError(400, "Transfer-Encoding with Content-Length or HTTP/1.0")
+        head = without_unused_headers(head)
+        if (size := header_bytes(head)) > MAX_UNCOUNTED_HEAD_BYTES:
+            conn.memory.reserve_body(size)
         return head
 
     async def _skip_body(self, conn: Connection, remaining_bytes: int) -> bool:
--- a/ringledge/wire/clients/response.py
+++ b/ringledge/wire/clients/response.py
@@ -14,8 +14,6 @@
 if TYPE_CHECKING:
     from ringledge.memory.buffered_bytes import BufferedBytes
 
-HIGH_WATER_BYTES = 64 * 1024  # unsent bytes of a stream above which its server is read no further
-
 # The head of every streamed response. It is built once, because h11 validates the headers of each new one.
 STREAM_HEAD = h11.Response(
     status_code=200,
@@ -66,7 +64,7 @@
         return self._conn.peer_disconnected()
 
     async def relay(self, chunk: bytes) -> None:
-        """Forward a chunk; blocks while a slow client leaves more than `HIGH_WATER_BYTES` unsent."""
+        """Forward a chunk; blocks while a slow client leaves more unsent than its connection's limit."""
         body_data = h11.Data(data=chunk)
         data = self._conn.encode(body_data) if self.begun else self._conn.encode(STREAM_HEAD, body_data)
         self.begun = True
@@ -79,12 +77,13 @@
             self._chunks.append(data)
             self._count(len(data))
             self._changed.set()
-        while self._unsent_bytes > HIGH_WATER_BYTES:
+        while self._unsent_bytes > self._conn.memory.max_unsent():
             self._drained = anyio.Event()
             await self._drained.wait()
 
     def _count(self, change: int) -> None:
         self._unsent_bytes += change
+        self._conn.memory.add_unsent(change)
         if self._buffered_bytes is not None:
             self._buffered_bytes.stream_bytes += change
 
--- a/ringledge/wire/http/connection.py
+++ b/ringledge/wire/http/connection.py
@@ -23,6 +23,7 @@
 MAX_TURN_BYTES = 16 * 1024
 MAX_TURN_HEAD_BYTES = 4 * 1024  # the time for parsing a head grows with the number of its headers
 MAX_TURN_EVENTS = 64
+MAX_COPIED_BODY_BYTES = 16 * 1024  # a longer body is written after its head, without a copy of both
 WRITE_STALL_TIMEOUT_S = 20.0  # a peer that reads nothing for this long counts as disconnected
 
 
@@ -155,7 +156,8 @@
             events = tuple(map(with_connection_close, events))
         elif self.keep_alive:
             events = tuple(with_keep_alive(event, self.keep_alive) for event in events)
-        return b"".join([self.h11.send(event) or b"" for event in events])
+        parts = [part for event in events if (part := self.h11.send(event))]
+        return parts[0] if len(parts) == 1 else b"".join(parts)
 
     def write_nowait(self, data: bytes) -> int:
         """Write as much as the socket accepts now; returns the number of bytes."""
@@ -164,12 +166,16 @@
         except (BlockingIOError, InterruptedError):
             return 0
 
-    async def send_request(self, *events: h11.Event) -> None:
+    async def send_request(self, head: h11.Request, body: bytes) -> None:
         """Send a request; OSError if the peer sends anything before the last byte is written.
 
         Such data belongs to another request, but would be taken for the response to this one.
         """
-        await self.write(self.encode(*events), fail_if_readable=True)
+        encoded = [self.encode(head), self.encode(h11.Data(data=body), h11.EndOfMessage())]
+        if len(body) <= MAX_COPIED_BODY_BYTES:
+            encoded = [b"".join(encoded)]
+        for data in encoded:
+            await self.write(data, fail_if_readable=True)
 
     async def write(self, data: bytes, fail_if_readable: bool = False) -> None:
         """Write all data; returns when the kernel has accepted the last byte."""
@@ -208,6 +214,7 @@
     def detach(self) -> socket.socket:
         """Return the socket, still open; tasks that wait here find the connection closed."""
         self.closed = True
+        self.buffer.release()
         self.pause_reading()
         self.on_buffer_changed()
         if self._waiter is not None and not self._waiter.done():
--- a/ringledge/wire/http/headers.py
+++ b/ringledge/wire/http/headers.py
@@ -6,6 +6,37 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# The headers that any front reads. Of a request with more than MAX_KEPT_HEADERS, only these are kept until it
+# is answered: parsed headers take many times the memory of their text.
+USED_REQUEST_HEADERS = frozenset(
+    name.encode()
+    for name in (
+        "host connection content-length content-type transfer-encoding expect upgrade prefer "
+        "idempotency-key last-event-id x-again x-budget-ms x-call-class x-call-cost x-call-id x-call-info "
+        "x-caller x-route-hash"
+    ).split()
+)
+MAX_KEPT_HEADERS = 64
+
+
+def without_unused_headers(head: h11.Request) -> h11.Request:
+    """The head without the headers that no front reads, if it has many."""
+    if len(head.headers) <= MAX_KEPT_HEADERS:
+        return head
+    kept: dict[bytes, Headers] = {}
+    for name, value in head.headers:
+        if name in USED_REQUEST_HEADERS:
+            kept.setdefault(name, []).append((name, value))
+    headers = [field for fields in kept.values() for field in fields[:MAX_KEPT_HEADERS]]
+    return h11.Request(
+        method=head.method, target=head.target, headers=headers, http_version=head.http_version
+    )
+
+
+def header_bytes(head: h11.Request) -> int:
+    """The length of a request's target and headers."""
+    return len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
+
 
 def headers_by_name(head: h11.Request | h11.Response) -> dict[bytes, bytes]:
     """The first value of each header by lower-case name; one pass is cheaper than several look-ups."""
--- a/ringledge/wire/http/receive_buffer.py
+++ b/ringledge/wire/http/receive_buffer.py
@@ -50,6 +50,12 @@
         if self.grown_bytes:
             self._data = bytearray(self._initial_size)
 
+    def release(self) -> None:
+        """Free the buffer's memory; nothing may be received afterwards."""
+        self._start = self._end = 0
+        self._data = bytearray()
+        self._initial_size = 0
+
     def take(self, max_bytes: int) -> bytes:
         """Remove and return the first `max_bytes` buffered bytes."""
         taken = self.peek(max_bytes)
--- a/ringledge/wire/http/socket_reader.py
+++ b/ringledge/wire/http/socket_reader.py
@@ -155,7 +155,7 @@
             self.arrival_times.add(size, now_s, now_s - age_s if paused_since_s is None else paused_since_s)
 
     def on_buffer_changed(self) -> None:
-        """Called after bytes were added to the buffer."""
+        """Called after bytes were added to the buffer or removed from it."""
 
     def max_read_ahead(self) -> int:
         """How many bytes may be buffered while no task waits for input."""
--- a/ringledge/wire/servers/exchange.py
+++ b/ringledge/wire/servers/exchange.py
@@ -112,7 +112,7 @@
         state.received_bytes = conn.received_bytes
         try:
             with anyio.fail_after(self._send_timeout_s(attempt)):
-                await conn.send_request(*_request_events(record, address, budget_ms))
+                await conn.send_request(_request_head(record, address, budget_ms), record.payload.body)
         except OSError as error:  # a request without its last byte can't have run
             log.info("send_failed", server=attempt.server, request=record.request_id, error=str(error))
             return ExchangeResult(AttemptStatus.CONNECT_FAILED, self._note_broken(conn, address))
@@ -192,10 +192,10 @@
         return ExchangeResult(AttemptStatus.FULL, 1)
 
 
-def _request_events(record: RequestRecord, address: str, budget_ms: int) -> tuple[h11.Event, ...]:
-    """The client's request as sent to a server, with the time that remains until its deadline."""
+def _request_head(record: RequestRecord, address: str, budget_ms: int) -> h11.Request:
+    """The head of the client's request as sent to a server, with the time that remains until its deadline."""
     payload = record.payload
-    request = h11.Request(
+    return h11.Request(
         method=b"POST",
         target=payload.target,
         headers=[
@@ -206,7 +206,6 @@
             (b"Content-Length", b"%d" % len(payload.body)),
         ],
     )
-    return request, h11.Data(data=payload.body), h11.EndOfMessage()
 
 
 def _classify_response(attempt: Attempt, head: h11.Response, body: bytes) -> ExchangeResult:
--- a/tests/wire/servers/test_send_first.py
+++ b/tests/wire/servers/test_send_first.py
@@ -12,7 +12,7 @@
 from ringledge.wire.http.connection import Connection
 
 REQUEST = h11.Request(method="POST", target="/", headers=[("Host", "a"), ("Content-Length", "4000000")])
-BODY = h11.Data(data=bytes(4_000_000))  # more than the two sockets buffer
+BODY = bytes(4_000_000)  # more than the two sockets buffer
 UNSOLICITED_RESPONSE = b"HTTP/1.1 503 \r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -37,7 +37,7 @@
         with peer:
             peer.sendall(UNSOLICITED_RESPONSE)
             with pytest.raises(ConnectionResetError):
-                await conn.send_request(REQUEST)
+                await conn.send_request(REQUEST, BODY)
             peer.setblocking(False)
             with pytest.raises(BlockingIOError):
                 peer.recv(1)
@@ -60,6 +60,6 @@
                 tasks.start_soon(send)
                 await anyio.wait_all_tasks_blocked()  # the sockets are full
                 peer.sendall(UNSOLICITED_RESPONSE)
-                assert await anyio.to_thread.run_sync(read_all, peer) < len(BODY.data)
+                assert await anyio.to_thread.run_sync(read_all, peer) < len(BODY)
 
     anyio.run(run)
