Remember the ids of ended requests that may have run, and run none of them a second time

Cause: only open requests were known by their ids. With the end of a request, in this process or in the other one, all knowledge that it may have run was gone.

A request of a class that is not idempotent gets 400 if its id is among them. The processes of a router tell each other the ids ("ran" beside "ended", left out if empty, so that older versions read the message as before), also those from before the hand-over; what a process had open when it died counts as well.

--- a/ringledge/core/registry.py
+++ b/ringledge/core/registry.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from ringledge.core.possible_runs import PossibleRuns
 from ringledge.core.records import RequestRecord
 
 
@@ -22,6 +23,7 @@
     def __init__(self) -> None:
         self.records: dict[str, RequestRecord] = {}
         self.peers: list[PeerProcess] = []
+        self.possible_runs = PossibleRuns()  # requests that have ended, in this process or in a peer
 
     def is_open(self, request_id: str) -> bool:
         """Whether a request with that id is open in this process or in a peer process."""
@@ -40,5 +42,7 @@
     def remove(self, record: RequestRecord) -> None:
         """Remove a request that is done and notify the peers."""
         del self.records[record.request_id]
+        if record.may_have_run:
+            self.possible_runs.add(record.request_id)
         for peer in self.peers:
             peer.on_request_change(record.request_id, False)
--- a/ringledge/core/stages/accept.py
+++ b/ringledge/core/stages/accept.py
@@ -7,19 +7,24 @@
 from ringledge.core.records import RequestRecord, RequestResult
 from ringledge.core.stages import record_outcome
 from ringledge.observe.logging import log
-from ringledge.routing.interface import AttemptStatus, ClientDisconnected, Request
+from ringledge.routing.interface import AttemptStatus, ClientDisconnected, Idempotency, Request
 
 
 class DuplicateRequestError(Exception):
-    """A request with the same id is open; accepting another one could run it twice."""
+    """Accepting a request with this id could run it twice; the text of the error says why."""
 
 
 def accept(context: StageContext, request: Request, payload: Payload, sink: ResponseSink) -> RequestRecord:
     """Register the request, which must get exactly one final answer from then on."""
-    if context.registry.is_open(request.request):
-        raise DuplicateRequestError(request.request)
+    registry = context.registry
+    if registry.is_open(request.request):
+        raise DuplicateRequestError(f"request {request.request} is open already")
+    request_class = context.settings.classes[request.class_index]
+    is_idempotent = request_class.idempotency is Idempotency.IDEMPOTENT
+    if not is_idempotent and request.request in registry.possible_runs:
+        raise DuplicateRequestError(f"request {request.request} may have run already; it is not run again")
     record = RequestRecord(request, payload, sink, context.clock.now_ms())
-    context.registry.add(record)
+    registry.add(record)
     context.metrics.requests.labels(str(request.class_index)).inc()
     if context.observer is not None:
         context.observer.on_request_accepted(record)
--- a/ringledge/lab/load.py
+++ b/ringledge/lab/load.py
@@ -12,6 +12,7 @@
 from collections import Counter, defaultdict, deque
 from time import monotonic, sleep
 from typing import Any
+from uuid import uuid4
 
 import orjson
 
@@ -35,6 +36,7 @@
 
     def __init__(self, plan: LoadPlan) -> None:
         self.plan = plan
+        self.run_id = uuid4().hex.encode()  # ids are fresh in each run: a router may remember the last ones
         self.started_s = monotonic()
         self.class_reports = [ClassReport() for _ in CLASSES]
         self.outcomes_by_tenant: defaultdict[str, Counter[str]] = defaultdict(Counter)
@@ -98,11 +100,11 @@
         body += self.prompt_filler[: max(0, arrival.body_bytes - len(body) - 4)] + b'"}]}'
         headers = (
             b"POST /v1/chat/completions HTTP/1.1\r\nHost: lab\r\n"
-            b"X-Call-Id: l%d-%d\r\nX-Call-Class: %s\r\nX-Caller: %s\r\n"
+            b"X-Call-Id: l%s-%d\r\nX-Call-Class: %s\r\nX-Caller: %s\r\n"
             b"X-Route-Hash: %x\r\nX-Budget-Ms: %d\r\nX-Call-Info: prompt_len=%d,max_out=80\r\n"
             b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n"
             % (
-                self.plan.seed, self.sent_requests, class_name, arrival.tenant.encode(),
+                self.run_id, self.sent_requests, class_name, arrival.tenant.encode(),
                 self.sent_requests, max(1, int(remaining_s * 1000)), arrival.body_bytes // 4, len(body),
             )
         )  # fmt: skip
@@ -137,9 +139,9 @@
             class_name = CLASSES[0]["name"].encode()
             sock.sendall(
                 b"POST /v1/chat/completions HTTP/1.1\r\nHost: lab\r\n"
-                b"X-Call-Id: u%d-%d\r\nX-Call-Class: %s\r\nX-Caller: %s\r\n"
+                b"X-Call-Id: u%s-%d\r\nX-Call-Class: %s\r\nX-Caller: %s\r\n"
                 b"X-Budget-Ms: 5000\r\nContent-Length: 2\r\n\r\n{}"
-                % (self.plan.seed, number, class_name, next(iter(self.plan.tenant_shares)).encode())
+                % (self.run_id, number, class_name, next(iter(self.plan.tenant_shares)).encode())
             )
             sockets.append(sock)
             sleep(NON_READING_CLIENT_INTERVAL_S)
--- a/ringledge/lifecycle/handover_messages.py
+++ b/ringledge/lifecycle/handover_messages.py
@@ -58,9 +58,10 @@
     return {"serving": addresses}
 
 
-def encode_request_changes(opened: list[str], ended: list[str]) -> dict[str, Any]:
-    """Ids of requests that have been opened and that have ended in the sending process."""
-    return {"open": opened, "ended": ended}
+def encode_request_changes(opened: list[str], ended: list[str], possible_runs: list[str]) -> dict[str, Any]:
+    """Ids of requests that were opened, that have ended, and of the ended ones those that may have run."""
+    changes = {"open": opened, "ended": ended}
+    return changes | {"ran": possible_runs} if possible_runs else changes
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +70,7 @@
 
     opened: frozenset[str]  # ids of requests
     ended: frozenset[str]
+    possible_runs: frozenset[str]  # ids of ended requests that may have run
     snapshot_part: dict[str, Any]  # empty if the message has none
     serving: frozenset[str]  # addresses at which the successor serves; empty in other messages
 
@@ -78,6 +80,7 @@
         return cls(
             opened=frozenset(message.get("open", ())),
             ended=frozenset(message.get("ended", ())),
+            possible_runs=frozenset(message.get("ran", ())),
             snapshot_part=message.get("learned", {}),
             serving=frozenset(message.get("serving") or ()),
         )
--- a/ringledge/lifecycle/peer_process.py
+++ b/ringledge/lifecycle/peer_process.py
@@ -27,7 +27,8 @@
         self._sock = sock
         self._registry = registry
         # Changes to be sent, in order: by request id, whether the request is open.
-        self._unsent_changes = dict.fromkeys(registry.records, True)
+        self._unsent_changes = dict.fromkeys(registry.possible_runs, False)
+        self._unsent_changes |= dict.fromkeys(registry.records, True)
         self._has_changes = anyio.Event()
         self._send_lock = anyio.Lock()  # only one task at a time may wait for the socket
         registry.peers.append(self)
@@ -53,10 +54,14 @@
                         message = PeerMessage.decode(received.message)
                         self.open_request_ids |= message.opened
                         self.open_request_ids -= message.ended
+                        for request_id in message.possible_runs:
+                            self._registry.possible_runs.add(request_id)
                         on_message(message)
                 tasks.cancel_scope.cancel()
         finally:
             self._registry.peers.remove(self)
+            for request_id in self.open_request_ids:  # the process ended before it answered them
+                self._registry.possible_runs.add(request_id)
             channel.close(self._sock)
 
     async def _send_changes(self) -> None:
@@ -67,6 +72,7 @@
                     del self._unsent_changes[request_id]
                 opened = [request_id for request_id, is_open in batch if is_open]
                 ended = [request_id for request_id, is_open in batch if not is_open]
-                await self.send(encode_request_changes(opened, ended))
+                possible_runs = [each for each in ended if each in self._registry.possible_runs]
+                await self.send(encode_request_changes(opened, ended, possible_runs))
             self._has_changes = anyio.Event()
             await self._has_changes.wait()
--- a/ringledge/wire/clients/platform.py
+++ b/ringledge/wire/clients/platform.py
@@ -90,7 +90,7 @@
         try:
             record = self._conductor.accept(request, payload, response)
         except DuplicateRequestError as error:
-            raise HttpError(400, f"request {error} is open already") from error
+            raise HttpError(400, str(error)) from error
         try:
             await write_while_connected(
                 conn,
--- a/tests/core/test_gate.py
+++ b/tests/core/test_gate.py
@@ -79,9 +79,10 @@
     head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Call-Id: {}\r\nX-Call-Class: {}\r\n{}"
     head += "X-Budget-Ms: 4800\r\n{}\r\n"
     query = head.format("a1", "query", "", headers)
-    booking = head.format("b1", "booking", "X-Caller: farm\r\n", "Content-Length: 2\r\n")
-    both = query + "{}" + booking + "{}"
-    for chunks in ([query + "{}", booking + "{}"], [both], [query, "{}" + booking, "{}"]):
+    for number in range(3):
+        booking = head.format(f"b{number}", "booking", "X-Caller: farm\r\n", "Content-Length: 2\r\n")
+        both = query + "{}" + booking + "{}"
+        chunks = ([query + "{}", booking + "{}"], [both], [query, "{}" + booking, "{}"])[number]
         with node.connect() as sock:
             for text in chunks:
                 sock.sendall(text.encode())
