Let the soak end streams early, send many fields, repeat ids, and watch the routers' memory

Its stand-in servers ended every stream whole, no client came again under its id, and nothing looked at the resident memory.

Change: one stream in a hundred ends with the last chunk before its final events (rule "truncated" if the client gets it as whole); clients send heads of 3,000 short fields, leave and come again under their id; a part of a crowd stops within heads of many fields and within large requests; the resident memory of each router is sampled against its limit (rule "memory") and printed. The oracle's rules of processes stand in a file of their own.

The messages between the processes of a router hold 250 ids in place of 500: one may now be in two lists.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -66,7 +66,8 @@
 def _print_verdict(verdict: Verdict) -> None:
     click.echo(
         f"seed {verdict.seed}: {verdict.requests} requests {verdict.statuses}, "
-        f"late streams {verdict.late_streams}, longest stall {verdict.held_up_s:.3f} s"
+        f"late streams {verdict.late_streams}, peak {verdict.peak_mb:.0f} MB, "
+        f"longest stall {verdict.held_up_s:.3f} s"
     )
     for violation in verdict.violations[:12]:
         click.echo(f"  {violation.rule} {violation.id}: {violation.note}")
--- a/benchmarks/soak/day.py
+++ b/benchmarks/soak/day.py
@@ -17,8 +17,9 @@
 from benchmarks.soak.events import EventLog, read_events
 from benchmarks.soak.fleet import ROOT, RouterProcess, free_ports
 from benchmarks.soak.history import build_history
-from benchmarks.soak.oracle import MAX_STALL_S, TIMED_RULES, Violation, judge, zone
+from benchmarks.soak.oracle import MAX_STALL_S, TIMED_RULES, judge, zone
 from benchmarks.soak.plan import LOAD_S, Plan
+from benchmarks.soak.process_rules import Violation
 from benchmarks.soak.settings import router_settings
 from benchmarks.soak.troubles import FaultInjector
 
@@ -37,6 +38,7 @@
     violations: list[Violation]
     late_streams: int
     troubles: list[str]
+    peak_mb: float  # highest resident memory of a router
     held_up_s: float  # longest time for which a router or the driver got no processor
 
     def counted(self) -> list[Violation]:
@@ -99,6 +101,7 @@
                 f"{each.at_s:.1f}-{each.until_s:.1f} {each.kind} {each.target} {each.detail}"
                 for each in self.plan.troubles
             ],
+            max((each.peak_mb for each in self.conductors.values()), default=0.0),
             max((event["s"] for event in events if event["event"] == "held_up"), default=0.0),
         )
 
@@ -165,6 +168,7 @@
         while (left_s := self.start_s + at_s - time.monotonic()) > 0:
             for conductor in self.conductors.values():
                 conductor.record_unexpected_exit()
+                conductor.record_memory()
             wait_s, began_s = min(0.1, left_s), time.monotonic()
             await asyncio.sleep(wait_s)
             self.log.write("held_up", s=time.monotonic() - began_s - wait_s)
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -21,6 +21,7 @@
 ROOT = Path(__file__).parent.parent.parent
 STOP_SIGNALS = (signal.SIGTERM,)
 READY_TIMEOUT_S = 10.0
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 SIGNAL_INTERVAL_S = 0.06  # between two signals of a series
 BUSY_WAIT_S = 0.02  # final part of the grace period; blocks the driver, so that SIGKILL is sent on time
 FAILURE_MARKERS = (
@@ -43,6 +44,14 @@
     return ports
 
 
+def resident_mb(pid: int) -> float:
+    """The resident memory of a process in MB; 0 if it has ended."""
+    try:
+        return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES / 2**20
+    except (OSError, IndexError):
+        return 0.0
+
+
 class RouterProcess:
     """One router: a single process, or two during a hand-over."""
 
@@ -64,6 +73,7 @@
         self.config, self._start_count, self.process = config, 0, subprocess.Popen[bytes](["true"])
         self.process.wait()
         self.replaced: list[subprocess.Popen[bytes]] = []
+        self.peak_mb = 0.0  # highest resident memory of one of the processes
         self.exit_expected = False  # the newest process is meant to end, or its end has been recorded
         self.lock = asyncio.Lock()  # allows one fault of the process at a time
 
@@ -158,6 +168,15 @@
             self.exit_expected = True
             self._log.write("crashed", conductor=self.name, code=code, tail=tail(self.output))
 
+    def record_memory(self) -> None:
+        """Record that a process of the router is past the memory limit of the settings."""
+        limit_mb = self.config["limits"]["memory_mb"]
+        for process in (self.process, *self.replaced):
+            used_mb = resident_mb(process.pid)
+            self.peak_mb = max(self.peak_mb, used_mb)
+            if used_mb > limit_mb:
+                self._log.write("memory", conductor=self.name, mb=used_mb, limit_mb=limit_mb)
+
     def close(self) -> None:
         """Kill the remaining processes, and record faults and stalls found in their logs."""
         self._log.write("killed", conductor=self.name)
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -162,8 +162,8 @@
             request.begun_s = event["begun_s"]
         case "answer":
             request.answer = event
-        case "left":
-            request.left_s = event["t"]
+        case "left" | "again":  # a client that is back sends the request under its id once more
+            request.left_s = event["t"] if event["event"] == "left" else inf
         case "floods":
             request.floods = True
         case "half":
--- a/benchmarks/soak/instance.py
+++ b/benchmarks/soak/instance.py
@@ -17,6 +17,7 @@
 REJECTED = b"X-Rejected: 1\r\n"
 # Shares of the attempts that get 503, 410 (the KV cache entry is lost) and 500.
 BUSY_FRACTION, LOST_FRACTION, ERROR_FRACTION = 0.02, 0.02, 0.01
+TRUNCATED_FRACTION = 0.01  # share of the streams that end with the last chunk before their final events
 ENTRY_WAIT_RANGE_S = (0.3, 1.8)  # range of the time that a decode waits for its KV cache entry
 # Shares of the decodes that get 503 and 500 after they have waited.
 WAIT_REJECTED_FRACTION, WAIT_ERROR_FRACTION = 0.3, 0.1
@@ -101,7 +102,10 @@
             data = b"HTTP/1.1 200 OK\r\n" + head + data
             self.log.write("first", id=self.request_id)
         self.timer = None
-        if number + 1 < events:
+        if number + 2 == events and self.rng.random() < TRUNCATED_FRACTION:
+            data += b"0\r\n\r\n"
+            self.log.write("truncated", id=self.request_id)
+        elif number + 1 < events:
             self.timer = asyncio.get_running_loop().call_later(0.03, self._send_event, number + 1, events)
         else:
             data += encode_chunk(
--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from itertools import pairwise
 from math import inf
 
 from benchmarks.soak.events import Event
 from benchmarks.soak.history import TOLERANCE_S, Attempt, History, Request
+from benchmarks.soak.process_rules import Violation, violations_of_processes
 
 # Limits from the protocol.
 ANSWER_SLACK_S = 0.5  # an answer after its deadline has no worth; after this delay it breaks a rule
@@ -29,26 +29,16 @@
 MAX_STALL_S = 0.15  # up to this stall of a process, the timed rules count as well
 
 
-@dataclass(slots=True, frozen=True)
-class Violation:
-    """One broken rule, with the request or router that it concerns."""
-
-    rule: str
-    id: str
-    note: str
-
-
 def judge(history: History) -> list[Violation]:
     """All broken rules of a run."""
     found = [
         violation for request in history.requests.values() for violation in _in_request(history, request)
     ]
-    return found + list(_in_drains(history)) + list(_in_processes(history))
+    return found + list(_in_drains(history)) + list(violations_of_processes(history))
 
 
 def _in_request(history: History, request: Request) -> Iterator[Violation]:
-    checks = (_bad_answer, _cut_stream, _wrong_runs, _overlaps, _late_sends, _over_budget, _held, _partial)
-    for check in checks:
+    for check in CHECKS:
         for rule, note in check(history, request):
             yield Violation(rule, request.id, note)
 
@@ -90,6 +80,8 @@
     answer = request.answer
     if answer is None or answer["status"] != 200 or answer["whole"] or request.left_s < inf or request.floods:
         return
+    if any(event["event"] == "truncated" for event in request.server_events):
+        return
     if history.excused(request, answer["t"]) or not request.attempts:
         return
     last = request.attempts[-1]
@@ -99,6 +91,15 @@
     yield "cut", f"{answer['error']}, its server's side was {last.ending or 'open'}"
 
 
+def _truncated(history: History, request: Request) -> Findings:
+    """Only a stream that its server has finished is ended as whole."""
+    answer = request.answer
+    if answer is None or answer["status"] != 200 or not answer["whole"]:
+        return
+    if not any(event["event"] == "done" for event in request.server_events):
+        yield "truncated", "ended with the last chunk, and no server had finished its stream"
+
+
 def _wrong_runs(history: History, request: Request) -> Findings:
     """A request runs twice only where its class allows that, and a rejected one has not run."""
     runs = request.runs
@@ -187,6 +188,19 @@
         yield "half", f"{request.partial_end['error']} after {took_s:.3f} s"
 
 
+CHECKS = (
+    _bad_answer,
+    _cut_stream,
+    _truncated,
+    _wrong_runs,
+    _overlaps,
+    _late_sends,
+    _over_budget,
+    _held,
+    _partial,
+)
+
+
 def _in_drains(history: History) -> Iterator[Violation]:
     """No attempt starts at a draining server after the router was informed, or counts as informed."""
     out_since, deadlines = dict[tuple[str, str], float](), dict[str, float]()
@@ -221,25 +235,6 @@
                 )
 
 
-def _in_processes(history: History) -> Iterator[Violation]:
-    """No router crashes, fails to start, logs a fault of its own or ignores a reload."""
-    for event in history.events:
-        if event["event"] == "crashed":
-            yield Violation("crash", event["conductor"], f"exit {event['code']}: {event['tail']}")
-        elif event["event"] == "not_ready":
-            yield Violation(
-                "not_ready", event["conductor"], f"after {event['after_s']:.1f} s: {event['tail']}"
-            )
-        elif event["event"] == "found":
-            yield Violation("found_itself", event["conductor"], event["line"])
-        elif event["event"] == "not_moved":
-            yield Violation(
-                "not_moved",
-                event["conductor"],
-                "no request at the new discovery address within 4 s of SIGHUP",
-            )
-
-
 def zone(server: str) -> str:
     """The zone of a server: even numbers are in the east."""
     return ("east", "west")[int(server[1:]) % 2]
--- a/benchmarks/soak/plays.py
+++ b/benchmarks/soak/plays.py
@@ -22,6 +22,14 @@
 # Connections that a crowd keeps open, new connections in a burst, and time between bursts.
 CROWD_SIZE, BURST_SIZE, BURST_INTERVAL_S = 480, 120, 1.0
 PARTIAL_FRACTION = 0.2  # share of the crowd that has sent part of a request
+SHORT_FIELDS = b"aa:bb\r\n" * 3_000
+PARTIAL_HEAD = b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+PARTIAL_REQUESTS = (
+    PARTIAL_HEAD,
+    PARTIAL_HEAD + SHORT_FIELDS,
+    PARTIAL_HEAD + SHORT_FIELDS + b"Content-Length: 250000\r\n\r\n" + b"x" * 100,
+    PARTIAL_HEAD + b"Content-Length: 250000\r\n\r\n" + b"x" * 120_000,
+)
 Behaviour = Callable[[ClientConnection], Awaitable[None]]
 
 
@@ -107,6 +115,33 @@
     await client.close()
 
 
+async def sends_many_fields(client: ClientConnection) -> None:
+    """Send a request with thousands of short header fields."""
+    request_id, data = client.make_request()
+    head, _, body = data.partition(b"\r\n\r\n")
+    await client.send(request_id, head + b"\r\n" + SHORT_FIELDS + b"\r\n" + body)
+    await client.receive_answer(request_id)
+    await client.close()
+
+
+async def repeats_after_leaving(client: ClientConnection) -> None:
+    """Disconnect before the answer, and send the request once more under the same id."""
+    request_id, data = client.make_request()
+    await client.send(request_id, data)
+    await asyncio.sleep(client.rng.uniform(0.0, 0.4))
+    client.log.write("left", id=request_id)
+    await client.close()
+    await asyncio.sleep(client.rng.uniform(0.0, 0.3))
+    if await client.connect():
+        client.log.write("again", id=request_id)
+        await client.send(request_id, data)
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(PERSIST_S):
+                await client.reader.read(65536)
+        client.log.write("left", id=request_id)
+        await client.close()
+
+
 async def keeps_sending(client: ClientConnection) -> None:
     """Send request after request until the router closes the connection."""
     until_s = time.monotonic() + PERSIST_S
@@ -135,6 +170,8 @@
     floods: 1,
     sends_partial_request: 1,
     writes_slowly: 2,
+    sends_many_fields: 1,
+    repeats_after_leaving: 2,
 }
 
 
@@ -169,7 +206,7 @@
             with suppress(OSError):
                 _, writer = await asyncio.open_connection(*address)
                 if rng.random() < PARTIAL_FRACTION:
-                    writer.write(b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n")
+                    writer.write(rng.choice(PARTIAL_REQUESTS))
                 writers.append(writer)
         for writer in writers[:-CROWD_SIZE]:
             writer.close()
--- a/ringledge/lifecycle/peer_process.py
+++ b/ringledge/lifecycle/peer_process.py
@@ -13,7 +13,7 @@
 from ringledge.lifecycle import handover_channel as channel
 from ringledge.lifecycle.handover_messages import PeerMessage, encode_request_changes
 
-MAX_IDS_PER_MESSAGE = 500  # an id has at most 64 characters
+MAX_IDS_PER_MESSAGE = 250  # an id has at most 64 characters, and may be in two of a message's lists
 
 
 class PeerProcess:
--- a/tests/benchmarks/test_soak_oracle.py
+++ b/tests/benchmarks/test_soak_oracle.py
@@ -10,8 +10,9 @@
 from benchmarks.soak.day import Verdict
 from benchmarks.soak.events import Event
 from benchmarks.soak.history import build_history
-from benchmarks.soak.oracle import MAX_STALL_S, TIMED_RULES, Violation, judge
+from benchmarks.soak.oracle import MAX_STALL_S, TIMED_RULES, judge
 from benchmarks.soak.plan import FAULT_WEIGHTS, Plan, PlannedFault, draw_plan
+from benchmarks.soak.process_rules import Violation
 
 START_S = 100.0
 ID = "n0-1-1"
@@ -39,6 +40,7 @@
         at(1.12, "arrived", "d0", id=ID, told_ms=1890, port=2),
         at(1.12, "ran", "d0", id=ID),
         at(1.2, "first", "d0", id=ID),
+        at(1.49, "done", "d0", id=ID),
         at(1.5, "answered", "proxy", status=200, **decode),
         at(1.5, "answer", "client n0", id=ID, status=200, whole=True, error="", fresh=True,
            first_s=START_S + 1.2, late_s=0.0),
@@ -136,6 +138,25 @@
     }
 
 
+def ended_early(events: list[Event]) -> None:
+    without(events, "done")
+
+
+def memory_exceeded(events: list[Event]) -> None:
+    events.append(at(1.0, "memory", conductor="n0", mb=193.0, limit_mb=192))
+
+
+def cut_by_its_server(events: list[Event]) -> None:
+    """The server ends the stream before its final event, and the router does not end it as whole."""
+    without(events, "done")
+    cut_stream(events)
+    events.append(at(1.3, "truncated", "d0", id=ID))
+
+
+def test_stream_that_its_server_ends_early_is_not_called_cut() -> None:
+    assert "cut" not in rules(cut_by_its_server)
+
+
 def test_correct_run_breaks_no_rule() -> None:
     assert not rules()
 
@@ -159,6 +180,8 @@
         (not_ready, "not_ready"),
         (logged_fault, "found_itself"),
         (reload_ignored, "not_moved"),
+        (ended_early, "truncated"),
+        (memory_exceeded, "memory"),
     ],
 )
 def test_each_broken_rule_is_found(change_events: EventChange, rule: str) -> None:
@@ -170,7 +193,7 @@
 
 
 def verdict(rule: str, held_up_s: float) -> Verdict:
-    return Verdict(1, 1, {"200": 1}, [Violation(rule, ID, "")], 0, [], held_up_s)
+    return Verdict(1, 1, {"200": 1}, [Violation(rule, ID, "")], 0, [], 50.0, held_up_s)
 
 
 def test_timed_rules_are_excused_only_if_a_process_stalled() -> None:
