Reset a broken stream for a client that takes the close of the connection for its end

What callers could see: a client that speaks HTTP/1.0 gets no chunks, so the close behind a broken stream looked like its end (rule on lost requests: a stream that was not whole was ended as if it were). Found by going through all paths of that rule; not in the users' records.

Change: such a connection is reset, on the platform's and on the chat front. Evidence: `test_broken_stream_is_reset_for_a_client_that_takes_the_close_for_its_end` failed on the code before.

--- a/ringledge/wire/clients/chat/replies.py
+++ b/ringledge/wire/clients/chat/replies.py
@@ -90,7 +90,7 @@
             if end is SessionEnd.SERVED:
                 break
             if end is not None:
-                conn.close()
+                conn.abort() if conn.ends_streams_by_close else conn.close()
                 return
             await update.wait()
         final_chunk = _envelope(session, "chat.completion.chunk")
--- a/ringledge/wire/clients/platform.py
+++ b/ringledge/wire/clients/platform.py
@@ -192,7 +192,9 @@
         if response.result == "served":
             await conn.send(*([] if response.begun else [STREAM_HEAD]), h11.EndOfMessage())
         elif response.result == "broken":
-            return  # without the last chunk, so that the client can tell that the response is incomplete
+            # Without the last chunk the client can tell that the response is incomplete.
+            if response.begun and conn.ends_streams_by_close:
+                conn.abort()
         elif response.result == "refused":
             text = b'{"error":"overloaded, nothing has run"}'
             await respond(conn, 503, text, retry_after_headers(response.retry_after_ms, self._names))
--- a/ringledge/wire/http/connection.py
+++ b/ringledge/wire/http/connection.py
@@ -4,6 +4,7 @@
 
 import math
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 import anyio
@@ -24,6 +25,7 @@
 MAX_TURN_HEAD_BYTES = 4 * 1024  # the time for parsing a head grows with the number of its headers
 MAX_TURN_EVENTS = 64
 MAX_COPIED_BODY_BYTES = 16 * 1024  # a longer body is written after its head, without a copy of both
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
 WRITE_STALL_TIMEOUT_S = 20.0  # a peer that reads nothing for this long counts as disconnected
 
 
@@ -211,6 +213,18 @@
         if not self.closed:
             self.detach().close()
 
+    @property
+    def ends_streams_by_close(self) -> bool:
+        """Whether the peer takes the close of the connection for the end of a stream, as with HTTP/1.0."""
+        version = self.h11.their_http_version
+        return version is not None and version < b"1.1"
+
+    def abort(self) -> None:
+        """Reset the connection, so that the peer cannot take its end for the end of the response."""
+        if not self.closed:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self.close()
+
     def detach(self) -> socket.socket:
         """Return the socket, still open; tasks that wait here find the connection closed."""
         self.closed = True
--- a/tests/test_incomplete_streams.py
+++ b/tests/test_incomplete_streams.py
@@ -9,6 +9,7 @@
 
 from ringledge.wire.servers.stream_relay import EVENT_TIMEOUT_S
 from tests.loopback import Node, event, read, take
+from tests.test_client_pace import read_until, request
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 FIRST, SECOND = event("one").encode(), event("two").encode()
@@ -87,3 +88,26 @@
     events = event("x" * 1_000) * 100
     call.begin().chunk(event("first") + events).end()
     assert events.encode() in take(client).body
+
+
+def test_broken_stream_is_reset_for_a_client_that_takes_the_close_for_its_end(node: Node) -> None:
+    with node.connect() as client:
+        client.sendall(request("a1").replace(b"HTTP/1.1", b"HTTP/1.0"))
+        node.reader[0].next().read()
+        call = node.writer[0].next().begin().token("one")
+        assert b'"one"' in read_until(client, b"one")
+        call.drop()
+        with pytest.raises(ConnectionResetError):
+            read_until(client, b"no such text")
+
+
+@pytest.mark.parametrize("status", [500, 503])
+def test_long_error_response_is_read_to_its_end(node: Node, status: int) -> None:
+    """Of a body as long as the protocol permits only the beginning is kept."""
+    client, call = read(node, X_Call_Class="booking")
+    call.answer(status, "x" * 256 * 1024, X_Rejected="1")
+    if status == 503:
+        again = node.writer[0].next()
+        assert again.id == "a1"
+        again.serve("x")
+    assert take(client).status == (200 if status == 503 else 500)
