Keep only the beginning of responses that are no streams

Cause: of each response the whole body was kept up to the protocol's 256 KB, over all connections to servers up to 120 MB that no limit counted, although only the token counts and the load report are used.

--- a/ringledge/wire/http/messages.py
+++ b/ringledge/wire/http/messages.py
@@ -14,9 +14,15 @@
 
 
 async def read_body(
-    conn: Connection, head: h11.Request | h11.Response, max_bytes: int = MAX_BODY_BYTES
+    conn: Connection,
+    head: h11.Request | h11.Response,
+    max_bytes: int = MAX_BODY_BYTES,
+    kept_bytes: int = MAX_BODY_BYTES,
 ) -> bytes:
-    """Read the body of a message; raises HttpError 413 if it is too long, 408 if it is too late."""
+    """Read the body of a message; raises HttpError 413 if it is too long, 408 if it is too late.
+
+    Returns the body up to the piece with which it exceeds `kept_bytes`; the rest is read and discarded.
+    """
     length = header(head, b"content-length")
     if length and int(length) > max_bytes:
         raise HttpError(413, f"the body is longer than {max_bytes} bytes")
@@ -29,11 +35,13 @@
             if body_scope.cancelled_caught:
                 raise HttpError(408, "the body did not come in time", "timeout")
         if isinstance(event, h11.Data):
+            is_kept = size < kept_bytes
             size += len(event.data)
             if size > max_bytes:
                 raise HttpError(413, f"the body is longer than {max_bytes} bytes")
-            conn.memory.reserve_body(len(event.data))
-            parts.append(bytes(event.data))
+            if is_kept:
+                conn.memory.reserve_body(len(event.data))
+                parts.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             return b"".join(parts)
         else:
--- a/ringledge/wire/servers/connections.py
+++ b/ringledge/wire/servers/connections.py
@@ -20,10 +20,14 @@
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.errors import PEER_ERRORS
 from ringledge.wire.http.headers import Headers, header
-from ringledge.wire.http.messages import read_body
 from ringledge.wire.http.sockets import LocalConnectError, connect
 from ringledge.wire.servers.context import UpstreamContext
-from ringledge.wire.servers.responses import is_reusable, parse_load_report, read_response_head
+from ringledge.wire.servers.responses import (
+    is_reusable,
+    parse_load_report,
+    read_report,
+    read_response_head,
+)
 
 PROBE_TIMEOUT_S = 1.0  # a later response is no more useful than a time-out
 EXPIRY_INTERVAL_S = 1.0
@@ -80,7 +84,7 @@
             headers: Headers = [(b"Host", address.encode())]
             await conn.send(h11.Request(method=method, target=path, headers=headers), h11.EndOfMessage())
             head = await read_response_head(conn)
-            body = await read_body(conn, head)
+            body = await read_report(conn, head)
             reuse = is_reusable(conn)
             return head, body
         finally:
--- a/ringledge/wire/servers/exchange.py
+++ b/ringledge/wire/servers/exchange.py
@@ -20,7 +20,6 @@
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.errors import PEER_ERRORS
 from ringledge.wire.http.headers import header
-from ringledge.wire.http.messages import read_body
 from ringledge.wire.http.sockets import LocalConnectError
 from ringledge.wire.servers.connections import ServerConnections
 from ringledge.wire.servers.context import UpstreamContext
@@ -33,6 +32,7 @@
     parse_load_report,
     parse_stream_tail,
     read_first_event,
+    read_report,
     read_response_head,
 )
 from ringledge.wire.servers.stream_relay import StreamRelay
@@ -135,7 +135,7 @@
             conn.streamed = head.status_code == 200
             if conn.streamed:
                 return await self._relay_stream(attempt, state, conn, head)
-            body = await read_body(conn, head)
+            body = await read_report(conn, head)
         except PEER_ERRORS as error:
             fields = {"began": attempt.streaming, "error": str(error)}
             log.info("attempt_reset", server=attempt.server, request=attempt.record.request_id, **fields)
--- a/ringledge/wire/servers/responses.py
+++ b/ringledge/wire/servers/responses.py
@@ -14,10 +14,14 @@
 from ringledge.routing.interface import LoadReport
 from ringledge.routing.simulator_decoder import LOAD_FIELDS
 from ringledge.wire.http.connection import Connection
+from ringledge.wire.http.messages import read_body
 from ringledge.wire.servers.event_buffer import MAX_DELAY_S
 from ringledge.wire.servers.event_progress import EventProgress
 
 MAX_OPENING_BYTES = 64 * 1024  # of a stream up to its first event; events are far shorter
+MAX_REPORT_BYTES = (
+    16 * 1024
+)  # kept of a body that is no stream; token counts and load reports are far shorter
 MAX_INTERIM_RESPONSES = 8  # 1xx responses accepted before the final one
 MAX_PLAUSIBLE_VALUE = 1e9  # load values and token counts from this value on are ignored
 DATA_EVENT = re.compile(rb"^data:(.*?)\r?\n\r?\n", re.MULTILINE | re.DOTALL)
@@ -43,6 +47,11 @@
     raise h11.RemoteProtocolError("too many interim responses")
 
 
+async def read_report(conn: Connection, head: h11.Response) -> bytes:
+    """Read the body of a response that is no stream; of a long one, only the beginning is kept."""
+    return await read_body(conn, head, kept_bytes=MAX_REPORT_BYTES)
+
+
 async def read_first_event(conn: Connection, chunked: bool) -> bytes:
     """Read the beginning of a stream up to its first data event, and what has arrived with that.
 
