Log what holds the memory of the process as it approaches its limit

Nothing read the resident memory unless overload control was enabled.

Change: `memory_level_reached` at 0.5, 0.65, 0.8 and 0.9 of the limit, with the counted parts (bodies, input sent ahead, unsent streams), connections by state, open requests and remembered ids. A reading each half second.

--- a/ringledge/lifecycle/fronts.py
+++ b/ringledge/lifecycle/fronts.py
@@ -68,7 +68,7 @@
         reserved = RESERVED_SOCKETS + (operator.MAX_CONNECTIONS if config.operator else 0)
         self.max_upstream_sockets = max(8, (max_descriptors(config.sockets) - reserved) // 2)
         self._body_memory = config.memory_bytes / BODY_MEMORY_DIVISOR
-        self._budget = BodyMemory(self._body_memory)
+        self.client_memory = BodyMemory(self._body_memory)
         self._turns = TurnQueue()
         metrics.turns_waiting.set_function(lambda: len(self._turns))
         self._public_front_count = 1 + ("chat" in config.deploy_settings)  # fronts open to any client
@@ -96,7 +96,7 @@
         front = Front(
             FrontOptions(service.name, limit, turns=self._turns),
             handling,
-            self._budget,
+            self.client_memory,
             self._metrics,
             self.connection_admission,
             self.on_unread_time,
@@ -159,7 +159,7 @@
 
     def set_process_count(self, processes: int) -> None:
         """Divide the limits among this many processes of the router."""
-        self._budget.limit_bytes = self._body_memory / processes
+        self.client_memory.limit_bytes = self._body_memory / processes
         for front in self._public_fronts:
             front.connections.lower_limit(self._max_public_connections(processes))
 
--- a/ringledge/lifecycle/serve.py
+++ b/ringledge/lifecycle/serve.py
@@ -16,6 +16,7 @@
 from ringledge.lifecycle.context import create_context
 from ringledge.lifecycle.drain import drain
 from ringledge.lifecycle.handover import Handover
+from ringledge.lifecycle.memory_watch import watch_memory
 from ringledge.lifecycle.reload import ConfigReloader
 from ringledge.lifecycle.shutdown import Shutdown
 from ringledge.lifecycle.signals import block_shutdown_signals, dispatch_signals
@@ -98,6 +99,7 @@
         shutdown, fronts, tasks = self._context.shutdown, self._context.fronts, self._tasks
         is_serving = anyio.Event()
         tasks.start_soon(dispatch_signals, self)
+        tasks.start_soon(watch_memory, self._context)
         for component in self._composition.components:
             component.start()
         gc.collect()
