Give back all counted memory where a connection gives up its buffer

In the end no body would be accepted any more.

Change: `ConnectionMemory.release` gives back both, at the one place where a front forgets a connection.

--- a/ringledge/wire/clients/open_connections.py
+++ b/ringledge/wire/clients/open_connections.py
@@ -174,7 +174,7 @@
             self.update_gauge()
 
     def _forget(self, conn: Connection) -> None:
-        conn.memory.release_body()
+        conn.memory.release()
         self.active.discard(conn)
         self.between_requests.pop(conn, None)
         self.reading.pop(conn, None)
--- a/ringledge/wire/http/body_memory.py
+++ b/ringledge/wire/http/body_memory.py
@@ -49,6 +49,11 @@
         self._shared.used_bytes -= self._body_bytes
         self._body_bytes = 0
 
+    def release(self) -> None:
+        """Free what is counted for requests: the connection is closed, or gives up its buffer."""
+        self.release_body()
+        self.set_read_ahead(0)
+
     def set_read_ahead(self, size: int) -> None:
         """Count `size` bytes as buffered ahead, in place of those counted before."""
         self._shared.read_ahead_bytes += size - self._read_ahead_bytes
--- a/tests/wire/clients/test_retained_requests.py
+++ b/tests/wire/clients/test_retained_requests.py
@@ -6,9 +6,10 @@
 
 import anyio
 import h11
+import pytest
 
 from ringledge.observe.metrics import Metrics
-from ringledge.wire.clients.open_connections import OpenConnections
+from ringledge.wire.clients.open_connections import CloseReason, OpenConnections
 from ringledge.wire.clients.request_loop import RequestHandling, RequestLoop
 from ringledge.wire.http.body_memory import (
     MAX_UNSENT_BYTES,
@@ -83,6 +84,31 @@
     assert anyio.run(run) == 0
 
 
+@pytest.mark.parametrize("ends", ["idle", "closed"])
+def test_nothing_stays_counted_for_a_connection_that_gives_up_its_buffer(ends: str) -> None:
+    """Guards against bytes of an early rejection that stay counted for good, until all input is refused."""
+
+    async def run() -> BodyMemory:
+        ours, theirs = socket.socketpair()
+        memory = BodyMemory(1e6)
+        with theirs:
+            connections = OpenConnections("test", 8, lambda _: None, Metrics(), None)
+            conn = Connection(ours, h11.SERVER)
+            conn.memory = ConnectionMemory(memory)
+            conn.memory.reserve_body(1_000)
+            conn.buffer.free_space(100_000)
+            conn.on_buffer_changed()
+            assert memory.read_ahead_bytes > 0
+            if ends == "idle":
+                connections.make_idle(conn, False)
+            else:
+                connections.close(conn, CloseReason.ENDED)
+        return memory
+
+    memory = anyio.run(run)
+    assert memory.used_bytes == memory.read_ahead_bytes == 0
+
+
 def test_unsent_responses_of_many_slow_clients_stay_within_their_limit() -> None:
     """Guards against a limit for each stream that nobody adds up."""
     shared = BodyMemory(4 << 20)
