Count a client as gone only if it receives nothing, not if its socket stays full

Cause: a write that did not find the socket writable for 20 s ended its connection.

Change: the kernel tells how much of what was written the peer has not acknowledged; the timeout ends the write only if that has not become less.

--- a/ringledge/wire/http/connection.py
+++ b/ringledge/wire/http/connection.py
@@ -15,6 +15,7 @@
 from ringledge.wire.http.headers import with_connection_close, with_keep_alive
 from ringledge.wire.http.socket_reader import READ_AHEAD_BYTES, SocketReader
 from ringledge.wire.http.turn_queue import TurnQueue
+from ringledge.wire.http.write_stall import wait_until_writable
 
 if TYPE_CHECKING:
     from ringledge.decide.connections.admission import AdmittedConnection
@@ -26,7 +27,6 @@
 MAX_TURN_EVENTS = 64
 MAX_COPIED_BODY_BYTES = 16 * 1024  # a longer body is written after its head, without a copy of both
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
-WRITE_STALL_TIMEOUT_S = 20.0  # a peer that reads nothing for this long counts as disconnected
 
 
 class Connection(SocketReader):
@@ -189,8 +189,7 @@
                 view = view[self.sock.send(view) :]
             except (BlockingIOError, InterruptedError):
                 self._write_blocked = True
-                with anyio.fail_after(WRITE_STALL_TIMEOUT_S):
-                    await anyio.wait_writable(self.sock)
+                await wait_until_writable(self.sock)
                 self._write_blocked = False
 
     def max_read_ahead(self) -> int:
--- a/tests/test_incomplete_streams.py
+++ b/tests/test_incomplete_streams.py
@@ -4,6 +4,7 @@
 
 import http.client
 import time
+from pathlib import Path
 
 import pytest
 
@@ -22,6 +23,7 @@
 }
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 FRAMINGS = ("last-chunk", "length", "close")
+CHAT = 'enabled = true\nlisten = "127.0.0.1:0"\ntenant = "farm"\n[models]\nask = "query"\n'
 SLOW_STREAM_S = EVENT_TIMEOUT_S + 1.5
 SLOW_EVENT_INTERVAL_S = 0.5
 
@@ -111,3 +113,15 @@
         assert again.id == "a1"
         again.serve("x")
     assert take(client).status == (200 if status == 503 else 500)
+
+
+def test_chat_stream_without_its_final_event_is_not_ended_as_complete(tmp_path: Path) -> None:
+    with Node(tmp_path, files={"chat.toml": CHAT}) as node:
+        client = node.chat({"model": "ask", "stream": True, "messages": [{"role": "user", "content": "x"}]})
+        node.reader[0].next().read()
+        call = node.writer[0].next().begin().token("one").token("two")
+        call.say(b"0\r\n\r\n")
+        call.drop()
+        with pytest.raises(http.client.IncompleteRead) as error_info:
+            take(client)
+        assert b"[DONE]" not in error_info.value.partial
