--- a/tests/compatibility/test_exchange.py
+++ b/tests/compatibility/test_exchange.py
@@ -54,6 +54,19 @@
     client.close()
 
 
+def test_the_processes_tell_each_other_which_requests_may_have_run(node: Node) -> None:
+    peer, _, _ = connect_as_successor(node, golden()["question"].encode())
+    client = node.post("b1", X_Call_Class="booking")
+    node.reader[0].next().read()
+    node.writer[0].next().serve("x")
+    assert client.getresponse().status == 200
+    assert peer.message("ran") == {"open": [], "ended": ["b1"], "ran": ["b1"]}
+    peer.send(b'{"open":["z1"],"ended":[]}')
+    peer.send(b'{"open":[],"ended":["z1"],"ran":["z1"]}')
+    assert node.post("z1", X_Call_Class="booking").getresponse().status == 400
+    peer.close()
+
+
 def test_a_successor_under_other_settings_gets_nothing(node: Node) -> None:
     from tests.compatibility.handover_peer import connect
 
