--- a/ringledge/wire/clients/chat/admission.py
+++ b/ringledge/wire/clients/chat/admission.py
@@ -7,7 +7,7 @@
 import h11
 
 from ringledge.memory.names import WireNames
-from ringledge.wire.clients.chat.question import header_text
+from ringledge.wire.clients.chat.question import header_text, tenant_of
 from ringledge.wire.clients.chat_settings import ChatConfig
 from ringledge.wire.clients.platform import shed_error
 from ringledge.wire.http.headers import header
@@ -38,8 +38,7 @@
     def check(self, class_index: int, head: h11.Request, size: int) -> None:
         """Shed a request of a known class with a body of `size` bytes if the gate rejects it."""
         if self._gate is not None:
-            caller = header_text(head, b"x-caller") or self._config.tenant
-            tenant = self._names.index(self._names.tenants, caller)
+            tenant = self._names.index(self._names.tenants, tenant_of(head, self._config.tenant))
             rejection = self._gate.admit(class_index, tenant, min(size, MAX_BODY_BYTES))
             if rejection is not None:
                 raise shed_error(rejection)
--- a/ringledge/wire/clients/chat/front.py
+++ b/ringledge/wire/clients/chat/front.py
@@ -34,6 +34,7 @@
     parse_chat_request,
     prompt_text,
     retained_request,
+    tenant_of,
 )
 from ringledge.wire.clients.chat.replies import ResponseWriter, models_body
 from ringledge.wire.clients.chat.stream_sessions import SessionEnd, StreamSession, StreamSessionStore
@@ -142,7 +143,7 @@
             log.info("chat_ended", session=session.name, how=SessionEnd.CLIENT_DISCONNECTED.value, events=0)
 
     def _tenant(self, head: h11.Request) -> str:
-        return header_text(head, b"x-caller") or self._config.tenant
+        return tenant_of(head, self._config.tenant)
 
     async def _start(self, conn: Connection, head: h11.Request, body: bytes) -> StreamSession | None:
         """Start a session, or return the one that the tenant's idempotency key has started before.
--- a/ringledge/wire/clients/chat/question.py
+++ b/ringledge/wire/clients/chat/question.py
@@ -75,13 +75,13 @@
     chat_request: dict[str, Any],
 ) -> tuple[int, Request]:
     """The class index and the core's request for a client's request; HttpError names the invalid field."""
-    class_name, caller = header_text(head, b"x-call-class"), header_text(head, b"x-caller")
+    class_name, tenant = header_text(head, b"x-call-class"), tenant_of(head, config.tenant)
     budget = header_text(head, b"x-budget-ms")
     if budget and not (budget.isdecimal() and 0 < int(budget) < 10_000_000):
         raise HttpError(400, "not a number of milliseconds", "invalid_value", "X-Budget-Ms")
     conversation = header_text(head, b"x-route-hash") or ""
     budget_ms = float(budget) if budget else None
-    origin = ChatOrigin(caller or config.tenant, uuid4().hex, class_name, budget_ms, conversation)
+    origin = ChatOrigin(tenant, uuid4().hex, class_name, budget_ms, conversation)
     return class_and_request(config, names, settings, chat_request, origin)
 
 
@@ -157,6 +157,11 @@
     return key.decode("ascii", "replace") if key else None
 
 
+def tenant_of(head: h11.Request, default: str) -> str:
+    """The tenant that the request names, else the configured default."""
+    return header_text(head, b"x-caller") or default
+
+
 def header_text(head: h11.Request, name: bytes) -> str | None:
     """A header's text, or None if it is absent or empty."""
     value = header(head, name)
--- a/ringledge/wire/clients/chat/queued.py
+++ b/ringledge/wire/clients/chat/queued.py
@@ -32,7 +32,7 @@
 )
 from ringledge.store.metrics import QueueMetrics
 from ringledge.store.queue import Queue
-from ringledge.wire.clients.chat.question import idempotency_key
+from ringledge.wire.clients.chat.question import idempotency_key, tenant_of
 from ringledge.wire.clients.chat.queue_responses import (
     LOCATION_PREFIX,
     RETRY_AFTER,
@@ -43,7 +43,6 @@
 )
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.errors import HttpError
-from ringledge.wire.http.headers import header
 from ringledge.wire.http.messages import read_body, respond
 
 
@@ -123,9 +122,7 @@
             await respond_entry(conn, entry)
 
     def _tenant(self, head: h11.Request) -> str:
-        caller = header(head, b"x-caller")
-        name = caller.decode("utf-8", "replace").strip() if caller else ""
-        return name or self._options.default_tenant
+        return tenant_of(head, self._options.default_tenant)
 
     def _is_idempotent(self, class_index: int) -> bool:
         return self._options.settings.classes[class_index].idempotency is Idempotency.IDEMPOTENT
