--- a/ringledge/wire/servers/responses.py
+++ b/ringledge/wire/servers/responses.py
@@ -19,9 +19,8 @@
 from ringledge.wire.servers.event_progress import EventProgress
 
 MAX_OPENING_BYTES = 64 * 1024  # of a stream up to its first event; events are far shorter
-MAX_REPORT_BYTES = (
-    16 * 1024
-)  # kept of a body that is no stream; token counts and load reports are far shorter
+# Kept of a body that is no stream; token counts and load reports are far shorter.
+MAX_REPORT_BYTES = 16 * 1024
 MAX_INTERIM_RESPONSES = 8  # 1xx responses accepted before the final one
 MAX_PLAUSIBLE_VALUE = 1e9  # load values and token counts from this value on are ignored
 DATA_EVENT = re.compile(rb"^data:(.*?)\r?\n\r?\n", re.MULTILINE | re.DOTALL)
