Remember no ids of idempotent requests, and ask one function whether one is

Whether a request is idempotent was derived anew in `accept`, beside `route`.

Change: the registry is told whether the request may run again; `retry_guard.is_idempotent` serves accept, route and the end of a request.

--- a/ringledge/core/registry.py
+++ b/ringledge/core/registry.py
@@ -23,7 +23,7 @@
     def __init__(self) -> None:
         self.records: dict[str, RequestRecord] = {}
         self.peers: list[PeerProcess] = []
-        self.possible_runs = PossibleRuns()  # requests that have ended, in this process or in a peer
+        self.possible_runs = PossibleRuns()  # of ended requests, in this process or in a peer
 
     def is_open(self, request_id: str) -> bool:
         """Whether a request with that id is open in this process or in a peer process."""
@@ -39,10 +39,10 @@
         for peer in self.peers:
             peer.on_request_change(record.request_id, True)
 
-    def remove(self, record: RequestRecord) -> None:
+    def remove(self, record: RequestRecord, may_run_again: bool) -> None:
         """Remove a request that is done and notify the peers."""
         del self.records[record.request_id]
-        if record.may_have_run:
+        if not may_run_again:
             self.possible_runs.add(record.request_id)
         for peer in self.peers:
             peer.on_request_change(record.request_id, False)
--- a/ringledge/core/retry_guard.py
+++ b/ringledge/core/retry_guard.py
@@ -12,6 +12,7 @@
 from ringledge.routing.interface import (
     DedupScope,
     Idempotency,
+    Request,
     RequestClass,
     RouterSettings,
 )
@@ -35,6 +36,11 @@
     return hedging_allowed or not any(other.in_flight and other.written for other in others)
 
 
+def is_idempotent(settings: RouterSettings, request: Request) -> bool:
+    """Whether the request's class permits that it runs more than once."""
+    return settings.classes[request.class_index].idempotency is Idempotency.IDEMPOTENT
+
+
 def may_retry(request_class: RequestClass, attempts: Iterable[Attempt], at_ms: float) -> bool:
     """Whether a further attempt may reach a server at `at_ms`, by idempotency and deduplication window."""
     if request_class.idempotency is Idempotency.IDEMPOTENT:
--- a/ringledge/core/stages/accept.py
+++ b/ringledge/core/stages/accept.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from ringledge.core import retry_guard
 from ringledge.core.context import StageContext
 from ringledge.core.port import Payload, ResponseSink
 from ringledge.core.records import RequestRecord, RequestResult
 from ringledge.core.stages import record_outcome
 from ringledge.observe.logging import log
-from ringledge.routing.interface import AttemptStatus, ClientDisconnected, Idempotency, Request
+from ringledge.routing.interface import AttemptStatus, ClientDisconnected, Request
 
 
 class DuplicateRequestError(Exception):
@@ -19,9 +20,7 @@
     registry = context.registry
     if registry.is_open(request.request):
         raise DuplicateRequestError(f"request {request.request} is open already")
-    request_class = context.settings.classes[request.class_index]
-    is_idempotent = request_class.idempotency is Idempotency.IDEMPOTENT
-    if not is_idempotent and request.request in registry.possible_runs:
+    if not retry_guard.is_idempotent(context.settings, request) and request.request in registry.possible_runs:
         raise DuplicateRequestError(f"request {request.request} may have run already; it is not run again")
     record = RequestRecord(request, payload, sink, context.clock.now_ms())
     registry.add(record)
--- a/ringledge/core/stages/record_outcome.py
+++ b/ringledge/core/stages/record_outcome.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ringledge.core import retry_guard
 from ringledge.core.context import StageContext
 from ringledge.core.port import RELEASED_PAYLOAD
 from ringledge.core.records import Attempt, RequestRecord, RequestResult
@@ -132,7 +133,8 @@
     if not record.is_done or context.registry.records.get(record.request_id) is not record:
         return
     release_cache(context, record)
-    context.registry.remove(record)
+    may_run_again = not record.may_have_run or retry_guard.is_idempotent(context.settings, record.request)
+    context.registry.remove(record, may_run_again)
     log.info(
         "request_ended",
         request=record.request_id,
--- a/ringledge/core/stages/route.py
+++ b/ringledge/core/stages/route.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from ringledge.core import retry_guard
 from ringledge.core.context import StageContext
 from ringledge.core.records import Attempt, RequestRecord
 from ringledge.routing.interface import (
     AttemptOutcome,
     AttemptStatus,
-    Idempotency,
     Role,
     SendAttempt,
 )
@@ -50,7 +50,7 @@
         number=len(record.attempts),
         server=server,
         is_prefill=is_prefill,
-        at_most_once=not is_prefill and not _is_idempotent(context, record),
+        at_most_once=not is_prefill and not retry_guard.is_idempotent(context.settings, record.request),
         sent_ms=sent_ms,
         expires_ms=expires_ms,
         server_started_ms=context.servers.started_ms(server),
@@ -66,12 +66,9 @@
     record = attempt.record
     if record.closed or record.streaming:
         return False
-    hedging_allowed = context.settings.hedging_allowed and _is_idempotent(context, record)
+    hedging_allowed = context.settings.hedging_allowed and retry_guard.is_idempotent(
+        context.settings, record.request
+    )
     if has_attempt_in_flight and not hedging_allowed:
         return False
     return attempt.number < context.settings.max_attempts
-
-
-def _is_idempotent(context: StageContext, record: RequestRecord) -> bool:
-    request_class = context.settings.classes[record.request.class_index]
-    return request_class.idempotency is Idempotency.IDEMPOTENT
