Feed the opening of a stream to its progress once, and find its last event in one place

Change: one `EventProgress` a stream; `end_of_last_event`; `reset_if_close_ends_stream`. Behaviour is as before; the tests are unchanged and pass.

--- a/ringledge/wire/clients/chat/replies.py
+++ b/ringledge/wire/clients/chat/replies.py
@@ -90,7 +90,8 @@
             if end is SessionEnd.SERVED:
                 break
             if end is not None:
-                conn.abort() if conn.ends_streams_by_close else conn.close()
+                conn.reset_if_close_ends_stream()
+                conn.close()
                 return
             await update.wait()
         final_chunk = _envelope(session, "chat.completion.chunk")
--- a/ringledge/wire/clients/platform.py
+++ b/ringledge/wire/clients/platform.py
@@ -193,8 +193,8 @@
             await conn.send(*([] if response.begun else [STREAM_HEAD]), h11.EndOfMessage())
         elif response.result == "broken":
             # Without the last chunk the client can tell that the response is incomplete.
-            if response.begun and conn.ends_streams_by_close:
-                conn.abort()
+            if response.begun:
+                conn.reset_if_close_ends_stream()
         elif response.result == "refused":
             text = b'{"error":"overloaded, nothing has run"}'
             await respond(conn, 503, text, retry_after_headers(response.retry_after_ms, self._names))
--- a/ringledge/wire/http/connection.py
+++ b/ringledge/wire/http/connection.py
@@ -198,7 +198,7 @@
 
     def on_buffer_changed(self) -> None:
         """Count the memory of the receive buffer beyond its initial size."""
-        self.memory.set_read_ahead(0 if self.closed else self.buffer.grown_bytes)
+        self.memory.set_read_ahead(self.buffer.grown_bytes)
 
     def next_cycle(self) -> bool:
         """Start another exchange if both sides have completed this one; returns whether they have."""
@@ -212,15 +212,10 @@
         if not self.closed:
             self.detach().close()
 
-    @property
-    def ends_streams_by_close(self) -> bool:
-        """Whether the peer takes the close of the connection for the end of a stream, as with HTTP/1.0."""
+    def reset_if_close_ends_stream(self) -> None:
+        """Reset the connection of a peer that takes its close for the end of a stream, as with HTTP/1.0."""
         version = self.h11.their_http_version
-        return version is not None and version < b"1.1"
-
-    def abort(self) -> None:
-        """Reset the connection, so that the peer cannot take its end for the end of the response."""
-        if not self.closed:
+        if not self.closed and version is not None and version < b"1.1":
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             self.close()
 
--- a/ringledge/wire/servers/event_buffer.py
+++ b/ringledge/wire/servers/event_buffer.py
@@ -56,10 +56,14 @@
 
     def _complete_bytes(self) -> int:
         """Length of the complete events at the start of the buffer."""
-        start = max(0, self._searched_bytes - MAX_TERMINATOR_BYTES)
-        size = 0
-        for terminator in EVENT_TERMINATORS:
-            position = self._buffered.rfind(terminator, start)
-            if position >= 0:
-                size = max(size, position + len(terminator))
-        return size
+        return end_of_last_event(self._buffered, max(0, self._searched_bytes - MAX_TERMINATOR_BYTES))
+
+
+def end_of_last_event(data: bytes | bytearray, start: int) -> int:
+    """Where the last event ends whose terminator begins at `start` or behind it; 0 if there is none."""
+    end = 0
+    for terminator in EVENT_TERMINATORS:
+        position = data.rfind(terminator, start)
+        if position >= 0:
+            end = max(end, position + len(terminator))
+    return end
--- a/ringledge/wire/servers/event_progress.py
+++ b/ringledge/wire/servers/event_progress.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from ringledge.wire.servers.event_buffer import EVENT_TERMINATORS, MAX_TERMINATOR_BYTES
+from ringledge.wire.servers.event_buffer import MAX_TERMINATOR_BYTES, end_of_last_event
 
 DATA_FIELD = b"data:"
 FINAL_EVENTS = (b"data: [DONE]", b"data:[DONE]")  # the space after a field's colon is optional
@@ -29,9 +29,9 @@
         overlap = len(self._tail)
         self._tail = window[-OVERLAP_BYTES:]
         self.is_complete = self.is_complete or _has_final_event(window)
-        end = _end_of_last_event(window, overlap)
+        end = end_of_last_event(window, max(0, overlap - MAX_TERMINATOR_BYTES + 1))
         start = max(0, overlap - len(DATA_FIELD) + 1)
-        if end is None:
+        if end <= overlap:  # none ends within the piece
             self.incomplete_bytes += len(piece)
             self._has_data = self._has_data or DATA_FIELD in window[start:]
             return False
@@ -47,15 +47,3 @@
         return False
     lines = window.split(b"\n")[1:-1]  # without the first and the last line, which may be incomplete
     return any(line.rstrip() in FINAL_EVENTS for line in lines)
-
-
-def _end_of_last_event(window: bytes, overlap: int) -> int | None:
-    """Where the last event ends that ends behind the first `overlap` bytes; None if none does."""
-    start = max(0, overlap - MAX_TERMINATOR_BYTES + 1)
-    ends = [
-        position + len(terminator)
-        for terminator in EVENT_TERMINATORS
-        if (position := window.rfind(terminator, start)) >= 0
-    ]
-    end = max(ends, default=0)
-    return end if end > overlap else None
--- a/ringledge/wire/servers/exchange.py
+++ b/ringledge/wire/servers/exchange.py
@@ -24,6 +24,7 @@
 from ringledge.wire.servers.connections import ServerConnections
 from ringledge.wire.servers.context import UpstreamContext
 from ringledge.wire.servers.entry_releases import EntryReleases
+from ringledge.wire.servers.event_progress import EventProgress
 from ringledge.wire.servers.in_flight import InFlightAttempt
 from ringledge.wire.servers.releases import ReleaseSender
 from ringledge.wire.servers.responses import (
@@ -151,13 +152,14 @@
     ) -> ExchangeResult:
         """Relay a stream up to its last chunk, which has to follow its final event."""
         chunked = header(head, b"transfer-encoding") is not None
-        opening = await read_first_event(conn, chunked)
+        progress = EventProgress()
+        opening = await read_first_event(conn, chunked, progress)
         if state.scope.cancel_called:  # timed out in this loop turn: a stream started now would be cut off
             return ExchangeResult(AttemptStatus.TIMEOUT)
         state.scope.deadline = math.inf
         if not self.conductor.on_first_token(attempt):
             return ExchangeResult(AttemptStatus.CANCELLED)
-        relay = StreamRelay(self.conductor, attempt, state, conn)
+        relay = StreamRelay(self.conductor, attempt, state, conn, progress)
         tail = parse_stream_tail(await relay.run(opening))
         attempt.completion_tokens = tail.output_tokens
         load = tail.load or parse_load_report(header(head, b"x-load-report"))
--- a/ringledge/wire/servers/responses.py
+++ b/ringledge/wire/servers/responses.py
@@ -51,15 +51,16 @@
     return await read_body(conn, head, kept_bytes=MAX_REPORT_BYTES)
 
 
-async def read_first_event(conn: Connection, chunked: bool) -> bytes:
+async def read_first_event(conn: Connection, chunked: bool, progress: EventProgress) -> bytes:
     """Read the beginning of a stream up to its first data event, and what has arrived with that.
 
+    `progress` is that of the stream, of which nothing was read before.
     The chunk in which the event ends is awaited as well, but not for long, since it may contain many events;
     so is the rest of a further event that has begun.
     Raises h11.RemoteProtocolError if the event is missing, or it or its chunk is malformed: the client has
     received nothing yet, so that the request can be retried.
     """
-    opening, progress = bytearray(), EventProgress()
+    opening = bytearray()
     searched_bytes, has_event, deadline_s = 0, False, math.inf
     while len(opening) <= MAX_OPENING_BYTES:
         with anyio.CancelScope(deadline=deadline_s) as rest_of_chunk:
--- a/ringledge/wire/servers/stream_relay.py
+++ b/ringledge/wire/servers/stream_relay.py
@@ -30,12 +30,11 @@
     attempt: Attempt
     state: InFlightAttempt
     conn: Connection
+    progress: EventProgress  # up to the end of the opening
     _events: EventBuffer = field(default_factory=EventBuffer)
-    _progress: EventProgress = field(default_factory=EventProgress)
 
     async def run(self, opening: bytes) -> bytes:
         """Relay the opening and the rest of the stream, and return its last bytes; raises h11's errors."""
-        self._progress.feed(opening)
         self._events.feed(opening, time.monotonic())
         self._extend_event_deadline()
         await self._relay(self._events.take_complete(time.monotonic()))
@@ -52,7 +51,7 @@
             if isinstance(event, h11.Data):
                 tail = (tail + self._buffer(event))[-TAIL_BYTES:]
             elif isinstance(event, h11.EndOfMessage):
-                if not self._progress.is_complete:
+                if not self.progress.is_complete:
                     raise h11.RemoteProtocolError("the stream ended before its final event")
                 await self._relay(self._events.take_all())
                 return tail
@@ -72,9 +71,9 @@
     def _buffer(self, event: h11.Data) -> bytes:
         """Buffer a piece of the stream until its event is complete; returns the piece as bytes."""
         piece = bytes(event.data)
-        if self._progress.feed(piece):
+        if self.progress.feed(piece):
             self._extend_event_deadline()
-        if self._progress.incomplete_bytes > MAX_EVENT_BYTES:
+        if self.progress.incomplete_bytes > MAX_EVENT_BYTES:
             raise h11.RemoteProtocolError("an event exceeds the size limit")
         self._events.feed(piece, time.monotonic())
         return piece
