--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -17,11 +17,11 @@
 import orjson
 
 from benchmarks.soak.events import EventLog
+from ringledge.lifecycle.memory_watch import MB, resident_bytes
 
 ROOT = Path(__file__).parent.parent.parent
 STOP_SIGNALS = (signal.SIGTERM,)
 READY_TIMEOUT_S = 10.0
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 SIGNAL_INTERVAL_S = 0.06  # between two signals of a series
 BUSY_WAIT_S = 0.02  # final part of the grace period; blocks the driver, so that SIGKILL is sent on time
 FAILURE_MARKERS = (
@@ -44,14 +44,6 @@
     return ports
 
 
-def resident_mb(pid: int) -> float:
-    """The resident memory of a process in MB; 0 if it has ended."""
-    try:
-        return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES / 2**20
-    except (OSError, IndexError):
-        return 0.0
-
-
 class RouterProcess:
     """One router: a single process, or two during a hand-over."""
 
@@ -172,7 +164,7 @@
         """Record that a process of the router is past the memory limit of the settings."""
         limit_mb = self.config["limits"]["memory_mb"]
         for process in (self.process, *self.replaced):
-            used_mb = resident_mb(process.pid)
+            used_mb = resident_bytes(Path(f"/proc/{process.pid}/statm")) / MB
             self.peak_mb = max(self.peak_mb, used_mb)
             if used_mb > limit_mb:
                 self._log.write("memory", conductor=self.name, mb=used_mb, limit_mb=limit_mb)
