Reject a response that states a chunk or a length greater than any body may have

Callers saw their stream left open: a server stated a chunk of 3 GB and went on with events, each of which extended the stream's timeout (since it counts events, not chunks), and no end of that chunk would ever come. So it was for lengths.

The parser reads the sizes and does not report them, so ChunkSizes follows the size lines beside it, for all responses of servers: streams, prefills, errors, releases, probes. An answer in one long chunk within the limit is relayed as before.

Lost: a chunk or length of over 256 KiB is no longer relayed.

--- a/ringledge/wire/http/connection.py
+++ b/ringledge/wire/http/connection.py
@@ -12,6 +12,7 @@
 import h11
 
 from ringledge.wire.http.body_memory import ConnectionMemory
+from ringledge.wire.http.chunk_sizes import ChunkSizes
 from ringledge.wire.http.headers import with_connection_close, with_keep_alive
 from ringledge.wire.http.socket_reader import READ_AHEAD_BYTES, SocketReader
 from ringledge.wire.http.turn_queue import TurnQueue
@@ -40,6 +41,9 @@
         self._turn_events = 0  # h11 events that were parsed in the current turn
         self._turn_bytes = 0  # bytes that were passed to h11 in the current turn
         self._pending_bytes = 0  # bytes that were passed to h11 since its last event
+        self._chunk_sizes: ChunkSizes | None = (
+            None  # of the body that is being read, if its chunks are limited
+        )
 
         # Set by the connection pool, for connections to servers.
         self.idle_since_s = 0.0  # monotonic seconds
@@ -92,6 +96,8 @@
 
     def _pass_input(self) -> bool:
         """Pass buffered bytes to h11; return whether there were any and the turn's limits allow it."""
+        if self._chunk_sizes is not None:
+            self._chunk_sizes.check()
         is_in_body = self.h11.their_state is h11.SEND_BODY
         limit = MAX_TURN_BYTES if is_in_body else MAX_TURN_HEAD_BYTES
         data = self.buffer.take(max(0, limit - self._turn_bytes))
@@ -100,9 +106,20 @@
         self.on_buffer_changed()
         self._turn_bytes += len(data)
         self._pending_bytes += len(data)
-        self.h11.receive_data(data)
+        if self._chunk_sizes is not None:
+            data = data[: self._chunk_sizes.feed(data)]
+        if data:  # h11 takes empty data for the end of the input
+            self.h11.receive_data(data)
         return True
 
+    def limit_chunks(self, max_chunk_bytes: int) -> None:
+        """Reject longer chunks of the body whose head was read last, by the size that they state.
+
+        `next_event` raises h11.RemoteProtocolError behind the events before such a chunk.
+        """
+        self._chunk_sizes = ChunkSizes(max_chunk_bytes)
+        self._chunk_sizes.feed(self.h11.trailing_data[0])
+
     async def wait_for_message(self) -> bool:
         """Wait until bytes of the peer's next message can be parsed; False at the end of the input.
 
@@ -204,6 +221,7 @@
         """Start another exchange if both sides have completed this one; returns whether they have."""
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
             self.h11.start_next_cycle()
+            self._chunk_sizes = None
             return True
         return False
 
--- a/ringledge/wire/servers/responses.py
+++ b/ringledge/wire/servers/responses.py
@@ -14,7 +14,8 @@
 from ringledge.routing.interface import LoadReport
 from ringledge.routing.simulator_decoder import LOAD_FIELDS
 from ringledge.wire.http.connection import Connection
-from ringledge.wire.http.messages import read_body
+from ringledge.wire.http.headers import header
+from ringledge.wire.http.messages import MAX_BODY_BYTES, read_body
 from ringledge.wire.servers.event_buffer import MAX_DELAY_S
 from ringledge.wire.servers.event_progress import EventProgress
 
@@ -36,16 +37,29 @@
 
 
 async def read_response_head(conn: Connection) -> h11.Response:
-    """Read the head of the final response, past interim ones; h11.RemoteProtocolError if there is none."""
+    """Read the head of the final response, past interim ones.
+
+    Raises h11.RemoteProtocolError if there is none, or if it states a body longer than the protocol permits.
+    The sizes that the chunks of its body state are held to the same limit.
+    """
     for _ in range(MAX_INTERIM_RESPONSES):
         head = await conn.next_event()
         if isinstance(head, h11.Response):
+            _limit_stated_sizes(conn, head)
             return head
         if not isinstance(head, h11.InformationalResponse):
             raise h11.RemoteProtocolError("the connection was closed before the response")
     raise h11.RemoteProtocolError("too many interim responses")
 
 
+def _limit_stated_sizes(conn: Connection, head: h11.Response) -> None:
+    length = header(head, b"content-length")
+    if header(head, b"transfer-encoding") is not None:
+        conn.limit_chunks(MAX_BODY_BYTES)
+    elif length is not None and int(length) > MAX_BODY_BYTES:
+        raise h11.RemoteProtocolError(f"the response states a body of {int(length)} bytes")
+
+
 async def read_report(conn: Connection, head: h11.Response) -> bytes:
     """Read the body of a response that is no stream; of a long one, only the beginning is kept."""
     return await read_body(conn, head, kept_bytes=MAX_REPORT_BYTES)
