Count only sound events as the progress of a stream

Callers saw their stream left open: a server's chunk stated more than it contained (64 or 200 KB, within the limit of a body), so that the size lines behind it became content, and each event among them extended the stream's timeout. So did events of noise or without data.

An event is progress if each of its lines is a field or a comment and its data is a JSON object or [DONE], as the first event of a stream was held to already.

--- a/ringledge/wire/servers/exchange.py
+++ b/ringledge/wire/servers/exchange.py
@@ -26,10 +26,10 @@
 from ringledge.wire.servers.entry_releases import EntryReleases
 from ringledge.wire.servers.event_progress import EventProgress
 from ringledge.wire.servers.in_flight import InFlightAttempt
+from ringledge.wire.servers.json_object import parse_json_object
 from ringledge.wire.servers.releases import ReleaseSender
 from ringledge.wire.servers.responses import (
     cached_tokens,
-    parse_json_object,
     parse_load_report,
     parse_stream_tail,
     read_first_event,
--- a/ringledge/wire/servers/responses.py
+++ b/ringledge/wire/servers/responses.py
@@ -9,7 +9,6 @@
 
 import anyio
 import h11
-import orjson
 
 from ringledge.routing.interface import LoadReport
 from ringledge.routing.simulator_decoder import LOAD_FIELDS
@@ -18,6 +17,7 @@
 from ringledge.wire.http.messages import MAX_BODY_BYTES, read_body
 from ringledge.wire.servers.event_buffer import MAX_DELAY_S
 from ringledge.wire.servers.event_progress import EventProgress
+from ringledge.wire.servers.json_object import parse_json_object
 
 MAX_OPENING_BYTES = 64 * 1024  # of a stream up to its first event; events are far shorter
 # Kept of a body that is no stream; token counts and load reports are far shorter.
@@ -84,7 +84,8 @@
         if not isinstance(event, h11.Data):
             raise h11.RemoteProtocolError("the stream ended before the end of its first event")
         opening += event.data
-        if progress.feed(bytes(event.data)) and not has_event:
+        progress.feed(bytes(event.data))
+        if progress.has_data_event and not has_event:
             has_event = _begins_with_event(opening, searched_bytes)
             searched_bytes = len(opening) - progress.incomplete_bytes
             deadline_s = anyio.current_time() + MAX_DELAY_S if has_event else math.inf
@@ -129,15 +130,6 @@
     return LoadReport(**values) if values else None
 
 
-def parse_json_object(text: bytes) -> dict[str, Any]:
-    """Parse a JSON object; anything else gives an empty one, since reports are only advisory."""
-    try:
-        value = orjson.loads(text)
-    except orjson.JSONDecodeError:
-        return {}
-    return value if isinstance(value, dict) else {}
-
-
 def cached_tokens(usage: Any) -> int:
     """Prompt tokens found in the cache, from the body of a 202 response or from the usage of a stream."""
     if not isinstance(usage, dict):
--- a/tests/wire/servers/test_event_progress.py
+++ b/tests/wire/servers/test_event_progress.py
@@ -10,7 +10,23 @@
 
 from ringledge.wire.servers.event_progress import EventProgress
 
-EVENTS = ['data: {"a":1}\n\n', "data:[1]\r\n\r\n", ": comment\n\n", "\n\n", "event: x\ndata: y\n\n"]
+SOUND_EVENTS = [
+    'data: {"a":1}\n\n',
+    'data:{"a":[1]}\r\n\r\n',
+    'event: x\nid: 3\ndata: {"a":\ndata: 1}\n\n',
+    ': comment\ndata: {"a":1}\n\n',
+]
+OTHER_TEXTS = [
+    ": comment\n\n",
+    "\n\n",
+    "event: x\n\n",
+    "data:\n\n",
+    "data: {}\n\n",
+    "data: xxxx\n\n",
+    "data: [1]\n\n",
+    '5b\r\ndata: {"a":1}\n\n',
+    'data: {"a"\r\n7\r\n:1}\n\n',
+]
 FINAL = "data: [DONE]\n\n"
 
 
@@ -19,19 +35,31 @@
     return [text[start:end].encode() for start, end in pairwise(positions)]
 
 
-@given(st.lists(st.sampled_from(EVENTS), max_size=5), st.lists(st.integers(0, 200)))
-def test_only_events_with_data_are_progress(events: list[str], cuts: list[int]) -> None:
+@given(st.lists(st.sampled_from(SOUND_EVENTS + OTHER_TEXTS), max_size=5), st.lists(st.integers(0, 200)))
+def test_only_sound_events_are_progress(texts: list[str], cuts: list[int]) -> None:
     progress = EventProgress()
-    data_events = sum("data:" in each for each in events)
-    advanced = [progress.feed(piece) for piece in pieces("".join(events), cuts)]
-    assert any(advanced) == (data_events > 0)
-    assert sum(advanced) <= data_events and not progress.is_complete
+    sound_events = sum(each in SOUND_EVENTS for each in texts)
+    advanced = [progress.feed(piece) for piece in pieces("".join(texts), cuts)]
+    assert any(advanced) == (sound_events > 0)
+    assert sum(advanced) <= sound_events and not progress.is_complete
+    assert progress.has_data_event == any("data:" in each for each in texts)
+
+
+@pytest.mark.parametrize("text", OTHER_TEXTS)
+def test_text_that_is_no_event_is_no_progress_at_any_cut(text: str) -> None:
+    for cut in range(len(text)):
+        progress = EventProgress()
+        assert not any(progress.feed(piece) for piece in pieces(text, [cut]))
+
+
+def test_final_event_is_progress() -> None:
+    assert EventProgress().feed(FINAL.encode())
 
 
 @given(st.lists(st.integers(0, 200)), st.sampled_from(["", ": X-Load-Report: {}\n\n"]))
 def test_final_event_is_found_in_any_pieces(cuts: list[int], behind: str) -> None:
     progress = EventProgress()
-    for piece in pieces(EVENTS[0] + FINAL + behind, cuts):
+    for piece in pieces(SOUND_EVENTS[0] + FINAL + behind, cuts):
         progress.feed(piece)
     assert progress.is_complete and progress.incomplete_bytes == 0
 
