Relay events as long as a body may be

Callers whose answer came as one long event saw it cut off, or failed where it was the first: above 64 KB an event counted as endless. The protocol's limit is that of a body, 256 KiB, and holds for one event too. What lies before the first event, comments and blank lines, stays at 64 KB, so that a stream without events is given up as fast as before.

Lost: an event that never ends may hold 256 KB of each stream instead of 64.

--- a/ringledge/wire/servers/responses.py
+++ b/ringledge/wire/servers/responses.py
@@ -19,7 +19,8 @@
 from ringledge.wire.servers.event_progress import EventProgress
 from ringledge.wire.servers.json_object import parse_json_object
 
-MAX_OPENING_BYTES = 64 * 1024  # of a stream up to its first event; events are far shorter
+MAX_EVENT_BYTES = MAX_BODY_BYTES  # a response may consist of one event
+MAX_OPENING_BYTES = 64 * 1024  # of a stream before its first event: comments and blank lines
 # Kept of a body that is no stream; token counts and load reports are far shorter.
 MAX_REPORT_BYTES = 16 * 1024
 MAX_INTERIM_RESPONSES = 8  # 1xx responses accepted before the final one
@@ -76,7 +77,10 @@
     """
     opening = bytearray()
     searched_bytes, has_event, deadline_s = 0, False, math.inf
-    while len(opening) <= MAX_OPENING_BYTES:
+    while (
+        progress.incomplete_bytes <= MAX_EVENT_BYTES
+        and len(opening) - progress.incomplete_bytes <= MAX_OPENING_BYTES
+    ):
         with anyio.CancelScope(deadline=deadline_s) as rest_of_chunk:
             event = await conn.next_event()
         if rest_of_chunk.cancelled_caught:
--- a/ringledge/wire/servers/stream_relay.py
+++ b/ringledge/wire/servers/stream_relay.py
@@ -14,11 +14,11 @@
 from ringledge.wire.servers.event_buffer import EventBuffer
 from ringledge.wire.servers.event_progress import EventProgress
 from ringledge.wire.servers.in_flight import InFlightAttempt
+from ringledge.wire.servers.responses import MAX_EVENT_BYTES
 
 # A server that completes no event for this long is down, and its stream is cut off: the client may be left
 # waiting for 5 s after the last event, and the timeout is checked at an interval by a process that may stall.
 EVENT_TIMEOUT_S = 4.5
-MAX_EVENT_BYTES = 64 * 1024  # events are far shorter
 TAIL_BYTES = 2048  # kept from the end of a stream, where usage and load report are
 
 
