Read what arrived during a stall before a stream counts as unresponsive

Callers saw a long answer cut off although its server wrote all the time: where the process was held up for over 4.5 s, the first check behind it found the timeout of the event over while the events lay unread in the sockets. After a late check, streams with unread bytes get one more interval of 0.1 s.

--- a/ringledge/wire/servers/unresponsive_peers.py
+++ b/ringledge/wire/servers/unresponsive_peers.py
@@ -11,7 +11,7 @@
 from ringledge.decide.servers.cache_hold import ReleaseReason
 from ringledge.decide.servers.delivery import DeliveryChecks, UnansweredRequest
 from ringledge.observe.logging import log
-from ringledge.observe.stalls import HEARTBEAT_INTERVAL_S, stall_detector
+from ringledge.observe.stalls import HEARTBEAT_INTERVAL_S, STALL_THRESHOLD_S, stall_detector
 from ringledge.wire.servers.connections import ServerConnections
 from ringledge.wire.servers.context import UpstreamContext
 from ringledge.wire.servers.entry_releases import EntryReleases
@@ -51,8 +51,11 @@
         """Cancel unresponsive streams, and check servers with unanswered requests; runs until cancelled."""
         stall_detector.record_heartbeat()
         while True:
-            await anyio.sleep(self._next_check_s())
+            due_s = time.monotonic() + self._next_check_s()
+            await anyio.sleep(due_s - time.monotonic())
             stall_detector.record_heartbeat()  # in this loop, to save the wake-ups of a second one
+            if time.monotonic() - due_s > STALL_THRESHOLD_S:
+                self._defer_unread_streams()
             if self._in_flight:
                 self._check_attempts()
 
@@ -75,6 +78,13 @@
         slack_ms = NEW_CONNECTION_SLACK_MS if attempt.on_new_connection else 0.0
         return cache.idle_since_ms + self._hold_limit_ms + slack_ms
 
+    def _defer_unread_streams(self) -> None:
+        """After a stall of this process, let events that have arrived meanwhile be read before the check."""
+        earliest_s = time.monotonic() + CHECK_INTERVAL_S
+        for state in self._in_flight.values():
+            if state.event_deadline_s < earliest_s and state.conn is not None and state.conn.readable():
+                state.event_deadline_s = earliest_s
+
     def _check_attempts(self) -> None:
         now_s = time.monotonic()
         unanswered = list[UnansweredRequest]()
