--- a/ringledge/wire/servers/unresponsive_peers.py
+++ b/ringledge/wire/servers/unresponsive_peers.py
@@ -51,8 +51,9 @@
         """Cancel unresponsive streams, and check servers with unanswered requests; runs until cancelled."""
         stall_detector.record_heartbeat()
         while True:
-            due_s = time.monotonic() + self._next_check_s()
-            await anyio.sleep(due_s - time.monotonic())
+            interval_s = self._next_check_s()
+            due_s = time.monotonic() + interval_s
+            await anyio.sleep(interval_s)
             stall_detector.record_heartbeat()  # in this loop, to save the wake-ups of a second one
             if time.monotonic() - due_s > STALL_THRESHOLD_S:
                 self._defer_unread_streams()
