Reset the connection of an abandoned attempt whose request has not been received

Servers that read a large request slowly got all of it seconds after its attempt was given up: the kernel goes on sending what was written behind a close. By the protocol an attempt counts once its last byte has arrived, so one began up to 3 s after its client had left (0.1 s are allowed), or ran behind its final answer. Cause: Connection.close in Upstream.abandon and at the end of an exchange.

Change: abort() resets if unacknowledged bytes are left (SIOCOUTQ), for attempts alone: releases may still arrive. Both resets stand in resets.py.

--- a/ringledge/wire/clients/chat/replies.py
+++ b/ringledge/wire/clients/chat/replies.py
@@ -17,6 +17,7 @@
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.errors import HttpError
 from ringledge.wire.http.messages import respond
+from ringledge.wire.http.resets import reset_if_close_ends_stream
 
 MAX_CONTINUATIONS = 2  # of a broken response for a client that does not stream
 
@@ -90,7 +91,7 @@
             if end is SessionEnd.SERVED:
                 break
             if end is not None:
-                conn.reset_if_close_ends_stream()
+                reset_if_close_ends_stream(conn)
                 conn.close()
                 return
             await update.wait()
--- a/ringledge/wire/clients/platform.py
+++ b/ringledge/wire/clients/platform.py
@@ -22,6 +22,7 @@
 from ringledge.wire.http.errors import HttpError, ShedError
 from ringledge.wire.http.headers import Headers, header, headers_by_name
 from ringledge.wire.http.messages import MAX_BODY_BYTES, read_body, require_method, respond
+from ringledge.wire.http.resets import reset_if_close_ends_stream
 
 if TYPE_CHECKING:
     from ringledge.core.gate import AdmissionGate
@@ -194,7 +195,7 @@
         elif response.result == "broken":
             # Without the last chunk the client can tell that the response is incomplete.
             if response.begun:
-                conn.reset_if_close_ends_stream()
+                reset_if_close_ends_stream(conn)
         elif response.result == "refused":
             text = b'{"error":"overloaded, nothing has run"}'
             await respond(conn, 503, text, retry_after_headers(response.retry_after_ms, self._names))
--- a/ringledge/wire/http/connection.py
+++ b/ringledge/wire/http/connection.py
@@ -4,7 +4,6 @@
 
 import math
 import socket
-import struct
 from typing import TYPE_CHECKING
 
 import anyio
@@ -27,7 +26,6 @@
 MAX_TURN_HEAD_BYTES = 4 * 1024  # the time for parsing a head grows with the number of its headers
 MAX_TURN_EVENTS = 64
 MAX_COPIED_BODY_BYTES = 16 * 1024  # a longer body is written after its head, without a copy of both
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
 
 
 class Connection(SocketReader):
@@ -230,13 +228,6 @@
         if not self.closed:
             self.detach().close()
 
-    def reset_if_close_ends_stream(self) -> None:
-        """Reset the connection of a peer that takes its close for the end of a stream, as with HTTP/1.0."""
-        version = self.h11.their_http_version
-        if not self.closed and version is not None and version < b"1.1":
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            self.close()
-
     def detach(self) -> socket.socket:
         """Return the socket, still open; tasks that wait here find the connection closed."""
         self.closed = True
--- a/ringledge/wire/servers/upstream.py
+++ b/ringledge/wire/servers/upstream.py
@@ -13,6 +13,7 @@
 from ringledge.observe.logging import log
 from ringledge.routing.interface import AttemptStatus
 from ringledge.wire.http.connection import Connection
+from ringledge.wire.http.resets import abort
 from ringledge.wire.servers.connections import ServerConnections
 from ringledge.wire.servers.context import UpstreamContext
 from ringledge.wire.servers.entry_releases import EntryReleases
@@ -88,13 +89,13 @@
         self._context.tasks.start_soon(self._run_attempt, attempt, state)
 
     def abandon(self, attempt: Attempt) -> None:
-        """Cancel the attempt and close its connection at once, so that it does not overlap the next one."""
+        """Cancel the attempt and abort its connection, so that it does not overlap the next one."""
         state = self._in_flight.pop(attempt, None)
         if state is not None:
             state.update_delivered(attempt)
             state.scope.cancel()  # before the close, which wakes the task: it would report a reset
             if state.conn is not None:
-                state.conn.close()
+                abort(state.conn)
 
     def release(
         self, request: str, holders: set[str], unobserved: Mapping[str, float], streaming: bool
@@ -154,6 +155,8 @@
         finally:
             self._in_flight.pop(attempt, None)
             if state.conn is not None:
+                if not reuse:
+                    abort(state.conn)
                 self._connections.give_back(address or "", state.conn, reuse and not state.conn.closed)
         return result
 
