--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Pytest configuration and fixtures shared by all tests."""
 
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -21,6 +22,13 @@
         yield node
 
 
+@pytest.fixture
+def pool() -> Iterator[ThreadPoolExecutor]:
+    """Threads for stand-ins that send while the test waits for the program."""
+    with ThreadPoolExecutor(4) as pool:
+        yield pool
+
+
 @pytest.fixture
 def killed(tmp_path: Path) -> Iterator[Node]:
     """A program that was killed after start; its listen address is fixed, so that clients can retry it."""
--- a/tests/test_oversized_chunks.py
+++ b/tests/test_oversized_chunks.py
@@ -8,12 +8,12 @@
 import threading
 import time
 from collections.abc import Iterator
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 
 import pytest
 
-from tests.loopback import Call, Node, event, read, take
+from tests.loopback import Node, event, read, take
 from tests.test_client_pace import request
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -32,12 +32,6 @@
     return b"%x\r\n%s\r\n" % (len(content), content)
 
 
-@pytest.fixture
-def pool() -> Iterator[ThreadPoolExecutor]:
-    with ThreadPoolExecutor(4) as pool:
-        yield pool
-
-
 class StreamingClient:
     """A client whose request has reached the decode server, which is `call`."""
 
@@ -77,19 +71,13 @@
         yield client
 
 
-def send_endlessly(
-    pool: ThreadPoolExecutor, call: Call, opening: bytes, piece: bytes, interval_s: float = EVENT_INTERVAL_S
-) -> Future[bytes]:
-    return pool.submit(call.say_without_end, opening, piece, interval_s)
-
-
 def check_that_stream_is_ended(
     client: StreamingClient, pool: ThreadPoolExecutor, start: bytes, spoilt: bytes, piece: bytes
 ) -> None:
     """The server sends a sound event in `start`, then `spoilt`, then `piece` after `piece`."""
     client.call.say(start)
     client.read_until(EVENT)
-    sent = send_endlessly(pool, client.call, spoilt, piece)
+    sent = pool.submit(client.call.say_without_end, spoilt, piece, EVENT_INTERVAL_S)
     try:
         client.read_to_end()
     finally:
@@ -127,7 +115,7 @@
 ) -> None:
     """The client has received nothing, so that another attempt is possible where the class allows it."""
     http_client, call = read(node, X_Call_Class=name)
-    sent = send_endlessly(pool, call, OVERSIZED_FROM_THE_START[how], EVENT)
+    sent = pool.submit(call.say_without_end, OVERSIZED_FROM_THE_START[how], EVENT, EVENT_INTERVAL_S)
     if name == "query":
         node.writer[0].next().serve("again")
     else:
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -4,8 +4,7 @@
 
 import http.client
 import time
-from collections.abc import Iterator
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -28,18 +27,6 @@
     return b"%x\r\n%s\r\n" % (len(text), text.encode())
 
 
-@pytest.fixture
-def pool() -> Iterator[ThreadPoolExecutor]:
-    with ThreadPoolExecutor(4) as pool:
-        yield pool
-
-
-def send_endlessly(
-    pool: ThreadPoolExecutor, call: Call, opening: bytes, piece: bytes, pause_s: float = 0.0
-) -> Future[bytes]:
-    return pool.submit(call.say_without_end, opening, piece, pause_s)
-
-
 def decode_count(node: Node, name: str = "a1") -> int:
     """How often a request was sent to the writer."""
     return sum(call.method == "POST" and call.id == name for call in node.writer[0].seen)
@@ -75,7 +62,7 @@
 ) -> None:
     client, call = read(node, X_Call_Class=name, X_Budget_Ms="60000")
     started_s = time.monotonic()
-    sent_meanwhile = send_endlessly(pool, call, *ENDLESS_DECODES[how])
+    sent_meanwhile = pool.submit(call.say_without_end, *ENDLESS_DECODES[how])
     if name == "query":
         node.writer[0].next().serve("x")
     assert take(client).status == (200 if name == "query" else 500)
@@ -101,7 +88,7 @@
     client = node.post("a1", X_Budget_Ms="60000")
     call = node.reader[0].next()
     started_s = time.monotonic()
-    sent_meanwhile = send_endlessly(pool, call, *ENDLESS_PREFILLS[how])
+    sent_meanwhile = pool.submit(call.say_without_end, *ENDLESS_PREFILLS[how])
     again = node.reader[0].next()
     assert time.monotonic() - started_s < CUT_OFF_LIMIT_S
     assert again.port != call.port
@@ -118,7 +105,7 @@
 ) -> None:
     started_s = time.monotonic()
     client, call = read(node, X_Call_Class=name, X_Budget_Ms=str(int(BUDGET_S * 1000)))
-    sent_meanwhile = send_endlessly(pool, call, ENDLESS_DECODES[how][0], b"y", BYTE_INTERVAL_S)
+    sent_meanwhile = pool.submit(call.say_without_end, ENDLESS_DECODES[how][0], b"y", BYTE_INTERVAL_S)
     if name == "query":
         node.writer[0].next().serve("x")
     assert take(client).status == (200 if name == "query" else 500)
@@ -142,7 +129,7 @@
     node: Node, pool: ThreadPoolExecutor, opening: bytes, piece: bytes, pause_s: float
 ) -> None:
     client, call = read(node)
-    sent_meanwhile = send_endlessly(pool, call, HEAD + chunk(event("one")) + opening, piece, pause_s)
+    sent_meanwhile = pool.submit(call.say_without_end, HEAD + chunk(event("one")) + opening, piece, pause_s)
     with pytest.raises(http.client.IncompleteRead) as error_info:
         take(client)
     assert error_info.value.partial.startswith(event("one").encode())
