--- a/benchmarks/soak/day.py
+++ b/benchmarks/soak/day.py
@@ -17,8 +17,8 @@
 from benchmarks.soak.events import EventLog, read_events
 from benchmarks.soak.fleet import ROOT, RouterProcess, free_ports
 from benchmarks.soak.history import build_history
-from benchmarks.soak.oracle import MAX_STALL_S, TIMED_RULES, judge, zone
-from benchmarks.soak.plan import LOAD_S, Plan
+from benchmarks.soak.oracle import MAX_STALL_S, TIMED_RULES, judge
+from benchmarks.soak.plan import LOAD_S, Plan, zone
 from benchmarks.soak.process_rules import Violation
 from benchmarks.soak.settings import router_settings
 from benchmarks.soak.troubles import FaultInjector
--- a/benchmarks/soak/instance.py
+++ b/benchmarks/soak/instance.py
@@ -12,12 +12,12 @@
 import orjson
 
 from benchmarks.soak.events import EventLog
-from ringledge.lab.http_peer import HttpConnection, encode_chunk, response
+from benchmarks.soak.streams import Stream, draw_stream
+from ringledge.lab.http_peer import HttpConnection, response
 
 REJECTED = b"X-Rejected: 1\r\n"
 # Shares of the attempts that get 503, 410 (the KV cache entry is lost) and 500.
 BUSY_FRACTION, LOST_FRACTION, ERROR_FRACTION = 0.02, 0.02, 0.01
-TRUNCATED_FRACTION = 0.01  # share of the streams that end with the last chunk before their final events
 ENTRY_WAIT_RANGE_S = (0.3, 1.8)  # range of the time that a decode waits for its KV cache entry
 # Shares of the decodes that get 503 and 500 after they have waited.
 WAIT_REJECTED_FRACTION, WAIT_ERROR_FRACTION = 0.3, 0.1
@@ -36,6 +36,7 @@
         super().__init__()
         self.request_id, self.prefilling = "", False
         self.timer: asyncio.TimerHandle | None = None
+        self.stream: Stream = iter(())  # the pieces that have not been written yet
 
     def handle(self, method: bytes, target: bytes) -> None:
         """Handle a request or the release of a KV cache entry."""
@@ -83,37 +84,27 @@
         if fails:
             self.transport.write(response(500))
         else:
-            self._after_work(self._send_event, 0, self.rng.choice((4, 8, 8, 60)))
+            self.stream = draw_stream(self.rng)
+            self._after_work(self._write_stream)
 
-    def _after_work(self, call: Callable[..., None], *args: int) -> None:
+    def _after_work(self, call: Callable[[], None]) -> None:
         """Call it after a random time of work."""
-        self.timer = asyncio.get_running_loop().call_later(self.rng.uniform(0.01, 0.08), call, *args)
+        self.timer = asyncio.get_running_loop().call_later(self.rng.uniform(0.01, 0.08), call)
 
     def _finish_prefill(self) -> None:
         self.timer, self.prefilling = None, False
         self.log.write("prefilled", id=self.request_id)
         self.transport.write(response(202, b'{"cached_tokens":0}'))
 
-    def _send_event(self, number: int, events: int) -> None:
-        text = orjson.dumps({"choices": [{"index": 0, "delta": {"content": repr(time.monotonic())}}]})
-        data = encode_chunk(b"data: " + text + b"\n\n")
-        if not number:
-            head = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-            data = b"HTTP/1.1 200 OK\r\n" + head + data
-            self.log.write("first", id=self.request_id)
+    def _write_stream(self) -> None:
+        """Write the next piece of the stream, and those behind it when they are due."""
         self.timer = None
-        if number + 2 == events and self.rng.random() < TRUNCATED_FRACTION:
-            data += b"0\r\n\r\n"
-            self.log.write("truncated", id=self.request_id)
-        elif number + 1 < events:
-            self.timer = asyncio.get_running_loop().call_later(0.03, self._send_event, number + 1, events)
-        else:
-            data += encode_chunk(
-                b'data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":8}}\n\n'
-            )
-            data += encode_chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n"
-            self.log.write("done", id=self.request_id)
-        self.transport.write(data)
+        piece = next(self.stream)
+        if piece.event:
+            self.log.write(piece.event, id=self.request_id)
+        self.transport.write(piece.data)
+        if not piece.is_last:
+            self.timer = asyncio.get_running_loop().call_later(piece.pause_s, self._write_stream)
 
     def connection_lost(self, _: Exception | None) -> None:
         """Called by asyncio: work stops, except that a prefill may complete without an answer."""
--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -6,14 +6,15 @@
 from itertools import pairwise
 from math import inf
 
+from benchmarks.soak.drain_rules import violations_of_drains
 from benchmarks.soak.events import Event
 from benchmarks.soak.history import TOLERANCE_S, Attempt, History, Request
+from benchmarks.soak.plan import zone
 from benchmarks.soak.process_rules import Violation, violations_of_processes
 
 # Limits from the protocol.
 ANSWER_SLACK_S = 0.5  # an answer after its deadline has no worth; after this delay it breaks a rule
-DRAIN_GRACE_S = 0.3  # the drain grace of 250 ms, and 50 ms for sockets
-DISCOVERY_DELAY_S = 6.0  # time after a change of the list at which every router counts as informed
+OPEN_STREAM_S = 5.0  # from the last event of a stream until its client's connection is ended
 MAX_HOLD_S = 0.85  # time without an attempt in flight until a KV cache entry is fetched or released
 DISCONNECT_DELAY_S = 0.1  # until a router has noticed that the client left
 BUDGET_TOLERANCE_MS = 150.0  # by which the budget sent to a server may exceed the client's
@@ -24,7 +25,8 @@
 
 # Rules that compare the times of two processes; a process that got no processor may appear to break them.
 TIMED_RULES = frozenset(
-    "late second_copy sent_after_left told_too_much held half drain not_ready not_moved found_itself".split()
+    "late second_copy sent_after_left told_too_much held half drain not_ready not_moved found_itself "
+    "left_open".split()
 )
 MAX_STALL_S = 0.15  # up to this stall of a process, the timed rules count as well
 
@@ -34,7 +36,7 @@
     found = [
         violation for request in history.requests.values() for violation in _in_request(history, request)
     ]
-    return found + list(_in_drains(history)) + list(violations_of_processes(history))
+    return found + list(violations_of_drains(history)) + list(violations_of_processes(history))
 
 
 def _in_request(history: History, request: Request) -> Iterator[Violation]:
@@ -80,7 +82,7 @@
     answer = request.answer
     if answer is None or answer["status"] != 200 or answer["whole"] or request.left_s < inf or request.floods:
         return
-    if any(event["event"] == "truncated" for event in request.server_events):
+    if any(event["event"] in ("truncated", "malformed") for event in request.server_events):
         return
     if history.excused(request, answer["t"]) or not request.attempts:
         return
@@ -91,12 +93,32 @@
     yield "cut", f"{answer['error']}, its server's side was {last.ending or 'open'}"
 
 
+def _left_open(history: History, request: Request) -> Findings:
+    """The client's stream is ended in time behind what its server sends in place of events.
+
+    An earlier attempt whose stream was malformed before its first event has left the client without one.
+    """
+    answer = request.answer
+    if answer is None or answer["status"] != 200 or history.excused(request, answer["t"]):
+        return
+    started_s = request.attempts[-1].first_s if request.attempts else inf
+    malformed = (event["t"] for event in request.server_events if event["event"] == "malformed")
+    malformed_s = min((at_s for at_s in malformed if at_s >= started_s), default=inf)
+    if answer["t"] > malformed_s + OPEN_STREAM_S + TOLERANCE_S and not _has_complete_stream(request):
+        yield "left_open", f"{answer['t'] - malformed_s:.3f} s behind the end of its events"
+
+
+def _has_complete_stream(request: Request) -> bool:
+    """Whether a server has finished a stream of the request, in a further attempt."""
+    return any(event["event"] == "done" for event in request.server_events)
+
+
 def _truncated(history: History, request: Request) -> Findings:
     """Only a stream that its server has finished is ended as whole."""
     answer = request.answer
     if answer is None or answer["status"] != 200 or not answer["whole"]:
         return
-    if not any(event["event"] == "done" for event in request.server_events):
+    if not _has_complete_stream(request):
         yield "truncated", "ended with the last chunk, and no server had finished its stream"
 
 
@@ -191,6 +213,7 @@
 CHECKS = (
     _bad_answer,
     _cut_stream,
+    _left_open,
     _truncated,
     _wrong_runs,
     _overlaps,
@@ -199,42 +222,3 @@
     _held,
     _partial,
 )
-
-
-def _in_drains(history: History) -> Iterator[Violation]:
-    """No attempt starts at a draining server after the router was informed, or counts as informed."""
-    out_since, deadlines = dict[tuple[str, str], float](), dict[str, float]()
-    changed = [event for event in history.events if event["event"] in ("told", "list", "maintained")]
-    sends = [(a.first_s, a, r) for r in history.requests.values() for a in r.attempts]
-    for at_s, event, sent in sorted(
-        [(e["t"], e, None) for e in changed] + [(at, None, (a, r)) for at, a, r in sends],
-        key=lambda each: each[0],
-    ):
-        if event is not None and event["event"] == "list":
-            deadlines.pop(event["server"], None)
-            if event["status"] != "active":
-                deadlines[event["server"]] = at_s + DISCOVERY_DELAY_S
-            else:
-                out_since = {key: since for key, since in out_since.items() if key[1] != event["server"]}
-        elif event is not None:
-            for server, status in event["states"].items():
-                if status == "active":
-                    out_since.pop((event["conductor"], server), None)
-                else:
-                    out_since.setdefault((event["conductor"], server), at_s)
-        elif sent is not None:
-            attempt, request = sent
-            since = min(
-                out_since.get((request.router, attempt.server), inf), deadlines.get(attempt.server, inf)
-            )
-            if at_s > since + DRAIN_GRACE_S + TOLERANCE_S:
-                yield Violation(
-                    "drain",
-                    request.id,
-                    f"{at_s - since:.3f} s after the router was informed, at {attempt.server}",
-                )
-
-
-def zone(server: str) -> str:
-    """The zone of a server: even numbers are in the east."""
-    return ("east", "west")[int(server[1:]) % 2]
--- a/benchmarks/soak/paths.py
+++ b/benchmarks/soak/paths.py
@@ -21,6 +21,7 @@
     links: set[Link] = field(default_factory=set)
     silent: Windows = field(default_factory=list)  # periods in which connections carry nothing
     split: Windows = field(default_factory=list)  # periods in which data is passed on in small pieces
+    slow_reads: Windows = field(default_factory=list)  # periods in which requests are taken slowly
     # Periods in which a response resets its connection instead of passing.
     response_resets: Windows = field(default_factory=list)
     # Connections that were opened before one of these times carry nothing after it.
@@ -35,6 +36,10 @@
         """Whether data is passed on in small pieces now."""
         return _window_end(self.split) > 0.0
 
+    def reads_slowly(self) -> bool:
+        """Whether requests are taken from their connections slowly now."""
+        return _window_end(self.slow_reads) > 0.0
+
     def resets_responses(self) -> bool:
         """Whether responses may reset their connections now."""
         return _window_end(self.response_resets) > 0.0
@@ -59,6 +64,8 @@
                 paths[target].forgotten_at.append(window[0])
             case "path_pieces":
                 paths[target].split.append(window)
+            case "path_slow_reads":
+                paths[target].slow_reads.append(window)
             case "path_breaks":
                 paths[target].response_resets.append(window)
             case "path_reset":
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -40,6 +40,7 @@
     "path_reset": 4,
     "path_breaks": 4,  # a response resets its connection instead of passing; the server has done the work
     "path_pieces": 2,
+    "path_slow_reads": 3,  # requests are taken from their connections slowly
     "discovery_mute": 4,  # the agent does not answer, and its watches are silent
     "discovery_reset": 3,  # the agent's connections are reset
     "discovery_slow": 2,
@@ -184,3 +185,8 @@
     "conductor_upgrade": lambda rng, _: {"early": rng.random() < 0.4},
     "maintenance": lambda rng, plan: {"conductor": rng.choice(plan.conductors)},
 }
+
+
+def zone(server: str) -> str:
+    """The zone of a server: even numbers are in the east."""
+    return ("east", "west")[int(server[1:]) % 2]
--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -26,6 +26,8 @@
 
 LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0: closing resets the connection
 LINK_NUMBERS = count()  # numbers of links, unique in a run
+SLOW_READ_BUFFER_BYTES = 4096  # of the kernel, for a connection that is read slowly
+SLOW_READ_PAUSE_S = 0.015  # between two reads of such a connection; delays the notice of its close
 PIECE_BYTES = 40  # largest piece while data is split
 RESET_FRACTION = 0.6  # share of the responses that are replaced by a reset during path_breaks
 HEAL_RESET_FRACTION = 0.5  # share of the connections with pending data that are reset after a silence
@@ -132,9 +134,25 @@
         """Called by asyncio."""
         if not self.number:
             self.link.parse(self, data)
+            if self.link.path.reads_slowly():
+                self._pause_reading()
         self.pending.append(data)
         self.pump()
 
+    def _pause_reading(self) -> None:
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READ_BUFFER_BYTES)
+        transport.pause_reading()
+        asyncio.get_running_loop().call_later(SLOW_READ_PAUSE_S, self._resume_reading, transport)
+
+    @staticmethod
+    def _resume_reading(transport: asyncio.Transport) -> None:
+        if not transport.is_closing():
+            transport.resume_reading()
+
     # A connection that the network has forgotten accepts data and passes nothing on, not even its close.
 
     def pump(self) -> None:
