--- a/ringledge/wire/servers/in_flight.py
+++ b/ringledge/wire/servers/in_flight.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import time
 from dataclasses import dataclass, field
 
 import anyio
@@ -21,8 +22,13 @@
     received_bytes: int = 0  # bytes received on the connection before the request was written
     # Monotonic time at which a stream counts as unresponsive unless a complete event arrives before.
     event_deadline_s: float = math.inf
+    last_event_s: float = math.inf  # monotonic time at which the last sound event of the stream arrived
     relaying: bool = False  # waiting for the client to read: the server is not to blame for a delay
 
+    def silent_ms(self) -> float:
+        """Time since the last sound event of a stream that has started."""
+        return round((time.monotonic() - self.last_event_s) * 1000, 1)
+
     def response_began(self) -> bool:
         """Whether the server has sent anything since the request was written, which proves its delivery."""
         if self.conn is None or self.written_ms == math.inf:
--- a/ringledge/wire/servers/stream_relay.py
+++ b/ringledge/wire/servers/stream_relay.py
@@ -80,7 +80,8 @@
 
     def _extend_event_deadline(self) -> None:
         """Restart the timeout of the next event."""
-        self.state.event_deadline_s = time.monotonic() + EVENT_TIMEOUT_S
+        self.state.last_event_s = time.monotonic()
+        self.state.event_deadline_s = self.state.last_event_s + EVENT_TIMEOUT_S
 
     async def _relay(self, data: bytes) -> None:
         """Pass data to the client side; a wait for a slow client does not count against the server."""
--- a/ringledge/wire/servers/upstream.py
+++ b/ringledge/wire/servers/upstream.py
@@ -92,6 +92,8 @@
         """Cancel the attempt and abort its connection, so that it does not overlap the next one."""
         state = self._in_flight.pop(attempt, None)
         if state is not None:
+            if attempt.streaming:
+                log.info("stream_abandoned", **_stream_fields(attempt, state))
             state.update_delivered(attempt)
             state.scope.cancel()  # before the close, which wakes the task: it would report a reset
             if state.conn is not None:
@@ -130,7 +132,7 @@
         """Run an attempt, and report exactly one outcome."""
         result = await self._run_exchange(attempt, state)
         if result is None and attempt.streaming and attempt.in_flight:
-            log.warning("stream_timed_out", server=attempt.server, request=attempt.record.request_id)
+            log.warning("stream_timed_out", **_stream_fields(attempt, state))
             result = ExchangeResult(AttemptStatus.RESET)
         if result is None:  # timed out; an incompletely written request can't have run
             status = AttemptStatus.TIMEOUT if attempt.written else AttemptStatus.CONNECT_FAILED
@@ -164,3 +166,14 @@
         """Request a server's load report, and pass the result to the policy."""
         address = self._context.servers.address(server)
         self.conductor.on_probe_result(await self._connections.probe(server, address))
+
+
+def _stream_fields(attempt: Attempt, state: InFlightAttempt) -> dict[str, object]:
+    """The log fields of a stream that is given up: how much arrived, and how long ago its last event."""
+    received_bytes = 0 if state.conn is None else state.conn.received_bytes - state.received_bytes
+    return {
+        "server": attempt.server,
+        "request": attempt.record.request_id,
+        "silent_ms": state.silent_ms(),
+        "received_bytes": received_bytes,
+    }
--- a/tests/test_oversized_chunks.py
+++ b/tests/test_oversized_chunks.py
@@ -209,3 +209,15 @@
         client.received = data
     assert not client.received.endswith(b"0\r\n\r\n")
     client.call.drop()
+
+
+def test_log_tells_how_long_ago_the_last_event_of_an_abandoned_stream_came(
+    client: StreamingClient,
+) -> None:
+    client.call.say(CHUNKED + chunk(EVENT) + b"100\r\n: comment\n\n")
+    client.read_until(b"comment")
+    client.sock.close()
+    line = client.node.logged("stream_abandoned")
+    assert (line["request"], line["server"]) == ("a1", "w0")
+    assert line["silent_ms"] >= 0 and line["received_bytes"] > len(EVENT)
+    client.call.drop()
