Fail a soak whose own processes fail, or that plays far less than planned

A run is failed now (rule rig) if a process of the rig ended with an error or a server by itself, with the last lines of the errors, or if it had under half of the planned clients' requests; a missing package is named at the start, with the command.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -8,6 +8,7 @@
 import tempfile
 from collections.abc import Iterable
 from dataclasses import asdict
+from importlib.util import find_spec
 from pathlib import Path
 
 import click
@@ -31,6 +32,8 @@
 )
 def main(seed: int, count: int, parallel: int, keep: Path | None, report: Path | None) -> None:
     """Run seeds with real processes on loopback; exits with 1 if any run broke a rule."""
+    if find_spec("httptools") is None:
+        raise click.ClickException("httptools is missing: pip install -r requirements-lab.txt")
     verdicts = asyncio.run(run_seeds(range(seed, seed + count), parallel, keep))
     broken = [verdict for verdict in verdicts if verdict.violations]
     click.echo(
--- a/benchmarks/soak/day.py
+++ b/benchmarks/soak/day.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -20,11 +21,13 @@
 from benchmarks.soak.oracle import MAX_STALL_S, TIMED_RULES, judge
 from benchmarks.soak.plan import LOAD_S, Plan, zone
 from benchmarks.soak.process_rules import Violation
+from benchmarks.soak.rig_rules import EndedProcess, violations_of_rig
 from benchmarks.soak.settings import router_settings
 from benchmarks.soak.troubles import FaultInjector
 
 STARTUP_S = 3.0  # from the creation of the run to the start of the load; processes start meanwhile
 SETTLE_S = 7.0  # after the end of the load, for requests and faults still in progress
+MAX_ERROR_CHARACTERS = 500  # of what failed processes have written, in a verdict
 MAX_STARTS = 20  # of one router in a run; each start uses a new operator port
 
 
@@ -67,7 +70,8 @@
         }
         self.conductors: dict[str, RouterProcess] = {}
         self.servers: dict[str, subprocess.Popen[bytes]] = {}
-        self.helper_processes: list[subprocess.Popen[bytes]] = []
+        self.helper_processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._failed: list[EndedProcess] = []  # processes of the rig that ended before they were stopped
 
     def _endpoint_entry(self, server: str) -> dict[str, Any]:
         return {
@@ -95,7 +99,7 @@
             self.plan.seed,
             len(history.requests),
             {status: statuses.count(status) for status in sorted(set(statuses))},
-            judge(history),
+            [*violations_of_rig(self.plan, len(history.requests), self._failed), *judge(history)],
             sum(answer["late_s"] > 0.3 for answer in answers),
             [
                 f"{each.at_s:.1f}-{each.until_s:.1f} {each.kind} {each.target} {each.detail}"
@@ -152,7 +156,7 @@
     def _start_helper(self, module: str, *args: str) -> None:
         with (self.folder / "errors.txt").open("ab") as errors:
             command = [sys.executable, "-m", module, *args]
-            self.helper_processes.append(subprocess.Popen(command, cwd=ROOT, stderr=errors))
+            self.helper_processes[" ".join(args)] = subprocess.Popen(command, cwd=ROOT, stderr=errors)
 
     def start_server(self, server: str) -> None:
         """Start the stand-in of a server."""
@@ -178,8 +182,19 @@
             conductor.record_unexpected_exit()
         for conductor in self.conductors.values():
             conductor.close()
-        for process in [*self.servers.values(), *self.helper_processes]:
+        self._failed = list(self._failed_processes())
+        for process in [*self.servers.values(), *self.helper_processes.values()]:
             process.kill()
             process.wait()
         for sock in (self._dead_listener, *self._backlog_fillers):
             sock.close()
+
+    def _failed_processes(self) -> Iterator[EndedProcess]:
+        """Servers that ended by themselves, and other processes of the rig that ended with an error."""
+        processes = [(f"server {name}", process) for name, process in self.servers.items()]
+        processes += self.helper_processes.items()
+        for name, process in processes:
+            code = process.poll()
+            if code or (code is not None and name.startswith("server ")):
+                errors = (self.folder / "errors.txt").read_text(errors="replace")
+                yield EndedProcess(name, code, errors[-MAX_ERROR_CHARACTERS:])
