--- a/ringledge/wire/servers/event_progress.py
+++ b/ringledge/wire/servers/event_progress.py
@@ -8,9 +8,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from dataclasses import dataclass, field
-
 from ringledge.wire.servers.event_buffer import MAX_TERMINATOR_BYTES, end_of_last_event
 from ringledge.wire.servers.json_object import parse_json_object
 
@@ -45,43 +42,31 @@
         end = end_of_last_event(self._incomplete, max(0, known_bytes - MAX_TERMINATOR_BYTES + 1))
         if not end:
             return False
-        events = list(_split_events(bytes(self._incomplete[:end])))
+        text = bytes(self._incomplete[:end])
         del self._incomplete[:end]
-        self.has_data_event = self.has_data_event or any(each.data_lines for each in events)
-        return any(each.is_sound() for each in events)
-
-
-@dataclass(slots=True)
-class _Event:
-    """One event, as far as it tells whether a server made it."""
-
-    data_lines: list[bytes] = field(default_factory=list)
-    has_only_fields: bool = True  # each of its lines is a field or a comment
-
-    def add_line(self, line: bytes) -> None:
-        if line.startswith(DATA_FIELD):
-            self.data_lines.append(line[len(DATA_FIELD) :].strip())
-        elif b":" not in line:
-            self.has_only_fields = False
-
-    def is_sound(self) -> bool:
-        """Whether its data is an object or ends the stream, and no other bytes are in it."""
-        if not (self.data_lines and self.has_only_fields):
-            return False
-        data = b"\n".join(self.data_lines)
-        return data == FINAL_DATA or bool(parse_json_object(data))
-
-
-def _split_events(text: bytes) -> Iterator[_Event]:
-    """The events of a text that ends with a complete one; comments alone make events without data."""
-    event = _Event()
-    for line in text.split(b"\n"):
-        line = line.removesuffix(b"\r")
-        if line:
-            event.add_line(line)
-        else:
-            yield event
-            event = _Event()
+        return self._process_events(text)
+
+    def _process_events(self, text: bytes) -> bool:
+        """Process complete events; returns whether one is sound: all its lines are fields or comments."""
+        data_lines: list[bytes] = []
+        found_sound, has_only_fields = False, True
+        for line in text.split(b"\n"):
+            line = line.removesuffix(b"\r")
+            if line.startswith(DATA_FIELD):
+                data_lines.append(line[len(DATA_FIELD) :].strip())
+            elif line:
+                has_only_fields = has_only_fields and b":" in line
+            else:  # the event ends
+                if data_lines:
+                    self.has_data_event = True
+                    found_sound = found_sound or (has_only_fields and _is_event_data(b"\n".join(data_lines)))
+                data_lines, has_only_fields = [], True
+        return found_sound
+
+
+def _is_event_data(data: bytes) -> bool:
+    """Whether a server of the protocol may have made this data: an object, or the end of the stream."""
+    return data == FINAL_DATA or bool(parse_json_object(data))
 
 
 def _has_final_event(window: bytes) -> bool:
