--- a/ringledge/wire/servers/event_progress.py
+++ b/ringledge/wire/servers/event_progress.py
@@ -14,18 +14,20 @@
 DATA_FIELD = b"data:"
 FINAL_DATA = b"[DONE]"
 FINAL_EVENTS = (b"data: [DONE]", b"data:[DONE]")  # the space after a field's colon is optional
-# Bytes that a match may span into the next piece, preceded by the line end that starts the final event.
-OVERLAP_BYTES = max(map(len, FINAL_EVENTS)) + MAX_TERMINATOR_BYTES
 
 
 class EventProgress:
     """The position in a stream: whether it is complete, and how much of an incomplete event has arrived."""
 
     def __init__(self) -> None:
-        self.is_complete = False  # the final event has arrived
         self.has_data_event = False  # an event with a data field is complete, whether or not it is sound
+        self._has_final_event = False  # among the complete events
         self._incomplete = bytearray()  # the incomplete event
-        self._tail = b"\n"  # the last bytes of the stream
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the line of the final event has arrived; the blank line behind it may be missing."""
+        return self._has_final_event or _has_final_event(self._incomplete)
 
     @property
     def incomplete_bytes(self) -> int:
@@ -34,9 +36,6 @@
 
     def feed(self, piece: bytes) -> bool:
         """Process a piece of the stream; returns whether it completes a sound event."""
-        window = self._tail + piece
-        self._tail = window[-OVERLAP_BYTES:]
-        self.is_complete = self.is_complete or _has_final_event(window)
         known_bytes = len(self._incomplete)
         self._incomplete += piece
         end = end_of_last_event(self._incomplete, max(0, known_bytes - MAX_TERMINATOR_BYTES + 1))
@@ -44,6 +43,7 @@
             return False
         text = bytes(self._incomplete[:end])
         del self._incomplete[:end]
+        self._has_final_event = self._has_final_event or _has_final_event(text)
         return self._process_events(text)
 
     def _process_events(self, text: bytes) -> bool:
@@ -69,9 +69,9 @@
     return data == FINAL_DATA or bool(parse_json_object(data))
 
 
-def _has_final_event(window: bytes) -> bool:
-    """Whether the window contains the complete line of the final event."""
-    if FINAL_DATA not in window:
+def _has_final_event(text: bytes | bytearray) -> bool:
+    """Whether the text, which starts at a line's start, contains the complete line of the final event."""
+    if FINAL_DATA not in text:
         return False
-    lines = window.split(b"\n")[1:-1]  # without the first and the last line, which may be incomplete
-    return any(line.rstrip() in FINAL_EVENTS for line in lines)
+    complete_lines = text.split(b"\n")[:-1]
+    return any(line.rstrip() in FINAL_EVENTS for line in complete_lines)
--- a/ringledge/wire/servers/in_flight.py
+++ b/ringledge/wire/servers/in_flight.py
@@ -29,11 +29,15 @@
         """Time since the last sound event of a stream that has started."""
         return round((time.monotonic() - self.last_event_s) * 1000, 1)
 
+    def response_bytes(self) -> int:
+        """How many bytes the server has sent since the request was written."""
+        if self.conn is None or self.written_ms == math.inf:
+            return 0
+        return self.conn.received_bytes - self.received_bytes
+
     def response_began(self) -> bool:
         """Whether the server has sent anything since the request was written, which proves its delivery."""
-        if self.conn is None or self.written_ms == math.inf:
-            return False
-        return self.conn.received_bytes > self.received_bytes
+        return self.response_bytes() > 0
 
     def update_delivered(self, attempt: Attempt) -> None:
         """Mark the attempt as delivered if any byte of its response has arrived."""
--- a/ringledge/wire/servers/upstream.py
+++ b/ringledge/wire/servers/upstream.py
@@ -170,10 +170,9 @@
 
 def _stream_fields(attempt: Attempt, state: InFlightAttempt) -> dict[str, object]:
     """The log fields of a stream that is given up: how much arrived, and how long ago its last event."""
-    received_bytes = 0 if state.conn is None else state.conn.received_bytes - state.received_bytes
     return {
         "server": attempt.server,
         "request": attempt.record.request_id,
         "silent_ms": state.silent_ms(),
-        "received_bytes": received_bytes,
+        "received_bytes": state.response_bytes(),
     }
