--- a/tests/test_oversized_chunks.py
+++ b/tests/test_oversized_chunks.py
@@ -13,8 +13,9 @@
 
 import pytest
 
+from ringledge.lab.http_peer import encode_chunk
 from tests.loopback import Node, event, read, take
-from tests.test_client_pace import request
+from tests.test_client_pace import read_until, request
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -28,10 +29,6 @@
 STALL_S = 5.5  # longer than the timeout of an event
 
 
-def chunk(content: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(content), content)
-
-
 class StreamingClient:
     """A client whose request has reached the decode server, which is `call`."""
 
@@ -43,10 +40,7 @@
         self.call = node.writer[0].next()
 
     def read_until(self, text: bytes) -> None:
-        while text not in self.received:
-            data = self.sock.recv(65536)
-            assert data, self.received
-            self.received += data
+        self.received += read_until(self.sock, text)
 
     def read_to_end(self) -> None:
         """Read until the router ends the stream; fails if it has not at the limit."""
@@ -60,9 +54,6 @@
                 self.received += data
         raise AssertionError("the stream was left open")
 
-    def decode_count(self) -> int:
-        return sum(call.method == "POST" for call in self.node.writer[0].seen)
-
 
 @pytest.fixture
 def client(node: Node) -> Iterator[StreamingClient]:
@@ -72,10 +63,10 @@
 
 
 def check_that_stream_is_ended(
-    client: StreamingClient, pool: ThreadPoolExecutor, start: bytes, spoilt: bytes, piece: bytes
+    client: StreamingClient, pool: ThreadPoolExecutor, spoilt: bytes, piece: bytes
 ) -> None:
-    """The server sends a sound event in `start`, then `spoilt`, then `piece` after `piece`."""
-    client.call.say(start)
+    """The server sends a sound event, then `spoilt`, then `piece` after `piece`."""
+    client.call.say(CHUNKED + encode_chunk(EVENT))
     client.read_until(EVENT)
     sent = pool.submit(client.call.say_without_end, spoilt, piece, EVENT_INTERVAL_S)
     try:
@@ -84,14 +75,14 @@
         client.sock.close()
     assert sent.result() == b""
     assert not client.received.endswith(b"0\r\n\r\n")
-    assert client.decode_count() == 1
+    assert client.node.writer[0].attempts() == 1
 
 
 OVERSIZED = {
-    "gigabytes": (CHUNKED + chunk(EVENT), b"c0000000\r\n", EVENT),
-    "gigabytes-with-chunks-inside": (CHUNKED + chunk(EVENT), b"c0000000\r\n", chunk(EVENT)),
-    "gigabytes-in-an-extension": (CHUNKED + chunk(EVENT), b"c0000000;a=b\r\n", EVENT),
-    "longer-than-any-body": (CHUNKED + chunk(EVENT), b"%x\r\n" % (MAX_BODY_BYTES + 1), EVENT),
+    "gigabytes": (b"c0000000\r\n", EVENT),
+    "gigabytes-with-chunks-inside": (b"c0000000\r\n", encode_chunk(EVENT)),
+    "gigabytes-in-an-extension": (b"c0000000;a=b\r\n", EVENT),
+    "longer-than-any-body": (b"%x\r\n" % (MAX_BODY_BYTES + 1), EVENT),
 }
 
 
@@ -127,10 +118,10 @@
 
 
 NO_EVENTS = {
-    "chunks-inside-64-KB": (CHUNKED + chunk(EVENT), b"10000\r\n", chunk(EVENT)),
-    "chunks-inside-200-KB": (CHUNKED + chunk(EVENT), b"32000\r\n", chunk(EVENT)),
-    "noise": (CHUNKED + chunk(EVENT), b"", chunk(b"data: xxxx\n\n")),
-    "empty": (CHUNKED + chunk(EVENT), b"", chunk(b"data:\n\n")),
+    "chunks-inside-64-KB": (b"10000\r\n", encode_chunk(EVENT)),
+    "chunks-inside-200-KB": (b"32000\r\n", encode_chunk(EVENT)),
+    "noise": (b"", encode_chunk(b"data: xxxx\n\n")),
+    "empty": (b"", encode_chunk(b"data:\n\n")),
 }
 
 
@@ -142,10 +133,10 @@
 
 
 ENDLESS_SIZE_LINES = {
-    "zeros": (CHUNKED + chunk(EVENT), b"", b"0"),
-    "events-without-line-ends": (CHUNKED + chunk(EVENT), b"", EVENT.replace(b"\n", b" ")),
-    "events-in-an-extension": (CHUNKED + chunk(EVENT), b"5;", EVENT),
-    "trailer": (CHUNKED + chunk(EVENT), b"0\r\n", b"X-A: b\r\n"),
+    "zeros": (b"", b"0"),
+    "events-without-line-ends": (b"", EVENT.replace(b"\n", b" ")),
+    "events-in-an-extension": (b"5;", EVENT),
+    "trailer": (b"0\r\n", b"X-A: b\r\n"),
 }
 
 
@@ -169,7 +160,7 @@
     with suppress(OSError):  # the router has cut the stream off, which the client tells
         call.say(CHUNKED)
         for position in range(0, len(answer), step):
-            call.say(chunk(answer[position : position + step]))
+            call.say(encode_chunk(answer[position : position + step]))
             time.sleep(EVENT_INTERVAL_S)  # the server's pace, which is what is tested
         call.say(b"0\r\n\r\n")
     call.drop()
@@ -200,7 +191,7 @@
     """The wait for the client does not count, but what follows it does."""
     client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
     client.call.say(CHUNKED)
-    events = chunk(event("x" * 1_000).encode()) * SLOW_READER_EVENTS
+    events = encode_chunk(event("x" * 1_000).encode()) * SLOW_READER_EVENTS
     writer = threading.Thread(target=client.call.say, args=(events,), daemon=True)
     writer.start()
     time.sleep(SLOW_EVENT_INTERVAL_S)  # the client's pace, which is what is tested
@@ -214,7 +205,7 @@
 def test_log_tells_how_long_ago_the_last_event_of_an_abandoned_stream_came(
     client: StreamingClient,
 ) -> None:
-    client.call.say(CHUNKED + chunk(EVENT) + b"100\r\n: comment\n\n")
+    client.call.say(CHUNKED + encode_chunk(EVENT) + b"100\r\n: comment\n\n")
     client.read_until(b"comment")
     client.sock.close()
     line = client.node.logged("stream_abandoned")
--- a/tests/wire/clients/chat/test_oversized_chunks.py
+++ b/tests/wire/clients/chat/test_oversized_chunks.py
@@ -9,11 +9,12 @@
 
 import pytest
 
+from ringledge.lab.http_peer import encode_chunk
 from tests.loopback import Node, take
-from tests.test_oversized_chunks import CHUNKED, CLIENT_WAIT_LIMIT_S, EVENT, EVENT_INTERVAL_S, chunk
+from tests.test_oversized_chunks import CHUNKED, CLIENT_WAIT_LIMIT_S, EVENT, EVENT_INTERVAL_S
 
 CHAT = 'enabled = true\nlisten = "127.0.0.1:0"\ntenant = "farm"\n[models]\nask = "query"\n'
-SPOILT = {"gigabytes": (b"c0000000\r\n", EVENT), "chunks-inside": (b"10000\r\n", chunk(EVENT))}
+SPOILT = {"gigabytes": (b"c0000000\r\n", EVENT), "chunks-inside": (b"10000\r\n", encode_chunk(EVENT))}
 
 
 @pytest.mark.parametrize("streamed", [True, False])
@@ -28,7 +29,7 @@
         client = node.chat(question)
         node.reader[0].next().read()
         call = node.writer[0].next()
-        start = CHUNKED + chunk(EVENT) + opening
+        start = CHUNKED + encode_chunk(EVENT) + opening
         sent = pool.submit(call.say_without_end, start, piece, EVENT_INTERVAL_S)
         started_s = time.monotonic()
         if streamed:
