--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -13,6 +13,7 @@
 import queue
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -165,12 +166,22 @@
         self.name, self._record = name, record
         self.answer = answer
         self.bodies: list[dict[str, Any]] = []  # of the requests that arrived whole
-        self.open = True  # whether connections are accepted; see `refuse`
+        self.arrived_s: list[float] = []  # when each of them did
+        self._sockets: set[socket.socket] = set()
         stand_in = self
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self) -> None:
+                super().setup()
+                stand_in._sockets.add(self.connection)
+
+            def finish(self) -> None:
+                stand_in._sockets.discard(self.connection)
+                with contextlib.suppress(OSError):
+                    super().finish()
+
             def do_POST(self) -> None:  # noqa: N802
                 stand_in._take(Call(self, self.rfile.read(int(self.headers.get("Content-Length", 0)))))
 
@@ -189,8 +200,16 @@
         self.address = f"127.0.0.1:{self._http.server_port}"
         threading.Thread(target=self._http.serve_forever, args=(0.02,), daemon=True).start()
 
+    def stop(self) -> None:
+        """End like a process that died: connections are reset, new ones refused."""
+        self._http.shutdown()
+        self._http.server_close()
+        for sock in list(self._sockets):
+            reset(sock)
+
     def _take(self, call: Call) -> None:
         body = json.loads(call.body)
+        self.arrived_s.append(time.monotonic())
         self.bodies.append(body)
         self._record.write(f"{self.name} got {call.id}: {last_words(body)}")
         with contextlib.suppress(OSError):
@@ -214,34 +233,57 @@
 
 
 class Discovery:
-    """The agent that pushes the list: the whole list first, each change, an empty line every 2 s."""
+    """The agent that tells the list: the whole list first, each change, an empty line every 2 s."""
 
     def __init__(self, endpoints: list[dict[str, Any]]) -> None:
         self.endpoints, self.index = endpoints, 1
         self._watches: list[queue.Queue[str]] = []
+        self._sockets: set[socket.socket] = set()
+        self._port = 0
+        self.up()
+        self.address = f"127.0.0.1:{self._port}"
+
+    def up(self) -> None:
+        """Listen, again at the same port."""
         discovery = self
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self) -> None:
+                super().setup()
+                discovery._sockets.add(self.connection)
+
+            def finish(self) -> None:
+                discovery._sockets.discard(self.connection)
+                with contextlib.suppress(OSError):
+                    super().finish()
+
             def do_GET(self) -> None:  # noqa: N802
                 discovery._answer(self)
 
             def log_message(self, *_: object) -> None:
                 pass
 
-        self._http = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._http = ThreadingHTTPServer(("127.0.0.1", self._port), Handler)
         self._http.daemon_threads, self._http.block_on_close = True, False
         self._http.handle_error = lambda *_: None  # type: ignore[method-assign]
-        self.address = f"127.0.0.1:{self._http.server_port}"
+        self._port = self._http.server_port
         threading.Thread(target=self._http.serve_forever, args=(0.02,), daemon=True).start()
 
+    def down(self) -> None:
+        """End like a process that died: connections are reset, new ones refused."""
+        self._http.shutdown()
+        self._http.server_close()
+        for sock in list(self._sockets):
+            reset(sock)
+
     def listing(self) -> dict[str, Any]:
         """The whole list."""
         return {"index": self.index, "snapshot": True, "endpoints": self.endpoints}
 
     def set_status(self, status: str, *names: str) -> None:
-        """Change the status of servers, and push the change."""
+        """Change the status of servers, and tell the change on each open watch."""
         self.index += 1
         changed = [each for each in self.endpoints if each["name"] in names]
         for each in changed:
@@ -257,19 +299,28 @@
         lines: queue.Queue[str] = queue.Queue()
         lines.put(json.dumps(self.listing()))
         self._watches.append(lines)
-        handler.send_response(200)
-        handler.send_header("Transfer-Encoding", "chunked")
-        handler.end_headers()
         with contextlib.suppress(OSError):
+            handler.send_response(200)
+            handler.send_header("Transfer-Encoding", "chunked")
+            handler.end_headers()
             while True:
                 try:
                     line = lines.get(timeout=2.0)
                 except queue.Empty:
                     line = ""
                 handler.wfile.write(f"{len(line) + 1:x}\r\n{line}\n\r\n".encode())
+        handler.close_connection = True
         self._watches.remove(lines)
 
 
+def reset(sock: socket.socket) -> None:
+    """Reset a connection whose thread may still use it."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.shutdown(socket.SHUT_RD)  # wakes a thread that reads
+        os.close(sock.detach())
+
+
 class Conductor:
     """One process of the program, started with the deploy file's line `run`."""
 
