Open SQLite files in one module, apart from the queue's schema

The queue's file was the only one, so its schema, the opening of files and the errors of the store were one thing. A second kind of file needs the latter two.

- store/database.py opens, checks and migrates a file of any schema; store/schema.py keeps the queue's.
- store/errors.py: QueueError and QueueRejectionReason are StoreError and StoreRejectionReason.
- The database worker gets the function that opens its file, and reports an unusable one to its owner, which logs it as before.

--- a/ringledge/members/replayer.py
+++ b/ringledge/members/replayer.py
@@ -17,8 +17,9 @@
 from ringledge.members.duty import LeaseCheck
 from ringledge.members.replay_sender import EntrySender, SendHandle, SendResult
 from ringledge.observe.logging import log
-from ringledge.store.entry import Entry, EntryOutcome, InvalidTransitionError, QueueError, StaleTokenError
+from ringledge.store.entry import Entry, EntryOutcome, InvalidTransitionError, StaleTokenError
 from ringledge.store.entry import EntryState as EntryState
+from ringledge.store.errors import StoreError
 from ringledge.store.metrics import QueueMetrics
 from ringledge.store.queue import Queue
 
@@ -108,7 +109,7 @@
                 await self._send_due(self.scheduler, token, is_held)
         except StaleTokenError as error:
             self._handle_stale_token(token, error)
-        except QueueError as error:
+        except StoreError as error:
             log.rate_limited("queue_step_failed", why=error.reason.value, error=str(error))
 
     async def wait_for_completion(self, timeout_s: float) -> None:
@@ -220,7 +221,7 @@
         except InvalidTransitionError as error:
             log.warning("queue_transition_rejected", entry=name, error=str(error))
             return
-        except QueueError as error:
+        except StoreError as error:
             log.rate_limited("queue_step_failed", why=error.reason.value, error=str(error))
             self._unsettled_results.append(unsettled)
             return
--- a/ringledge/store/admission.py
+++ b/ringledge/store/admission.py
@@ -5,7 +5,8 @@
 import sqlite3
 from dataclasses import dataclass
 
-from ringledge.store.entry import QueuedRequest, QueueError, QueueRejectionReason
+from ringledge.store.entry import QueuedRequest
+from ringledge.store.errors import StoreError, StoreRejectionReason
 
 RESERVED_DISK_BYTES = 4 * 1024 * 1024  # kept free so that existing entries can still begin and end
 
@@ -29,32 +30,32 @@
     limits: QueueLimits,
     free_disk_bytes: float,
 ) -> None:
-    """Raise QueueError for the first limit that the request exceeds."""
+    """Raise StoreError for the first limit that the request exceeds."""
     size = len(request.body)
     if request.expires_s <= now_s:
-        raise QueueError(
-            QueueRejectionReason.ALREADY_EXPIRED,
+        raise StoreError(
+            StoreRejectionReason.ALREADY_EXPIRED,
             "request has already expired",
         )
     if size > limits.max_entry_bytes:
-        raise QueueError(
-            QueueRejectionReason.TOO_LARGE,
+        raise StoreError(
+            StoreRejectionReason.TOO_LARGE,
             f"{size} bytes in the request body exceed the limit of {limits.max_entry_bytes} bytes",
         )
     _check_totals(db, size, limits)
     _check_tenant_quota(db, request.tenant, size, limits)
     # SQLite writes each byte twice: to the write-ahead log and then to the file.
     if min(free_disk_bytes, _growable_bytes(db)) < RESERVED_DISK_BYTES + 2 * size:
-        raise QueueError(QueueRejectionReason.DISK_FULL, "free disk space would fall below the reserve")
+        raise StoreError(StoreRejectionReason.DISK_FULL, "free disk space would fall below the reserve")
 
 
 def _check_totals(db: sqlite3.Connection, size: int, limits: QueueLimits) -> None:
     entries, stored_bytes = db.execute(TOTALS_QUERY).fetchone()
     if entries >= limits.max_entries:
-        raise QueueError(QueueRejectionReason.MAX_ENTRIES, f"{entries} entries are queued, limit reached")
+        raise StoreError(StoreRejectionReason.MAX_ENTRIES, f"{entries} entries are queued, limit reached")
     if stored_bytes + size > limits.max_bytes:
-        raise QueueError(
-            QueueRejectionReason.MAX_BYTES, f"{stored_bytes} bytes are stored, limit would be exceeded"
+        raise StoreError(
+            StoreRejectionReason.MAX_BYTES, f"{stored_bytes} bytes are stored, limit would be exceeded"
         )
 
 
@@ -63,8 +64,8 @@
     max_entries = limits.max_entries * limits.tenant_quota
     max_bytes = limits.max_bytes * limits.tenant_quota
     if entries >= max_entries or stored_bytes + size > max_bytes:
-        raise QueueError(
-            QueueRejectionReason.TENANT_QUOTA,
+        raise StoreError(
+            StoreRejectionReason.TENANT_QUOTA,
             f"tenant quota exceeded: {entries} entries with {stored_bytes} bytes",
         )
 
--- a/ringledge/store/component.py
+++ b/ringledge/store/component.py
@@ -29,7 +29,8 @@
 from ringledge.members.replayer import Replayer
 from ringledge.observe.logging import log
 from ringledge.store.capacity_sharing import CapacitySharing
-from ringledge.store.entry import Entry, EntryOutcome, QueueError
+from ringledge.store.entry import Entry, EntryOutcome
+from ringledge.store.errors import StoreError
 from ringledge.store.file_lock import FileLockLease
 from ringledge.store.metrics import QueueMetrics
 from ringledge.store.queries import TenantBacklog
@@ -111,7 +112,7 @@
             self.metrics.site_state.set(self.site_state().value)
             try:
                 await self._step(now_s)
-            except QueueError as error:
+            except StoreError as error:
                 log.rate_limited("queue_step_failed", why=error.reason.value, error=str(error))
             await self.replayer.wait_for_completion(BUSY_INTERVAL_S if self._backlog else IDLE_INTERVAL_S)
 
--- a/ringledge/store/entry.py
+++ b/ringledge/store/entry.py
@@ -1,4 +1,4 @@
-"""Data model of the durable queue: requests, entries with their states and outcomes, and errors.
+"""Data model of the durable queue: requests, entries with their states and outcomes, errors of transitions.
 
 All times are Unix seconds, since an entry can outlive the process that wrote it.
 """
@@ -7,7 +7,6 @@
 
 from dataclasses import dataclass
 from enum import Enum, IntEnum
-from pathlib import Path
 
 
 class EntryState(IntEnum):
@@ -61,32 +60,6 @@
         return self.request.name
 
 
-class QueueRejectionReason(Enum):
-    """Why the queue rejected a call; the values are metric labels."""
-
-    MAX_ENTRIES = "entries"
-    MAX_BYTES = "bytes"
-    TENANT_QUOTA = "tenant"
-    TOO_LARGE = "large"  # the body exceeds the limit for one entry
-    ALREADY_EXPIRED = "age"
-    DISK_FULL = "disk"
-    IO_ERROR = (
-        "failed"  # the sync failed; whether the change is durable shows only when the file is read again
-    )
-    LOCKED = "busy"  # another process held the file's lock until the time-out
-    UNAVAILABLE = "closed"  # the file cannot be opened or used
-
-
-class QueueError(Exception):
-    """The queue rejected a call. Nothing was changed; after IO_ERROR this is not known."""
-
-    def __init__(self, reason: QueueRejectionReason, message: str, path: Path | None = None) -> None:
-        """`path` is the queue's file if the error concerns the whole file."""
-        super().__init__(message if path is None else f"{path}: {message}")
-        self.reason = reason
-        self.path = path
-
-
 class StaleTokenError(Exception):
     """The fencing token is not the highest one recorded in the file; nothing was changed."""
 
--- a/ringledge/store/file_lock.py
+++ b/ringledge/store/file_lock.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from ringledge.members.duty import Duty
-from ringledge.store.entry import QueueError
+from ringledge.store.errors import StoreError
 from ringledge.store.queue import Queue
 
 
@@ -55,7 +55,7 @@
             token = await self._queue.highest_token() + 1
         except (
             OSError,
-            QueueError,
+            StoreError,
         ):  # held by another process, or the file is unusable, which is reported elsewhere
             return
         self.token = token
--- a/ringledge/store/queue.py
+++ b/ringledge/store/queue.py
@@ -9,9 +9,11 @@
 from pathlib import Path
 
 from ringledge.decide.replay.scheduler import QueueHead
-from ringledge.store import queries, transitions
+from ringledge.observe.logging import log
+from ringledge.store import queries, schema, transitions
 from ringledge.store.admission import QueueLimits
 from ringledge.store.entry import Entry, EntryOutcome, QueuedRequest
+from ringledge.store.errors import StoreError
 from ringledge.store.queries import TenantBacklog
 from ringledge.store.queue_clock import QueueClock
 from ringledge.store.settings import QueueConfig
@@ -22,7 +24,7 @@
 class Queue:
     """The queue of the local site.
 
-    Every call may raise QueueError. Calls with a fencing token may also raise StaleTokenError, and calls that
+    Every call may raise StoreError. Calls with a fencing token may also raise StaleTokenError, and calls that
     change the state of an entry InvalidTransitionError.
     """
 
@@ -39,7 +41,7 @@
         )
         path = Path(config.path)
         self._directory = path.parent
-        self.worker = DatabaseWorker(path, config.lock_timeout_s, self._file_clock.synchronize)
+        self.worker = DatabaseWorker("queue", path, partial(self._connect, path), _log_unusable)
 
     def start(self) -> None:
         """Start the worker thread."""
@@ -50,7 +52,7 @@
         self.worker.stop()
 
     async def now_s(self) -> float:
-        """Return Unix seconds on the clock of the entries; raises QueueError if the file cannot be opened."""
+        """Return Unix seconds on the clock of the entries; raises StoreError if the file cannot be opened."""
         if not self._file_clock.synchronized:
             await self.worker.run(self._file_clock.read, writes=False)  # another process may have set it
         return self._clock()
@@ -121,3 +123,15 @@
         """Return the bytes available on the file system; called in the worker thread, as it may block."""
         file_system = os.statvfs(self._directory)
         return float(file_system.f_bavail * file_system.f_frsize)
+
+    def _connect(self, path: Path) -> sqlite3.Connection:
+        db = schema.connect(path, self._config.lock_timeout_s)
+        try:
+            self._file_clock.synchronize(db)
+        except sqlite3.Error as error:  # entries stay readable even if the clock's offset cannot be written
+            log.warning("queue_clock_not_stored", error=str(error))
+        return db
+
+
+def _log_unusable(error: StoreError) -> None:
+    log.error("queue_closed", why=error.reason.value, error=str(error))
--- a/ringledge/store/transitions.py
+++ b/ringledge/store/transitions.py
@@ -49,7 +49,7 @@
     limits: QueueLimits,
     free_disk_bytes: float = inf,
 ) -> Entry:
-    """Insert a request, or return the entry with its idempotency key; QueueError if over a limit."""
+    """Insert a request, or return the entry with its idempotency key; StoreError if over a limit."""
     if request.idempotency_key is not None:
         name = name_by_idempotency_key(db, request.tenant, request.idempotency_key)
         if name is not None:
--- a/ringledge/store/worker.py
+++ b/ringledge/store/worker.py
@@ -19,13 +19,9 @@
 from typing import Any, TypeVar
 
 from ringledge.observe.logging import log
-from ringledge.store import schema
-from ringledge.store.entry import (
-    InvalidTransitionError,
-    QueueError,
-    QueueRejectionReason,
-    StaleTokenError,
-)
+from ringledge.store import database
+from ringledge.store.entry import InvalidTransitionError, StaleTokenError
+from ringledge.store.errors import StoreError, StoreRejectionReason
 
 T = TypeVar("T")
 Step = Callable[[sqlite3.Connection], T]
@@ -53,23 +49,27 @@
     """Runs steps on one file in transactions, in a separate thread."""
 
     def __init__(
-        self, path: Path, lock_timeout_s: float, on_open: Callable[[sqlite3.Connection], None]
+        self,
+        name: str,
+        path: Path,
+        connect: Callable[[], sqlite3.Connection],
+        on_unusable: Callable[[StoreError], None],
     ) -> None:
-        """`lock_timeout_s` limits the wait while another process holds the file's lock.
+        """`connect` opens the file at `path`, or raises StoreError; `name` is that of the thread.
 
-        `on_open` is called with each new connection before any step; it may raise sqlite3.Error.
+        `on_unusable` is called, once for each different error, when the file cannot be used.
         """
-        self._on_open = on_open
         self._path = path
-        self._lock_timeout_s = lock_timeout_s
+        self._connect = connect
+        self._on_unusable = on_unusable
         self._jobs = SimpleQueue[_Job | None]()  # None stops the thread
         self._db: sqlite3.Connection | None = None
-        self._open_error: QueueError | None = None  # why the file cannot be used at present
+        self._open_error: StoreError | None = None  # why the file cannot be used at present
         self._reopen_s = 0.0  # earliest time of the next attempt to open it, on the monotonic clock
         self._stopped = False  # no further jobs are accepted
         self._drained = False  # the thread has received the last job
         self.commits = 0  # committed transactions with at least one writing step
-        self._thread = threading.Thread(target=self._run_jobs, name="queue", daemon=True)
+        self._thread = threading.Thread(target=self._run_jobs, name=name, daemon=True)
 
     def start(self) -> None:
         """Start the thread; the first step opens the file."""
@@ -84,12 +84,12 @@
     async def run(self, step: Step[T], writes: bool = True) -> T:
         """Run a step in a transaction; returns its result once the transaction is durable.
 
-        Raises QueueError, StaleTokenError or InvalidTransitionError, in which case the step has changed
+        Raises StoreError, StaleTokenError or InvalidTransitionError, in which case the step has changed
         nothing. The step may be run more than once, but only its last run takes effect.
         """
         if self._stopped:
-            raise QueueError(
-                QueueRejectionReason.UNAVAILABLE, "closed, because the process is shutting down", self._path
+            raise StoreError(
+                StoreRejectionReason.UNAVAILABLE, "closed, because the process is shutting down", self._path
             )
         job = _Job(step, writes)
         self._jobs.put(job)
@@ -124,7 +124,7 @@
             return
         try:
             results = self._transaction(batch)
-        except QueueError as error:
+        except StoreError as error:
             results = [error] * len(batch)
         except sqlite3.Error as error:
             if len(batch) > 1:
@@ -155,7 +155,7 @@
         db.execute("SAVEPOINT step")
         try:
             return step(db)
-        except (QueueError, StaleTokenError, InvalidTransitionError) as error:
+        except (StoreError, StaleTokenError, InvalidTransitionError) as error:
             db.execute("ROLLBACK TO step")
             return error
         except sqlite3.Error:
@@ -169,36 +169,28 @@
                 db.execute("RELEASE step")
 
     def _connection(self) -> sqlite3.Connection:
-        """Return the open connection; raises QueueError while the file cannot be used."""
+        """Return the open connection; raises StoreError while the file cannot be used."""
         if self._db is not None:
             return self._db
         if self._open_error is not None and time.monotonic() < self._reopen_s:
             raise self._open_error
         try:
-            self._db = self._open()
-        except QueueError as error:
+            self._db = self._connect()
+        except StoreError as error:
             self._mark_unusable(error)
             raise
         self._open_error = None
         return self._db
 
-    def _open(self) -> sqlite3.Connection:
-        db = schema.connect(self._path, self._lock_timeout_s)
-        try:
-            self._on_open(db)
-        except sqlite3.Error as error:  # entries stay readable even if the clock's offset cannot be written
-            log.warning("queue_clock_not_stored", error=str(error))
-        return db
-
-    def _classify(self, error: sqlite3.Error) -> QueueError:
-        """Convert the error to a QueueError; closes a connection that cannot be trusted any longer."""
-        queue_error = schema.queue_error(error, self._path)
+    def _classify(self, error: sqlite3.Error) -> StoreError:
+        """Convert the error to a StoreError; closes a connection that cannot be trusted any longer."""
+        store_error = database.store_error(error, self._path)
         if getattr(error, "sqlite_errorcode", 0) & 0xFF in CORRUPTION_CODES:
             self._close_connection()
-            self._mark_unusable(queue_error)
-        elif queue_error.reason is QueueRejectionReason.IO_ERROR:
+            self._mark_unusable(store_error)
+        elif store_error.reason is StoreRejectionReason.IO_ERROR:
             self._close_connection()  # its cache may differ from the file, which is read again
-        return queue_error
+        return store_error
 
     def _close_connection(self) -> None:
         if self._db is not None:
@@ -206,9 +198,9 @@
                 self._db.close()
             self._db = None
 
-    def _mark_unusable(self, error: QueueError) -> None:
-        """Fail calls with this error until the file is opened again; repetitions of it are not logged."""
+    def _mark_unusable(self, error: StoreError) -> None:
+        """Fail calls with this error until the file is opened again; repetitions of it are not reported."""
         if self._open_error is None or str(self._open_error) != str(error):
-            log.error("queue_closed", why=error.reason.value, error=str(error))
+            self._on_unusable(error)
         self._open_error = error
         self._reopen_s = time.monotonic() + REOPEN_INTERVAL_S
--- a/ringledge/wire/clients/chat/queue_responses.py
+++ b/ringledge/wire/clients/chat/queue_responses.py
@@ -4,13 +4,8 @@
 
 import orjson
 
-from ringledge.store.entry import (
-    Entry,
-    EntryOutcome,
-    EntryState,
-    QueueError,
-    QueueRejectionReason,
-)
+from ringledge.store.entry import Entry, EntryOutcome, EntryState
+from ringledge.store.errors import StoreError, StoreRejectionReason
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.errors import HttpError
 from ringledge.wire.http.headers import Headers
@@ -23,15 +18,15 @@
 
 # Status and code of the response to a request that the queue rejected.
 REJECTION_RESPONSES = {
-    QueueRejectionReason.MAX_ENTRIES: (503, "queue_full"),
-    QueueRejectionReason.MAX_BYTES: (503, "queue_full"),
-    QueueRejectionReason.TENANT_QUOTA: (429, "queue_share_used"),
-    QueueRejectionReason.TOO_LARGE: (413, "queue_entry_too_large"),
-    QueueRejectionReason.ALREADY_EXPIRED: (503, "queue_too_late"),
-    QueueRejectionReason.DISK_FULL: (503, "queue_disk_full"),
-    QueueRejectionReason.LOCKED: (503, "queue_busy"),
-    QueueRejectionReason.UNAVAILABLE: (503, "queue_closed"),
-    QueueRejectionReason.IO_ERROR: (500, "may_be_queued"),
+    StoreRejectionReason.MAX_ENTRIES: (503, "queue_full"),
+    StoreRejectionReason.MAX_BYTES: (503, "queue_full"),
+    StoreRejectionReason.TENANT_QUOTA: (429, "queue_share_used"),
+    StoreRejectionReason.TOO_LARGE: (413, "queue_entry_too_large"),
+    StoreRejectionReason.ALREADY_EXPIRED: (503, "queue_too_late"),
+    StoreRejectionReason.DISK_FULL: (503, "queue_disk_full"),
+    StoreRejectionReason.LOCKED: (503, "queue_busy"),
+    StoreRejectionReason.UNAVAILABLE: (503, "queue_closed"),
+    StoreRejectionReason.IO_ERROR: (500, "may_be_queued"),
 }
 
 # Status, code and message of the response for an entry that ended without being served.
@@ -49,13 +44,13 @@
 }
 
 
-def rejection_response(error: QueueError, location_headers: Headers | None = None) -> HttpError:
+def rejection_response(error: StoreError, location_headers: Headers | None = None) -> HttpError:
     """The response to a request that the queue rejected.
 
     `location_headers` are added if the request may have been queued nevertheless.
     """
     status, code = REJECTION_RESPONSES[error.reason]
-    if error.reason is QueueRejectionReason.IO_ERROR:
+    if error.reason is StoreRejectionReason.IO_ERROR:
         return HttpError(status, "the disk failed; it may have been queued", code, headers=location_headers)
     headers = [RETRY_AFTER] if status in (429, 503) else []
     message = f"not queued, nothing has run ({error.reason.value})"
--- a/ringledge/wire/clients/chat/queued.py
+++ b/ringledge/wire/clients/chat/queued.py
@@ -23,13 +23,8 @@
     Request,
     RouterSettings,
 )
-from ringledge.store.entry import (
-    Entry,
-    EntryOutcome,
-    InvalidTransitionError,
-    QueuedRequest,
-    QueueError,
-)
+from ringledge.store.entry import Entry, EntryOutcome, InvalidTransitionError, QueuedRequest
+from ringledge.store.errors import StoreError
 from ringledge.store.metrics import QueueMetrics
 from ringledge.store.queue import Queue
 from ringledge.wire.clients.chat.question import idempotency_key, tenant_of
@@ -112,7 +107,7 @@
                 await self._queue.withdraw(name)
         except InvalidTransitionError as error:
             raise HttpError(409, "it has begun or ended, and can't be taken back", "begun") from error
-        except QueueError as error:
+        except StoreError as error:
             # Not 404: the entry may well exist.
             message = f"the queue can't be read ({error.reason.value})"
             raise HttpError(503, message, "queue_closed", headers=[RETRY_AFTER]) from error
@@ -131,7 +126,7 @@
         """The entry with that key; if the file cannot be read, HttpError unless the request is idempotent."""
         try:
             return await self._queue.find_by_idempotency_key(tenant, idempotency_key)
-        except QueueError as error:
+        except StoreError as error:
             if self._is_idempotent(class_index):
                 return None
             raise rejection_response(error) from error
@@ -160,18 +155,18 @@
         """The time on the queue's clock; HttpError if the queue's file cannot be opened."""
         try:
             return await self._queue.now_s()
-        except QueueError as error:
+        except StoreError as error:
             self._report_rejection(error)
             raise rejection_response(error) from error
 
-    def _report_rejection(self, error: QueueError) -> None:
+    def _report_rejection(self, error: StoreError) -> None:
         self._metrics.rejected.labels(error.reason.value).inc()
         log.rate_limited("queue_request_rejected", why=error.reason.value, error=str(error))
 
     async def _enqueue(self, queued_request: QueuedRequest) -> Entry:
         try:
             entry = await self._queue.enqueue(queued_request)
-        except QueueError as error:
+        except StoreError as error:
             self._report_rejection(error)
             raise rejection_response(error, [location(queued_request.name)]) from error
         self._metrics.accepted.inc()
--- a/tests/store/test_file.py
+++ b/tests/store/test_file.py
@@ -12,13 +12,8 @@
 import pytest
 
 from ringledge.store import queries, schema, transitions
-from ringledge.store.entry import (
-    Entry,
-    EntryOutcome,
-    EntryState,
-    QueueError,
-    QueueRejectionReason,
-)
+from ringledge.store.entry import Entry, EntryOutcome, EntryState
+from ringledge.store.errors import StoreError, StoreRejectionReason
 from ringledge.store.queries import CORRUPT_ENTRY_MESSAGE
 from ringledge.store.queue import Queue
 from ringledge.store.seal import COLUMNS, to_row
@@ -45,9 +40,9 @@
     anyio.run(run)
 
 
-def connection_error(path: Path) -> QueueError:
+def connection_error(path: Path) -> StoreError:
     """Return the error that is raised when the file is opened."""
-    with pytest.raises(QueueError) as raised:
+    with pytest.raises(StoreError) as raised:
         schema.connect(path, 0.1).close()
     return raised.value
 
@@ -108,25 +103,25 @@
     corrupt = bytearray(path.read_bytes())
     corrupt[4096 * 2 : 4096 * 12] = b"\xff" * (4096 * 10)
     path.write_bytes(corrupt)
-    assert connection_error(path).reason is QueueRejectionReason.UNAVAILABLE
+    assert connection_error(path).reason is StoreRejectionReason.UNAVAILABLE
     assert path.read_bytes() == corrupt
 
     async def scenario(queue: Queue) -> None:
-        with pytest.raises(QueueError) as raised:
+        with pytest.raises(StoreError) as raised:
             await queue.enqueue(queued_request("new"))
-        assert raised.value.reason is QueueRejectionReason.UNAVAILABLE
+        assert raised.value.reason is StoreRejectionReason.UNAVAILABLE
 
     run_scenario(path, scenario)
 
 
 def test_files_that_are_no_queue_database_are_rejected(tmp_path: Path) -> None:
     (tmp_path / "text").write_bytes(b"no database at all, but long enough to look at" * 100)
-    assert connection_error(tmp_path / "text").reason is QueueRejectionReason.UNAVAILABLE
+    assert connection_error(tmp_path / "text").reason is StoreRejectionReason.UNAVAILABLE
     with sqlite3.connect(tmp_path / "other") as other:
         other.execute("CREATE TABLE mine (x)")
     other.close()
     assert "version" in str(connection_error(tmp_path / "other"))
-    assert connection_error(tmp_path / "no" / "folder").reason is QueueRejectionReason.UNAVAILABLE
+    assert connection_error(tmp_path / "no" / "folder").reason is StoreRejectionReason.UNAVAILABLE
 
 
 def test_a_file_of_a_newer_schema_version_is_rejected_and_not_modified(tmp_path: Path) -> None:
@@ -171,17 +166,17 @@
         for number in range(200):
             try:
                 accepted.append((await queue.enqueue(queued_request(f"{number}", size=5_000))).name)
-            except QueueError as error:
+            except StoreError as error:
                 reason = error.reason
                 break
-        assert reason is QueueRejectionReason.DISK_FULL and len(accepted) > 3
+        assert reason is StoreRejectionReason.DISK_FULL and len(accepted) > 3
         for name in accepted:  # every accepted entry can still be begun and ended
             assert (await queue.begin_attempt(name, 1)).state is EntryState.BEGUN
         assert (await queue.complete("first", 1, EntryOutcome.SERVED, b"{}")).outcome is EntryOutcome.SERVED
         await limit_pages(queue, 1)  # no further page, not even for existing entries
-        with pytest.raises(QueueError) as raised:
+        with pytest.raises(StoreError) as raised:
             await queue.complete("0", 1, EntryOutcome.SERVED, b"?" * 100_000)
-        assert raised.value.reason is QueueRejectionReason.DISK_FULL
+        assert raised.value.reason is StoreRejectionReason.DISK_FULL
         entry = await queue.get("0")
         assert entry is not None and entry.state is EntryState.BEGUN  # nothing was changed
         await limit_pages(queue, 2_000)
--- a/tests/store/test_file_sharing.py
+++ b/tests/store/test_file_sharing.py
@@ -9,13 +9,8 @@
 import pytest
 
 from ringledge.store import schema
-from ringledge.store.entry import (
-    EntryOutcome,
-    EntryState,
-    QueueError,
-    QueueRejectionReason,
-    StaleTokenError,
-)
+from ringledge.store.entry import EntryOutcome, EntryState, StaleTokenError
+from ringledge.store.errors import StoreError, StoreRejectionReason
 from ringledge.store.queue import Queue
 from ringledge.store.settings import QueueConfig
 from tests.store.helpers import NOW_S, queued_request
@@ -30,7 +25,7 @@
             try:
                 await queue.enqueue(queued_request(name, f"t{name}", size=size))
                 results[name] = "accepted"
-            except QueueError as error:
+            except StoreError as error:
                 results[name] = error.reason.value
 
         async with anyio.create_task_group() as tasks:
@@ -48,9 +43,9 @@
 
     async def scenario(queue: Queue) -> None:
         other.execute("BEGIN IMMEDIATE")
-        with pytest.raises(QueueError) as raised:
+        with pytest.raises(StoreError) as raised:
             await queue.enqueue(queued_request("a"))
-        assert raised.value.reason is QueueRejectionReason.LOCKED
+        assert raised.value.reason is StoreRejectionReason.LOCKED
         threading.Timer(0.05, lambda: other.execute("ROLLBACK")).start()
         assert (await queue.enqueue(queued_request("a"))).state is EntryState.WAITING
 
--- a/tests/store/test_transitions.py
+++ b/tests/store/test_transitions.py
@@ -10,15 +10,8 @@
 
 from ringledge.store import queries, transitions
 from ringledge.store.admission import QueueLimits
-from ringledge.store.entry import (
-    Entry,
-    EntryOutcome,
-    EntryState,
-    InvalidTransitionError,
-    QueueError,
-    QueueRejectionReason,
-    StaleTokenError,
-)
+from ringledge.store.entry import Entry, EntryOutcome, EntryState, InvalidTransitionError, StaleTokenError
+from ringledge.store.errors import StoreError, StoreRejectionReason
 from tests.store.helpers import LIFETIME_S, LIMITS, NOW_S, db, in_transaction, queued_request
 
 __all__ = ["db"]
@@ -125,29 +118,29 @@
 @pytest.mark.parametrize(
     ("limits", "reason"),
     [
-        (QueueLimits(1, 10_000, 1.0, 100), QueueRejectionReason.MAX_ENTRIES),
-        (QueueLimits(9, 25, 1.0, 100), QueueRejectionReason.MAX_BYTES),
-        (QueueLimits(2, 10_000, 0.5, 100), QueueRejectionReason.TENANT_QUOTA),
-        (QueueLimits(9, 30, 0.5, 100), QueueRejectionReason.TENANT_QUOTA),
-        (QueueLimits(9, 10_000, 1.0, 9), QueueRejectionReason.TOO_LARGE),
+        (QueueLimits(1, 10_000, 1.0, 100), StoreRejectionReason.MAX_ENTRIES),
+        (QueueLimits(9, 25, 1.0, 100), StoreRejectionReason.MAX_BYTES),
+        (QueueLimits(2, 10_000, 0.5, 100), StoreRejectionReason.TENANT_QUOTA),
+        (QueueLimits(9, 30, 0.5, 100), StoreRejectionReason.TENANT_QUOTA),
+        (QueueLimits(9, 10_000, 1.0, 9), StoreRejectionReason.TOO_LARGE),
     ],
 )
 def test_enqueue_beyond_a_limit_is_rejected_with_the_limits_reason(
-    db: sqlite3.Connection, limits: QueueLimits, reason: QueueRejectionReason
+    db: sqlite3.Connection, limits: QueueLimits, reason: StoreRejectionReason
 ) -> None:
     enqueue(db, "a")
-    second = queued_request("b", size=20 if reason is QueueRejectionReason.MAX_BYTES else 10)
+    second = queued_request("b", size=20 if reason is StoreRejectionReason.MAX_BYTES else 10)
 
-    with pytest.raises(QueueError) as rejection:
+    with pytest.raises(StoreError) as rejection:
         in_transaction(db, lambda db: transitions.enqueue(db, second, NOW_S, limits))
     assert rejection.value.reason is reason
-    if reason is QueueRejectionReason.TENANT_QUOTA:  # another tenant is still admitted
+    if reason is StoreRejectionReason.TENANT_QUOTA:  # another tenant is still admitted
         other_tenant = queued_request("b", "yard")
         assert in_transaction(db, lambda db: transitions.enqueue(db, other_tenant, NOW_S, limits))
     expired = queued_request("c")
-    with pytest.raises(QueueError) as late:
+    with pytest.raises(StoreError) as late:
         in_transaction(db, lambda db: transitions.enqueue(db, expired, NOW_S + LIFETIME_S, LIMITS))
-    assert late.value.reason is QueueRejectionReason.ALREADY_EXPIRED
+    assert late.value.reason is StoreRejectionReason.ALREADY_EXPIRED
 
 
 def test_a_repeated_idempotency_key_returns_the_tenants_existing_entry(db: sqlite3.Connection) -> None:
