Split the chat front: starting sessions, and submitting their requests

- chat/session_starter.py starts a session or finds the one that a repeated request follows; chat/submission.py submits requests and continuations to the core, and builds the payload for both.

--- a/ringledge/wire/clients/chat/replaying.py
+++ b/ringledge/wire/clients/chat/replaying.py
@@ -9,14 +9,12 @@
 import orjson
 
 from ringledge.core.conductor import Conductor
-from ringledge.core.port import Payload
 from ringledge.core.stages.accept import DuplicateRequestError
 from ringledge.decide.replay.scheduler import SendOutcome
 from ringledge.members.replay_sender import SendHandle, SendResult
 from ringledge.memory.names import WireNames
 from ringledge.routing.interface import (
     Idempotency,
-    Request,
     RouterSettings,
 )
 from ringledge.store.entry import Entry
@@ -24,6 +22,7 @@
 from ringledge.wire.clients.chat.question import ChatOrigin, class_and_request, retained_request
 from ringledge.wire.clients.chat.replies import completion_body
 from ringledge.wire.clients.chat.stream_sessions import SessionEnd, StreamSession
+from ringledge.wire.clients.chat.submission import server_payload
 from ringledge.wire.clients.chat_settings import ChatConfig
 from ringledge.wire.http.errors import HttpError
 
@@ -120,7 +119,7 @@
         idempotent = self._is_idempotent(class_index) and queued.idempotent
         attempt = _ReplayAttempt(session, self._conductor, on_result, idempotent)
         try:
-            session.record = self._conductor.accept(request, _payload(chat_request, request), attempt)
+            session.record = self._conductor.accept(request, server_payload(chat_request, request), attempt)
         except DuplicateRequestError:  # the previous attempt has not ended yet
             on_result(SendResult(SendOutcome.REJECTED, False))
         return attempt
@@ -129,13 +128,6 @@
         return self._settings.classes[class_index].idempotency is Idempotency.IDEMPOTENT
 
 
-def _payload(chat_request: dict[str, Any], request: Request) -> Payload:
-    """The request to the servers, which is always for a stream."""
-    body = chat_request | {"stream": True, "max_tokens": int(request.max_output_tokens)}
-    body.pop("max_completion_tokens", None)
-    return Payload(b"/v1/chat/completions", orjson.dumps(body))
-
-
 def _attempt_id(entry: Entry) -> str:
     """The request id sent to servers: unique to the attempt, and without the name that clients poll."""
     return blake2b(f"{entry.name}:{entry.attempts}".encode(), digest_size=16).hexdigest()
