Open a store file that another process opens or creates at the same instant

Seen by callers: behind a start of two processes on a new file, 503 for 5 s. Cause: SQLite does not wait where a connection changes to WAL mode while another one writes; version and tables were read in two statements, with the other process's migration between them; and any failure at the opening, a lock of milliseconds too, closes the file for 5 s. Change: the file is opened again while it is locked, for lock_timeout_s; version and tables are read in one transaction; a lock does not close the file. Three cases of tests/store/test_file_sharing.py failed before: database is locked, locked by another process, database without a schema version. Losses: the thread of the file waits for twice lock_timeout_s at most.

--- a/ringledge/store/database.py
+++ b/ringledge/store/database.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import sqlite3
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -14,6 +15,8 @@
 
 from ringledge.store.errors import StoreError, StoreRejectionReason
 
+OPEN_RETRY_INTERVAL_S = 0.005
+
 
 @dataclass(frozen=True, slots=True)
 class DatabaseSchema:
@@ -33,7 +36,20 @@
     """Open the file and create or migrate it if needed; raises StoreError if it cannot be used.
 
     A file that is corrupt or of a newer version is not modified, since clients rely on what it records.
+    Blocks the thread for up to twice `lock_timeout_s` while another process has the file locked.
     """
+    deadline_s = time.monotonic() + lock_timeout_s
+    while True:
+        try:
+            return _open(path, schema, lock_timeout_s)
+        except StoreError as error:
+            # SQLite itself does not wait where another process opens or closes the file.
+            if error.reason is not StoreRejectionReason.LOCKED or time.monotonic() >= deadline_s:
+                raise
+        time.sleep(OPEN_RETRY_INTERVAL_S)
+
+
+def _open(path: Path, schema: DatabaseSchema, lock_timeout_s: float) -> sqlite3.Connection:
     try:
         path.touch(mode=0o600)  # owner only, since it contains requests of clients
         db = sqlite3.connect(path, timeout=lock_timeout_s, isolation_level=None, check_same_thread=False)
@@ -75,7 +91,12 @@
     finding = _scalar(db, "PRAGMA quick_check(1)")
     if finding != "ok":
         raise _unavailable(f"integrity check failed: {finding}", path)
-    if _checked_version(db, path, schema) < schema.version:
+    db.execute("BEGIN")
+    try:
+        version = _checked_version(db, path, schema)
+    finally:
+        db.execute("ROLLBACK")
+    if version < schema.version:
         _migrate(db, path, schema)
 
 
@@ -97,7 +118,10 @@
 
 
 def _checked_version(db: sqlite3.Connection, path: Path, schema: DatabaseSchema) -> int:
-    """Return the schema version; raises StoreError if it is too new, or missing in an existing database."""
+    """Return the schema version; raises StoreError if it is too new, or missing in an existing database.
+
+    Call it in a transaction: another process may create the schema between two statements.
+    """
     version: int = _scalar(db, "PRAGMA user_version")
     if version > schema.version:
         message = f"schema version {version} is above {schema.version}, the latest supported; not modified"
--- a/ringledge/store/worker.py
+++ b/ringledge/store/worker.py
@@ -177,7 +177,8 @@
         try:
             self._db = self._connect()
         except StoreError as error:
-            self._mark_unusable(error)
+            if error.reason is not StoreRejectionReason.LOCKED:
+                self._mark_unusable(error)
             raise
         self._open_error = None
         return self._db
--- a/tests/store/test_file_sharing.py
+++ b/tests/store/test_file_sharing.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import sqlite3
 import threading
+import time
 from pathlib import Path
+from typing import Any
 
 import anyio
 import pytest
 
-from ringledge.store import schema
+from ringledge.store import database, schema
 from ringledge.store.entry import EntryOutcome, EntryState, StaleTokenError
 from ringledge.store.errors import StoreError, StoreRejectionReason
 from ringledge.store.queue import Queue
@@ -53,6 +56,54 @@
     other.close()
 
 
+def test_file_opens_once_another_process_that_opens_it_is_done(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a start that fails beside another one: SQLite does not wait for a change of its mode."""
+    path = tmp_path / "queue.db"
+    other = sqlite3.connect(path, isolation_level=None)
+    other.execute("BEGIN IMMEDIATE")
+    monkeypatch.setattr(time, "sleep", lambda seconds: other.close())
+    schema.connect(path, 20.0).close()
+
+
+def test_file_opens_while_another_process_creates_its_schema(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a version and a schema that are read on both sides of another process's commit."""
+    path = tmp_path / "queue.db"
+    read = database._scalar
+    created = list[bool]()
+
+    def create_after_version(db: sqlite3.Connection, query: str) -> Any:
+        value = read(db, query)
+        if query == "PRAGMA user_version" and not created:
+            created.append(True)
+            schema.connect(path, 1.0).close()
+        return value
+
+    monkeypatch.setattr(database, "_scalar", create_after_version)
+    schema.connect(path, 1.0).close()
+    assert created
+
+
+def test_file_that_is_locked_when_it_is_opened_can_be_used_once_it_is_not(tmp_path: Path) -> None:
+    """Guards against a queue that rejects for seconds behind a lock of milliseconds."""
+    path = tmp_path / "queue.db"
+    other = sqlite3.connect(path, isolation_level=None)
+
+    async def scenario(queue: Queue) -> None:
+        other.execute("BEGIN EXCLUSIVE")
+        with pytest.raises(StoreError) as raised:
+            await queue.enqueue(queued_request("a"))
+        assert raised.value.reason is StoreRejectionReason.LOCKED
+        other.execute("ROLLBACK")
+        assert (await queue.enqueue(queued_request("a"))).state is EntryState.WAITING
+
+    run_scenario(path, scenario, lock_timeout_s=0.05)
+    other.close()
+
+
 def test_two_processes_share_entries_and_tokens_of_one_file(tmp_path: Path) -> None:
     path = tmp_path / "queue.db"
 
