Record idempotency keys for all processes of a router, apart from responses

Cause: the key stood with the retained response: in one process's memory, for resume_for_s, and for less where responses are evicted. Change: claimed keys are in one SQLite file in $TMPDIR, with one owner (store/idempotency_keys.py), asked in one place before a run is submitted (chat/keyed_runs.py). A second record in memory checks it (invariant key_claimed_twice). Why it works: look-up and claim are one transaction of a file that both processes open, so no message has to arrive first; it outlives the process, the response and the channel between processes.

--- a/ringledge/core/invariants.py
+++ b/ringledge/core/invariants.py
@@ -39,6 +39,8 @@
     TIMEOUT_BEYOND_DEADLINE = "told_too_much"  # a server's time limit ended after the client's deadline
     # A KV cache entry may be held for longer than its limit with no delivered attempt in flight.
     CACHE_HELD_TOO_LONG = "held_too_long"
+    # An idempotency key could be claimed although its earlier run may have taken place.
+    KEY_CLAIMED_TWICE = "key_claimed_twice"
     EVENT_HANDLING_FAILED = "handling_failed"  # the policy or one of its actions raised an exception
 
 
--- a/ringledge/core/registry.py
+++ b/ringledge/core/registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from ringledge.core.possible_runs import PossibleRuns
@@ -24,6 +25,8 @@
         self.records: dict[str, RequestRecord] = {}
         self.peers: list[PeerProcess] = []
         self.possible_runs = PossibleRuns()  # of ended requests, in this process or in a peer
+        # Called with each request that is removed, and whether it may run again.
+        self.removal_listeners: list[Callable[[RequestRecord, bool], None]] = []
 
     def is_open(self, request_id: str) -> bool:
         """Whether a request with that id is open in this process or in a peer process."""
@@ -44,5 +47,7 @@
         del self.records[record.request_id]
         if not may_run_again:
             self.possible_runs.add(record.request_id)
+        for on_removed in self.removal_listeners:
+            on_removed(record, may_run_again)
         for peer in self.peers:
             peer.on_request_change(record.request_id, False)
--- a/ringledge/lifecycle/components/chat.py
+++ b/ringledge/lifecycle/components/chat.py
@@ -12,13 +12,17 @@
 
 if TYPE_CHECKING:
     from ringledge.lifecycle.components.overload import OverloadControl
+    from ringledge.wire.clients.chat.keyed_runs import KeyedRuns
     from ringledge.wire.clients.chat.queued import QueuedChat
 
 RETAINED_RESPONSES_DIVISOR = 8  # retained responses may use the memory limit divided by this
 
 
 def create(
-    context: ProgramContext, overload: OverloadControl | None, queued_chat: QueuedChat | None
+    context: ProgramContext,
+    keyed_runs: KeyedRuns,
+    overload: OverloadControl | None,
+    queued_chat: QueuedChat | None,
 ) -> Component:
     """Open the front; expired chats are deleted periodically once the component starts."""
     config = context.config
@@ -27,6 +31,7 @@
     chat = ChatHandler(
         ChatOptions(settings, config.settings, config.names, max_retained_bytes),
         context.conductor,
+        keyed_runs,
         None if overload is None else overload.gate,
         None if overload is None else overload.buffered_bytes,
         queued_chat,
--- a/ringledge/lifecycle/composition.py
+++ b/ringledge/lifecycle/composition.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from ringledge.lifecycle.components.overload import OverloadControl
     from ringledge.members.cluster import ClusterMember
+    from ringledge.wire.clients.chat.keyed_runs import KeyedRuns
     from ringledge.wire.clients.chat.queued import QueuedChat
     from ringledge.wire.clients.platform import PlatformHandler
 
@@ -35,6 +36,7 @@
     overload: OverloadControl | None = None
     platform: PlatformHandler | None = None
     cluster_member: ClusterMember | None = None
+    keyed_runs: KeyedRuns | None = None
     queued_chat: QueuedChat | None = None
 
 
@@ -105,6 +107,14 @@
     return members.create(composition.context, composition.cluster_member)
 
 
+def _create_idempotency_keys(composition: Composition) -> Component:
+    from ringledge.lifecycle.components import idempotency_keys
+
+    key_record = idempotency_keys.create(composition.context)
+    composition.keyed_runs = key_record.keyed_runs
+    return key_record.component
+
+
 def _create_queue(composition: Composition) -> Component:
     from ringledge.lifecycle.components import queue
 
@@ -116,7 +126,10 @@
 def _create_chat(composition: Composition) -> Component:
     from ringledge.lifecycle.components import chat
 
-    return chat.create(composition.context, composition.overload, composition.queued_chat)
+    assert composition.keyed_runs is not None  # created by a component that the same file enables
+    return chat.create(
+        composition.context, composition.keyed_runs, composition.overload, composition.queued_chat
+    )
 
 
 def _create_xds(composition: Composition) -> Component:
@@ -165,6 +178,9 @@
     _required("platform", _create_platform),
     ComponentSpec("operators", lambda config: bool(config.operator), _create_operator),
     _optional("members", _create_members),
+    ComponentSpec(
+        "idempotency_keys", lambda config: "chat" in config.deploy_settings, _create_idempotency_keys
+    ),
     _optional("queue", _create_queue),
     _optional("chat", _create_chat),
     _optional("xds", _create_xds),
--- a/ringledge/store/metrics.py
+++ b/ringledge/store/metrics.py
@@ -1,4 +1,4 @@
-"""Prometheus metrics of the durable queue, registered only if the queue is enabled."""
+"""Prometheus metrics of the queue and of idempotency keys, registered only if they are enabled."""
 
 from __future__ import annotations
 
@@ -26,3 +26,15 @@
         self.replay_rate = Gauge(
             "ringledge_replay_tokens_per_second", "Pace of the replay", registry=registry
         )
+
+
+class IdempotencyKeyMetrics:
+    """Counter of the chat front's requests with an idempotency key."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.rejected = Counter(
+            "ringledge_idempotency_keys_refused",
+            "Requests that were not run for their idempotency key, by why",
+            ("why",),
+            registry=registry,
+        )
--- a/ringledge/store/worker.py
+++ b/ringledge/store/worker.py
@@ -87,14 +87,17 @@
         Raises StoreError, StaleTokenError or InvalidTransitionError, in which case the step has changed
         nothing. The step may be run more than once, but only its last run takes effect.
         """
-        if self._stopped:
-            raise StoreError(
-                StoreRejectionReason.UNAVAILABLE, "closed, because the process is shutting down", self._path
-            )
+        return await asyncio.wrap_future(self.submit(step, writes))
+
+    def submit(self, step: Step[T], writes: bool = True) -> Future[T]:
+        """Run a step as `run` does, behind those that were submitted before, without waiting for it."""
         job = _Job(step, writes)
-        self._jobs.put(job)
-        result: T = await asyncio.wrap_future(job.result)
-        return result
+        if self._stopped:
+            reason = "closed, because the process is shutting down"
+            job.resolve(StoreError(StoreRejectionReason.UNAVAILABLE, reason, self._path))
+        else:
+            self._jobs.put(job)
+        return job.result
 
     def _run_jobs(self) -> None:
         while not self._drained:
--- a/ringledge/wire/clients/chat/front.py
+++ b/ringledge/wire/clients/chat/front.py
@@ -15,6 +15,7 @@
 from ringledge.core.conductor import Conductor
 from ringledge.observe.logging import log
 from ringledge.wire.clients.chat.admission import ChatAdmission
+from ringledge.wire.clients.chat.keyed_runs import KeyedRuns
 from ringledge.wire.clients.chat.question import tenant_of
 from ringledge.wire.clients.chat.replies import ResponseWriter, models_body
 from ringledge.wire.clients.chat.session_starter import ChatOptions, SessionStarter
@@ -39,6 +40,7 @@
         self,
         options: ChatOptions,
         conductor: Conductor,
+        keyed_runs: KeyedRuns,
         gate: AdmissionGate | None = None,
         buffered_bytes: BufferedBytes | None = None,
         queued: QueuedChat | None = None,
@@ -50,7 +52,8 @@
         self._admission = ChatAdmission(gate, names, config)
         self._queued = queued
         self._submitter = submitter = SessionSubmitter(conductor, options.settings)
-        self._starter = SessionStarter(options, self.sessions, submitter, self._admission, queued)
+        self._keyed_runs = keyed_runs
+        self._starter = SessionStarter(options, self.sessions, submitter, keyed_runs, self._admission, queued)
         self._writer = ResponseWriter(conductor, names, submitter.is_idempotent, submitter.continue_response)
         if buffered_bytes is not None:
             buffered_bytes.register(self.sessions)
@@ -94,6 +97,8 @@
         finally:
             session.followers.discard(conn)
             self._on_left(session)
+            if session.keyed_run is not None:
+                await self._keyed_runs.settle(session.keyed_run, session.never_ran)
 
     def _may_reject(self, session: StreamSession) -> bool:
         """Whether the request may be rejected, which promises the client that a retry is safe."""
--- a/ringledge/wire/clients/chat/stream_sessions.py
+++ b/ringledge/wire/clients/chat/stream_sessions.py
@@ -6,13 +6,16 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
 import orjson
 
 from ringledge.core.records import RequestRecord
 
+if TYPE_CHECKING:
+    from ringledge.wire.clients.chat.keyed_runs import KeyedRun
+
 
 class SessionEnd(Enum):
     """How a session's response ended; the values are logged."""
@@ -58,6 +61,7 @@
     size_bytes: int = 0  # of the request and the response so far
     resume_count: int = 0  # how often the response was continued after it broke off
     record: RequestRecord | None = None  # the core's current request for the session
+    keyed_run: KeyedRun | None = None  # if it was started with an idempotency key and is not idempotent
     events: list[str] = field(default_factory=list)  # the text of each event; event numbers start at 1
     finish_reason: str | None = None
     usage: dict[str, Any] | None = None
@@ -76,6 +80,13 @@
             return False
         return all(follower.peer_disconnected() for follower in self.followers)
 
+    @property
+    def never_ran(self) -> bool:
+        """Whether the response has ended and the request provably never ran."""
+        if self.end in (None, SessionEnd.SERVED):
+            return False
+        return self.record is None or not self.record.may_have_run
+
     @property
     def retained_bytes(self) -> int:
         """The size of the request, of its copy in the core's record, and of the response so far."""
--- a/tests/compatibility/write.py
+++ b/tests/compatibility/write.py
@@ -12,6 +12,7 @@
 from tests.compatibility.datagrams import write_datagrams
 from tests.compatibility.exchange_files import write_exchange
 from tests.compatibility.golden import trace_text
+from tests.compatibility.key_files import write_key_files
 from tests.compatibility.queue_files import write_queues
 from tests.compatibility.settings_files import write_settings
 from tests.compatibility.snapshots import write_snapshots
@@ -22,6 +23,7 @@
     """All golden files, by name."""
     traces = {f"trace-{name}.txt": trace_text(steps()).encode() for name, steps in TRACES.items()}
     formats = write_settings() | write_datagrams() | write_snapshots() | write_queues()
+    formats |= write_key_files()
     return traces | formats | write_command_line() | write_exchange()
 
 
--- a/tests/wire/clients/chat/queued.py
+++ b/tests/wire/clients/chat/queued.py
@@ -33,10 +33,12 @@
     ServerEntry,
     ServerKind,
 )
-from ringledge.store.metrics import QueueMetrics
+from ringledge.store.idempotency_keys import IdempotencyKeys
+from ringledge.store.metrics import IdempotencyKeyMetrics, QueueMetrics
 from ringledge.store.queue import Queue
 from ringledge.store.settings import QueueConfig
 from ringledge.wire.clients.chat import ChatHandler, ChatOptions, error_body
+from ringledge.wire.clients.chat.keyed_runs import KeyedRuns
 from ringledge.wire.clients.chat.queued import QueuedChat, QueuedChatOptions
 from ringledge.wire.clients.chat.replaying import ReplaySender
 from ringledge.wire.clients.chat_settings import ChatConfig
@@ -117,9 +119,18 @@
         self.queue.start()
         self.site_state = SiteState.PARTITIONED
         self.metrics = QueueMetrics(CollectorRegistry())
-        options = QueuedChatOptions(NAMES.classes, SETTINGS, "farm", 600.0)
-        queued = QueuedChat(self.queue, lambda: self.site_state, self.metrics, options)
-        self.chat = ChatHandler(ChatOptions(CONFIG, SETTINGS, NAMES, 1e6), self.conductor, queued=queued)
+        queued_options = QueuedChatOptions(NAMES.classes, SETTINGS, "farm", 600.0)
+        queued = QueuedChat(self.queue, lambda: self.site_state, self.metrics, queued_options)
+        self.keys = IdempotencyKeys(file.with_name("keys.db"), max_keys=1000)
+        self.keys.start()
+        self.keyed_runs = KeyedRuns(
+            self.keys,
+            self.conductor.registry,
+            self.conductor.context.invariants,
+            IdempotencyKeyMetrics(CollectorRegistry()),
+        )
+        options = ChatOptions(CONFIG, SETTINGS, NAMES, 1e6)
+        self.chat = ChatHandler(options, self.conductor, self.keyed_runs, queued=queued)
         self.sender = ReplaySender(CONFIG, SETTINGS, NAMES, self.conductor)
 
     async def request(
