Tell idempotency keys apart by their bytes beyond ASCII

Seen by callers: of two bookings of a tenant whose keys differ in such a byte, the second got the first one's response and did not run. Cause: all those bytes were decoded as one replacement character. Change: keys are decoded as Latin-1, which has a character for each byte. Evidence: test_keys_that_differ_in_a_byte_beyond_ascii_are_two_keys failed before.

--- a/ringledge/wire/clients/chat/question.py
+++ b/ringledge/wire/clients/chat/question.py
@@ -154,7 +154,7 @@
     key = header(head, b"idempotency-key")
     if key and len(key) > MAX_KEY_BYTES:
         raise HttpError(400, f"longer than {MAX_KEY_BYTES} bytes", "invalid_value", "Idempotency-Key")
-    return key.decode("ascii", "replace") if key else None
+    return key.decode("latin-1") if key else None  # each byte counts
 
 
 def tenant_of(head: h11.Request, default: str) -> str:
--- a/tests/wire/clients/chat/test_keyed_bookings.py
+++ b/tests/wire/clients/chat/test_keyed_bookings.py
@@ -177,6 +177,14 @@
 # What may run goes on running.
 
 
+def test_keys_that_differ_in_a_byte_beyond_ascii_are_two_keys(node: Node) -> None:
+    """Guards against a booking that gets another one's response: such bytes were all read as one."""
+    for key in ("room-\xe9", "room-\xe8"):
+        client = node.chat(BOOKING_REQUEST, Idempotency_Key=key)
+        wait_for_decode(node).serve("booked")
+        assert take(client).status == 200
+
+
 def rejected(node: Node) -> None:
     client = node.chat(BOOKING_REQUEST, Idempotency_Key=KEY)
     for _ in range(2):
