Ask the guard of idempotency keys before a queued booking is sent

Seen by callers: a booking that a connected client had made ran again when its key came with Prefer: respond-async in a partition; one that the queue had run ran again once its entry was deleted after keep_s. Change: ReplaySender claims the key of an entry that must not run twice as it sends it. A claim of the same entry is superseded, since an entry that waits again never ran. Where the key has run, the entry ends as may_have_run; where it can't be recorded, the entry waits. Left: an entry that another conductor of the site replayed and deleted.

--- a/ringledge/lifecycle/components/queue.py
+++ b/ringledge/lifecycle/components/queue.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from ringledge.lifecycle.component import Component
-from ringledge.lifecycle.config import ConfigError
 from ringledge.lifecycle.context import ProgramContext
 from ringledge.store.component import QueueComponent
 from ringledge.store.settings import QueueConfig
@@ -18,6 +17,7 @@
 
 if TYPE_CHECKING:
     from ringledge.members.cluster import ClusterMember
+    from ringledge.wire.clients.chat.keyed_runs import KeyedRuns
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -28,16 +28,15 @@
     chat: QueuedChat
 
 
-def create(context: ProgramContext, cluster_member: ClusterMember | None) -> QueuedRequests:
+def create(
+    context: ProgramContext, cluster_member: ClusterMember | None, keyed_runs: KeyedRuns
+) -> QueuedRequests:
     """Create the queue; its file is opened at the start, and replay begins when the program is ready.
 
-    If duties are enabled, only the holder of the replay lease replays. Raises ConfigError if the chat front
-    is disabled.
+    If duties are enabled, only the holder of the replay lease replays.
     """
     config = context.config
     queue_settings = config.settings_of(QueueConfig)
-    if "chat" not in config.deploy_settings:
-        raise ConfigError("queue.toml: requires chat.toml to be enabled, whose requests are queued")
     chat_settings, settings, names = config.settings_of(ChatConfig), config.settings, config.names
     observation = ServerObserver(context.conductor, context.upstream.reachability, context.metrics)
     is_leased = "duties" in config.deploy_settings
@@ -47,7 +46,9 @@
     )
     if cluster_member is not None and is_leased:
         cluster_member.duties[queue.duty_name] = queue.replayer
-    queue.sender = ReplaySender(chat_settings, settings, names, context.conductor)
+    sender = ReplaySender(chat_settings, settings, names, context.conductor, keyed_runs)
+    sender.tasks = context.tasks
+    queue.sender = sender
     options = QueuedChatOptions(names.classes, settings, chat_settings.tenant, queue_settings.expiry_s)
     chat = QueuedChat(queue.queue, queue.site_state, queue.metrics, options)
     component = Component(start=lambda: queue.start(context.tasks), on_ready=queue.ready, stop=queue.stop)
--- a/ringledge/lifecycle/composition.py
+++ b/ringledge/lifecycle/composition.py
@@ -118,7 +118,9 @@
 def _create_queue(composition: Composition) -> Component:
     from ringledge.lifecycle.components import queue
 
-    queued_requests = queue.create(composition.context, composition.cluster_member)
+    if composition.keyed_runs is None:
+        raise ConfigError("queue.toml: requires chat.toml to be enabled, whose requests are queued")
+    queued_requests = queue.create(composition.context, composition.cluster_member, composition.keyed_runs)
     composition.queued_chat = queued_requests.chat
     return queued_requests.component
 
--- a/ringledge/wire/clients/chat/replaying.py
+++ b/ringledge/wire/clients/chat/replaying.py
@@ -3,22 +3,25 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any
+from uuid import uuid4
 
+import anyio.abc
 import orjson
 
 from ringledge.core.conductor import Conductor
+from ringledge.core.port import Payload
 from ringledge.core.stages.accept import DuplicateRequestError
 from ringledge.decide.replay.scheduler import SendOutcome
 from ringledge.members.replay_sender import SendHandle, SendResult
 from ringledge.memory.names import WireNames
-from ringledge.routing.interface import (
-    Idempotency,
-    RouterSettings,
-)
+from ringledge.routing.interface import Idempotency, Request, RouterSettings
 from ringledge.store.entry import Entry
+from ringledge.store.key_claim import KeyClaim
 from ringledge.wire.clients.chat.answer import SessionSink
+from ringledge.wire.clients.chat.keyed_runs import KeyedRuns, KeyRejectedError, KeyRejectionReason
 from ringledge.wire.clients.chat.question import ChatOrigin, class_and_request, retained_request
 from ringledge.wire.clients.chat.replies import completion_body
 from ringledge.wire.clients.chat.stream_sessions import SessionEnd, StreamSession
@@ -58,6 +61,12 @@
             self._conductor.on_client_disconnected(self._session.record)
         return True
 
+    def finish_unsent(self, result: SendResult) -> None:
+        """Report the result of an attempt that was not submitted."""
+        if not self._finished:
+            self._finished = True
+            self._report(result)
+
     def _end(self, end: SessionEnd) -> None:
         super()._end(end)
         if self._finished:
@@ -85,12 +94,29 @@
         return SendResult(SendOutcome.SERVED, True, response, total_tokens or None, output_tokens)
 
 
+@dataclass(frozen=True, slots=True)
+class _Submission:
+    """What the core is given for one attempt, and the session that its response goes to."""
+
+    request: Request
+    payload: Payload
+    session: StreamSession
+    attempt: _ReplayAttempt
+
+
 class ReplaySender:
     """Sends queued entries through the conductor."""
 
     def __init__(
-        self, config: ChatConfig, settings: RouterSettings, names: WireNames, conductor: Conductor
+        self,
+        config: ChatConfig,
+        settings: RouterSettings,
+        names: WireNames,
+        conductor: Conductor,
+        keyed_runs: KeyedRuns,
     ) -> None:
+        self.tasks: anyio.abc.TaskGroup | None = None  # has to be set before the first entry with a key
+        self._keyed_runs = keyed_runs
         self._config = config
         self._settings = settings
         self._names = names
@@ -118,11 +144,33 @@
         )
         idempotent = self._is_idempotent(class_index) and queued.idempotent
         attempt = _ReplayAttempt(session, self._conductor, on_result, idempotent)
+        submission = _Submission(request, server_payload(chat_request, request), session, attempt)
+        if queued.idempotency_key is None or idempotent:
+            self._submit(submission)
+        else:
+            assert self.tasks is not None
+            claim = KeyClaim(queued.tenant, queued.idempotency_key, run=uuid4().hex, origin=entry.name)
+            self.tasks.start_soon(self._submit_keyed, submission, claim)
+        return attempt
+
+    def _submit(self, submission: _Submission) -> None:
+        session, attempt = submission.session, submission.attempt
         try:
-            session.record = self._conductor.accept(request, server_payload(chat_request, request), attempt)
+            session.record = self._conductor.accept(submission.request, submission.payload, attempt)
         except DuplicateRequestError:  # the previous attempt has not ended yet
-            on_result(SendResult(SendOutcome.REJECTED, False))
-        return attempt
+            self._keyed_runs.cancel(submission.request.request)
+            attempt.finish_unsent(SendResult(SendOutcome.REJECTED, False))
+
+    async def _submit_keyed(self, submission: _Submission, claim: KeyClaim) -> None:
+        """Submit the request of an entry with an idempotency key, unless the key may have run already."""
+        try:
+            await self._keyed_runs.begin(submission.request.request, claim)
+        except KeyRejectedError as error:
+            is_claimed = error.reason is KeyRejectionReason.CLAIMED
+            outcome = SendOutcome.FAILED if is_claimed else SendOutcome.REJECTED
+            submission.attempt.finish_unsent(SendResult(outcome, may_have_run=is_claimed))
+            return
+        self._submit(submission)
 
     def _is_idempotent(self, class_index: int) -> bool:
         return self._settings.classes[class_index].idempotency is Idempotency.IDEMPOTENT
--- a/tests/wire/clients/chat/queued.py
+++ b/tests/wire/clients/chat/queued.py
@@ -131,7 +131,7 @@
         )
         options = ChatOptions(CONFIG, SETTINGS, NAMES, 1e6)
         self.chat = ChatHandler(options, self.conductor, self.keyed_runs, queued=queued)
-        self.sender = ReplaySender(CONFIG, SETTINGS, NAMES, self.conductor)
+        self.sender = ReplaySender(CONFIG, SETTINGS, NAMES, self.conductor, self.keyed_runs)
 
     async def request(
         self, method: str, path: str, body: Any = None, headers: Mapping[str, str] | None = None
--- a/tests/wire/clients/chat/test_keyed_runs.py
+++ b/tests/wire/clients/chat/test_keyed_runs.py
@@ -11,12 +11,15 @@
 import pytest
 
 from ringledge.decide.replay.partition_detection import SiteState
+from ringledge.decide.replay.scheduler import SendOutcome
+from ringledge.members.replay_sender import SendResult
 from ringledge.routing.interface import AttemptStatus
+from ringledge.store.entry import EntryOutcome
 from ringledge.store.idempotency_keys import IdempotencyKeys
 from ringledge.store.key_claim import KeyClaim
 from ringledge.wire.clients.chat import keyed_runs
 from tests.wire.clients.chat import queued
-from tests.wire.clients.chat.queued import Response, SiteProcess, run_scenario
+from tests.wire.clients.chat.queued import ASYNC, Response, SiteProcess, run_scenario
 
 OTHER = KeyClaim("farm", "k", run="other", origin="other")
 
@@ -92,18 +95,107 @@
     run_scenario(tmp_path, scenario)
 
 
-def test_key_whose_record_was_lost_is_refused_by_the_process_that_ran_it(tmp_path: Path) -> None:
-    """The check beside the guard: the file forgets a key, and the violation is counted."""
+async def run_booking(process: SiteProcess) -> None:
+    """Have a booking with the key served, and its response evicted."""
+    responses = list[Response]()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(book, process, responses)
+        await wait_for_attempt(process, 1)
+        await process.serve(process.port.sent[0], "booked")
+    assert responses[0].status == 200
+    process.chat.sessions.evict(1_000_000)
+
+
+async def enqueue(process: SiteProcess) -> str:
+    """Have a booking with the key queued during a partition; returns the entry's name."""
+    process.site_state = SiteState.PARTITIONED
+    name: str = (await process.post("book", Idempotency_Key="k", **ASYNC)).body["id"]
+    process.site_state = SiteState.AVAILABLE
+    return name
+
+
+async def result_of(results: list[SendResult]) -> SendResult:
+    while not results:
+        await anyio.sleep(0.001)
+    return results.pop()
+
+
+def test_queued_booking_does_not_run_if_its_key_has_run_before(tmp_path: Path) -> None:
+    """Guards against a key that a connected client has used, and that comes again during a partition."""
 
     async def scenario(process: SiteProcess) -> None:
         process.site_state = SiteState.AVAILABLE
-        responses = list[Response]()
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(book, process, responses)
+        await run_booking(process)
+        sent = len(process.port.sent)
+        async with anyio.create_task_group() as process.sender.tasks:
+            await process.queue.adopt(1)
+            results = await process.replay(await enqueue(process), 1)
+            assert await result_of(results) == SendResult(SendOutcome.FAILED, may_have_run=True)
+        assert len(process.port.sent) == sent
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_booking_does_not_run_again_once_its_queued_entry_is_deleted(tmp_path: Path) -> None:
+    """Guards against a queue that keeps entries for `keep_s` alone, and their keys with them."""
+
+    async def scenario(process: SiteProcess) -> None:
+        async with anyio.create_task_group() as process.sender.tasks:
+            await process.queue.adopt(1)
+            name = await enqueue(process)
+            results = await process.replay(name, 1)
             await wait_for_attempt(process, 1)
             await process.serve(process.port.sent[0], "booked")
-        assert responses[0].status == 200
-        process.chat.sessions.evict(1_000_000)
+            served = await result_of(results)
+        await process.queue.complete(name, 1, EntryOutcome.SERVED, served.answer)
+        await process.queue.worker.run(lambda db: db.execute("DELETE FROM entries").rowcount)
+        repeated = await process.post("book", Idempotency_Key="k")
+        assert (repeated.status, repeated.body["error"]["code"]) == (409, "may_have_run")
+        assert len(process.port.sent) == 2
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_queued_booking_that_was_rejected_is_sent_again(tmp_path: Path) -> None:
+    """Guards against an entry that its own earlier attempt, which never ran, keeps from running."""
+
+    async def scenario(process: SiteProcess) -> None:
+        async with anyio.create_task_group() as process.sender.tasks:
+            await process.queue.adopt(1)
+            name = await enqueue(process)
+            first = await process.replay(name, 1)
+            await wait_for_attempt(process, 1)
+            for attempt in process.port.sent:  # grows with each retry
+                process.conductor.on_attempt_outcome(attempt, AttemptStatus.CONNECT_FAILED)
+            assert (await result_of(first)).outcome is SendOutcome.REJECTED
+            await process.queue.record_failed_attempt(name, 1, may_have_run=False)
+            failed = len(process.port.sent)
+            second = await process.replay(name, 1)
+            await wait_for_attempt(process, failed + 1)
+            await process.serve(process.port.sent[failed], "booked")
+            assert (await result_of(second)).outcome is SendOutcome.SERVED
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_queued_booking_waits_where_its_key_cannot_be_recorded(tmp_path: Path) -> None:
+    async def scenario(process: SiteProcess) -> None:
+        process.keys.stop()
+        async with anyio.create_task_group() as process.sender.tasks:
+            await process.queue.adopt(1)
+            results = await process.replay(await enqueue(process), 1)
+            assert await result_of(results) == SendResult(SendOutcome.REJECTED, may_have_run=False)
+        assert not process.port.sent
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_key_whose_record_was_lost_is_refused_by_the_process_that_ran_it(tmp_path: Path) -> None:
+    """The check beside the guard: the file forgets a key, and the violation is counted."""
+
+    async def scenario(process: SiteProcess) -> None:
+        process.site_state = SiteState.AVAILABLE
+        await run_booking(process)
         with sqlite3.connect(tmp_path / "keys.db") as db:
             db.execute("DELETE FROM keys")
         db.close()
