Reject chat bodies that can't be passed on, before they take a place

Cause: the session was entered before the body was encoded for the server; a session without a request has no end and is never evicted. Change: the payload is encoded first; a body that can't be encoded gets 400 invalid_json wherever it fails.

--- a/ringledge/wire/clients/chat/session_starter.py
+++ b/ringledge/wire/clients/chat/session_starter.py
@@ -7,6 +7,7 @@
 from uuid import uuid4
 
 import h11
+import orjson
 
 from ringledge.memory.names import WireNames
 from ringledge.routing.interface import Request, RouterSettings
@@ -28,7 +29,7 @@
     tenant_of,
 )
 from ringledge.wire.clients.chat.stream_sessions import SessionEnd, StreamSession, StreamSessionStore
-from ringledge.wire.clients.chat.submission import SessionSubmitter
+from ringledge.wire.clients.chat.submission import SessionSubmitter, server_payload
 from ringledge.wire.clients.chat_settings import ChatConfig
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.errors import HttpError
@@ -83,6 +84,12 @@
 
         Returns None if the request is queued, in which case it has been answered.
         """
+        try:
+            return await self._start(conn, head, body)
+        except orjson.JSONEncodeError as error:
+            raise HttpError(400, f"the body can't be passed on: {error}", "invalid_json") from error
+
+    async def _start(self, conn: Connection, head: h11.Request, body: bytes) -> StreamSession | None:
         chat_request = parse_chat_request(body)
         key = idempotency_key(head)
         if key is None:
@@ -128,6 +135,7 @@
             conn, head, chat_request, request
         ):
             return None
+        payload = server_payload(chat_request, request)  # a request that can't be encoded leaves no session
         session = StreamSession(
             f"chatcmpl-{uuid4().hex}",
             self._tenant(head),
@@ -142,7 +150,7 @@
             if not self._sessions.make_room():
                 raise HttpError(429, "too many answers are under way", "rate_limit_exceeded")
             self._sessions.add(session, None if key_use is None else key_use.key)
-            self._submitter.submit(session, request, chat_request)
+            self._submitter.submit(session, request, payload)
         except BaseException:
             self._keyed_runs.cancel(request.request)
             raise
--- a/ringledge/wire/clients/chat/submission.py
+++ b/ringledge/wire/clients/chat/submission.py
@@ -25,9 +25,8 @@
         self._conductor = conductor
         self._settings = settings
 
-    def submit(self, session: StreamSession, request: Request, chat_request: dict[str, Any]) -> None:
+    def submit(self, session: StreamSession, request: Request, payload: Payload) -> None:
         """Submit a request for the session to the core."""
-        payload = server_payload(chat_request, request)
         session.record = self._conductor.accept(request, payload, SessionSink(session))
 
     def continue_response(self, session: StreamSession) -> None:
@@ -47,9 +46,10 @@
             max_output_tokens=max(1.0, session.max_tokens - len(text) // 4),
             reconnect=True,
         )
+        payload = server_payload(chat_request, request)
         session.end = None
         session.resume_count += 1
-        self.submit(session, request, chat_request)
+        self.submit(session, request, payload)
 
     def is_idempotent(self, class_index: int) -> bool:
         """Whether requests of the class may run more than once."""
@@ -57,7 +57,10 @@
 
 
 def server_payload(chat_request: dict[str, Any], request: Request) -> Payload:
-    """The request to the servers, which is always for a stream."""
+    """The request to the servers, which is always for a stream.
+
+    Raises `orjson.JSONEncodeError` for a request that is nested too deeply: more can be parsed than encoded.
+    """
     body = chat_request | {"stream": True, "max_tokens": int(request.max_output_tokens)}
     body.pop("max_completion_tokens", None)
     return Payload(COMPLETIONS_PATH, orjson.dumps(body))
--- a/tests/wire/clients/chat/test_errors.py
+++ b/tests/wire/clients/chat/test_errors.py
@@ -119,3 +119,17 @@
     with pytest.raises(http.client.IncompleteRead):
         take(client)
     assert "event can't be read" in node.logged("attempt_reset")["error"]
+
+
+def test_request_that_is_nested_too_deeply_to_be_passed_on_is_rejected_and_takes_no_place(
+    tmp_path: Path,
+) -> None:
+    """Guards against a session without a request: its repeats got no answer, its place was lost for good."""
+    nested = json.dumps(BOOKING_REQUEST)[:-1].encode() + b', "x": ' + b"[" * 300 + b"]" * 300 + b"}"
+    with Node(tmp_path, files={"chat.toml": CHAT.replace("[models]", "sessions = 2\n[models]")}) as node:
+        for number in range(4):
+            answer = take(node.chat(nested, Idempotency_Key=f"k{number // 2}"))
+            assert (answer.status, answer.json()["error"]["code"]) == (400, "invalid_json")
+        client = node.chat(BOOKING_REQUEST, Idempotency_Key="k0")
+        wait_for_decode(node).serve("booked")
+        assert take(client).status == 200
