Keep the queue's lock or lease until what is in flight has ended

Cause: the lock, or the lease, was released first; the next holder ended the booking as unknown, and its result had an older token. A step under way at the release locked and adopted anew. Change: QueueComponent.drain sends nothing new and waits (2.5 s at most, as before) while lock and lease are held; FileLockLease acquires no more behind it. Losses: the site's replay pauses for up to 2.5 s at such a stop.

--- a/ringledge/lifecycle/components/lease_holder_duties.py
+++ b/ringledge/lifecycle/components/lease_holder_duties.py
@@ -68,7 +68,9 @@
             self._members.service.wake()
 
     async def stop(self) -> None:
-        """Release all leases; return once the duties have stopped."""
+        """Release all leases, once nothing is in flight under them; return once the duties have stopped."""
+        for drain in self._cluster_member.before_release:
+            await drain()
         self._stop_leases()
         await self._duties.stop_all()
 
--- a/ringledge/lifecycle/components/queue.py
+++ b/ringledge/lifecycle/components/queue.py
@@ -46,6 +46,7 @@
     )
     if cluster_member is not None and is_leased:
         cluster_member.duties[queue.duty_name] = queue.replayer
+        cluster_member.before_release.append(queue.drain)
     sender = ReplaySender(chat_settings, settings, names, context.conductor, keyed_runs)
     sender.tasks = context.tasks
     queue.sender = sender
--- a/ringledge/members/cluster.py
+++ b/ringledge/members/cluster.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from ringledge.members.component import MembersComponent
@@ -21,4 +21,6 @@
     duties: dict[str, Duty] = field(
         default_factory=dict
     )  # by name; each is performed only by its lease holder
+    # Awaited before this process releases its leases in a shutdown, e.g. until what it has begun is complete.
+    before_release: list[Callable[[], Awaitable[None]]] = field(default_factory=list)
     release_duty: Callable[[str], None] = _no_lease  # called by a lease holder that cannot perform its duty
--- a/ringledge/store/component.py
+++ b/ringledge/store/component.py
@@ -75,6 +75,7 @@
         self._token = 0  # fencing token of the latest lease
         self._maintained_s = 0.0
         self._stopping = False
+        self._drain_deadline_s = 0.0  # on the event loop's clock, once `drain` was called
 
     def site_state(self) -> SiteState:
         """Return whether the site is available, short of capacity, or partitioned from its servers."""
@@ -93,14 +94,27 @@
         self._tasks.start_soon(self._run)
 
     async def stop(self) -> None:
-        """Release the file lock, then wait for entries in flight and record their outcomes.
+        """Drain, then release the file lock, after which another process takes the queue over.
 
         The file stays open, because clients may still poll their entries, and a kill does not damage it.
         """
-        self._stopping = True
+        await self.drain()
         if self._file_lock is not None:
             self._file_lock.release()
-        with anyio.move_on_after(DRAIN_TIMEOUT_S):
+
+    async def drain(self) -> None:
+        """Send nothing new, then wait for entries in flight and record their outcomes.
+
+        Call this while the lock or the lease is held: the next holder ends what it finds in flight. Returns
+        DRAIN_TIMEOUT_S after the first call at the latest.
+        """
+        if not self._stopping:
+            self._stopping = True
+            self._drain_deadline_s = anyio.current_time() + DRAIN_TIMEOUT_S
+            if self._file_lock is not None:
+                self._file_lock.stop_stepping()
+            self.replayer.stop()
+        with anyio.CancelScope(deadline=self._drain_deadline_s):
             while self.replayer.in_flight_count or self.replayer.unsettled_count:
                 await self.replayer.wait_for_completion(BUSY_INTERVAL_S)
                 await self.replayer.settle()
--- a/ringledge/store/file_lock.py
+++ b/ringledge/store/file_lock.py
@@ -25,6 +25,7 @@
         self._queue = queue
         self._duty = duty
         self._descriptor = -1
+        self._stopped = False  # no step is run and the lock is not acquired any more
         self.token: int | None = None
 
     def is_held(self) -> bool:
@@ -33,13 +34,18 @@
 
     async def step(self) -> None:
         """Try to acquire the lock unless it is held, then run one step of the duty if it is."""
-        if self.token is None:
+        if self.token is None and not self._stopped:
             await self._try_acquire()
-        if self.token is not None:
+        if self.token is not None and not self._stopped:
             await self._duty.step(self.token, self.is_held)
 
+    def stop_stepping(self) -> None:
+        """Run no further step and acquire the lock no more; it stays held until `release`."""
+        self._stopped = True
+
     def release(self) -> None:
-        """Stop the duty and release the lock."""
+        """Stop the duty and release the lock, for good."""
+        self._stopped = True
         if self.token is not None:
             self._duty.stop()
             self.token = None
@@ -58,5 +64,8 @@
             StoreError,
         ):  # held by another process, or the file is unusable, which is reported elsewhere
             return
+        if self._stopped:  # while the token was read
+            self.release()
+            return
         self.token = token
         self._duty.begin(token)
