Bound the delay between refused watches below the 6 s of a change

Cause: the bound of the back-off, one second a router for an overloaded service, also held for one that is down, and exceeds 6 s from about eight routers on. Open: a discovery that neither answers nor refuses.

--- a/ringledge/wire/discovery/watcher.py
+++ b/ringledge/wire/discovery/watcher.py
@@ -10,8 +10,8 @@
 from anyio.abc import TaskGroup
 
 from ringledge.core.conductor import Conductor
-from ringledge.decide.backoff import Backoff
 from ringledge.decide.discovery.start_times import StartTimes
+from ringledge.decide.discovery.watch_backoff import WatchBackoff
 from ringledge.decide.discovery.watch_timeout import WatchTimeout
 from ringledge.memory.endpoint_list import Endpoint, EndpointListing, ListError, decode
 from ringledge.memory.names import WireNames
@@ -34,18 +34,6 @@
 AVAILABILITY = {"active": Availability.UP, "leaving": Availability.DRAINING, "left": Availability.REMOVED}
 IDLE_TIMEOUT_S = 3.0  # for a fetch, and for each line of a watch; discovery sends an empty line every 2 s
 MAX_LIST_BYTES = 4 * 1024 * 1024  # limit of one JSON object, which holds a list or changes
-# Bounds of the backoff after a failed watch, per router: one discovery service of fixed capacity serves all
-# routers. While overloaded it takes seconds for a request, and also serves those whose clients have given up.
-# All routers together therefore send twenty requests per second at first, and fewer after each failure. The
-# first delay is capped, since a watch may also fail without overload, and changes must be known within 6 s.
-INITIAL_BACKOFF_PER_ROUTER_S = 0.1
-MAX_INITIAL_BACKOFF_S = 2.0
-MAX_BACKOFF_PER_ROUTER_S = 1.0
-# With pushed lists, watches go to an agent on the router's own machine, which answers at once and at no cost.
-# It sends nothing while discovery is down, and the router must know changes as soon as the agent has received
-# them afterwards. The delays between watches are therefore short.
-PUSH_INITIAL_BACKOFF_S = 0.02
-PUSH_MAX_BACKOFF_S = 0.1
 PUSH_IDLE_TIMEOUT_S = 2.5
 PUSH_STALENESS_LIMIT_S = 5.6  # over consecutive watches; a change must be known within 6 s
 RECONFIGURED_STALENESS_LIMIT_S = 3.6  # after a reload, when a change must be known within 4 s
@@ -64,7 +52,7 @@
         self._conductor = conductor
         settings = conductor.context.settings
         self._is_push = settings.membership == MembershipMode.PUSH
-        self._backoff = _make_backoff(self._is_push, settings.routers, rng)
+        self._backoff = WatchBackoff(self._is_push, settings.routers, rng)
         self._timeout = _make_timeout(self._is_push)
         self.last_received_s = time.monotonic()
         self.synchronized = anyio.Event()  # set once a watch has delivered all outstanding updates
@@ -142,7 +130,7 @@
             with anyio.CancelScope() as self._watch_scope:
                 await self._watch_once(tasks)
         except (TimeoutError, *PEER_ERRORS, ListError) as error:
-            delay_s = self._backoff.next_delay_s()
+            delay_s = self._backoff.next_delay_s(refused=isinstance(error, ConnectionRefusedError))
             _log_failure(error, delay_s)
             return delay_s
         delay_s = 0.0 if self._watch_scope.cancelled_caught else self._backoff.next_delay_s()
@@ -213,14 +201,6 @@
             self.synchronized.set()
 
 
-def _make_backoff(is_push: bool, routers: int, rng: random.Random) -> Backoff:
-    if is_push:
-        return Backoff(PUSH_INITIAL_BACKOFF_S, PUSH_MAX_BACKOFF_S, rng)
-    router_count = max(1, routers)
-    initial_s = min(MAX_INITIAL_BACKOFF_S, INITIAL_BACKOFF_PER_ROUTER_S * router_count)
-    return Backoff(initial_s, MAX_BACKOFF_PER_ROUTER_S * router_count, rng)
-
-
 def _make_timeout(is_push: bool) -> WatchTimeout:
     if not is_push:
         return WatchTimeout(IDLE_TIMEOUT_S)
--- a/tests/decide/discovery/test_watch_timeout.py
+++ b/tests/decide/discovery/test_watch_timeout.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from ringledge.decide.discovery import watch_backoff
 from ringledge.decide.discovery.watch_timeout import MAX_ALLOWANCE_FACTOR, WatchTimeout
 from ringledge.lifecycle.serve import ENDPOINT_LIST_TIMEOUT_S
 from ringledge.wire.discovery import watcher as discovery
@@ -93,8 +94,8 @@
 ) -> None:
     """The table of docs/design/recovery.md: the third watch is requested in less than 6 s."""
     timeout = WatchTimeout(discovery.PUSH_IDLE_TIMEOUT_S)
-    at_s = first_failure(timeout, 0.0) + discovery.PUSH_INITIAL_BACKOFF_S
-    at_s = second_failure(timeout, at_s) + 2 * discovery.PUSH_INITIAL_BACKOFF_S
+    at_s = first_failure(timeout, 0.0) + watch_backoff.PUSH_INITIAL_BACKOFF_S
+    at_s = second_failure(timeout, at_s) + 2 * watch_backoff.PUSH_INITIAL_BACKOFF_S
     assert at_s < STALENESS_LIMIT_S
 
 
@@ -107,7 +108,7 @@
 ) -> float:
     """Request a watch that fails; returns the latest time at which the next watch is requested."""
     timeout.watch_requested(at_s)
-    return failure(timeout, at_s) + discovery.PUSH_MAX_BACKOFF_S
+    return failure(timeout, at_s) + watch_backoff.PUSH_MAX_BACKOFF_S
 
 
 def trickle_every_50_ms(timeout: WatchTimeout, start_s: float) -> float:
@@ -140,7 +141,7 @@
     timeout.watch_requested(0.0)
     timeout.watch_started(0.0)
     timeout.data_received(0.0, has_update=True, line_ended=True, line_incomplete=False)
-    at_s = timeout.deadline_s + discovery.PUSH_MAX_BACKOFF_S
+    at_s = timeout.deadline_s + watch_backoff.PUSH_MAX_BACKOFF_S
     for failure in failures:
         at_s = next_request_s(failure, timeout, at_s)
     assert at_s < STALENESS_LIMIT_S
@@ -188,7 +189,7 @@
 
 def test_three_unanswered_requests_after_an_idle_watch_end_before_the_staleness_limit() -> None:
     waits_s = sum(
-        min(discovery.PUSH_MAX_BACKOFF_S, discovery.PUSH_INITIAL_BACKOFF_S * 2**attempt)
+        min(watch_backoff.PUSH_MAX_BACKOFF_S, watch_backoff.PUSH_INITIAL_BACKOFF_S * 2**attempt)
         for attempt in range(4)
     )
     assert discovery.PUSH_IDLE_TIMEOUT_S + 3 * discovery.RESPONSE_TIMEOUT_S + waits_s < STALENESS_LIMIT_S
--- a/tests/decide/test_backoff.py
+++ b/tests/decide/test_backoff.py
@@ -4,7 +4,7 @@
 from heapq import heapify, heappop
 
 from ringledge.decide.backoff import Backoff
-from ringledge.wire.discovery.watcher import (
+from ringledge.decide.discovery.watch_backoff import (
     INITIAL_BACKOFF_PER_ROUTER_S,
     MAX_BACKOFF_PER_ROUTER_S,
     MAX_INITIAL_BACKOFF_S,
--- a/tests/wire/discovery/test_watcher.py
+++ b/tests/wire/discovery/test_watcher.py
@@ -15,6 +15,7 @@
 import pytest
 
 from ringledge.core.clock import Clock
+from ringledge.decide.discovery.watch_backoff import PUSH_MAX_BACKOFF_S
 from ringledge.lifecycle.config import WireNames
 from ringledge.observe.logging import log
 from ringledge.routing.interface import (
@@ -111,13 +112,13 @@
                 pending_call.raw(b"")
 
     anyio.run(run)
-    assert len(delays_s) >= 6 and max(delays_s) <= watching.PUSH_MAX_BACKOFF_S
+    assert len(delays_s) >= 6 and max(delays_s) <= PUSH_MAX_BACKOFF_S
 
 
 def test_two_unresponsive_push_watches_end_before_the_staleness_limit() -> None:
     """The limit counts from the beginning of the first watch, even if data arrived."""
     staleness_limit_s = 6.0
-    delays_s = 2 * watching.PUSH_MAX_BACKOFF_S
+    delays_s = 2 * PUSH_MAX_BACKOFF_S
     assert (
         watching.PUSH_IDLE_TIMEOUT_S + watching.RESPONSE_TIMEOUT_S + delays_s + watching.RESPONSE_TIMEOUT_S
         < staleness_limit_s
