Promise no more than is known where an idempotency key can't be recorded

The answer 503 said that nothing has run; where the record can't be read, an earlier run of the key is not ruled out. It says now that this request was not run and is to be repeated with its key.

--- a/ringledge/wire/clients/chat/keyed_runs.py
+++ b/ringledge/wire/clients/chat/keyed_runs.py
@@ -35,7 +35,7 @@
     """Why a request with an idempotency key must not run now; the values are metric labels."""
 
     CLAIMED = "claimed"  # another run of the key may have taken place, or is under way
-    UNRECORDED = "unrecorded"  # the claim could not be recorded; nothing has run
+    UNRECORDED = "unrecorded"  # the claim could not be recorded; this request was not run
 
 
 class KeyRejectedError(Exception):
--- a/ringledge/wire/clients/chat/session_starter.py
+++ b/ringledge/wire/clients/chat/session_starter.py
@@ -164,7 +164,7 @@
         except KeyRejectedError as error:
             if error.reason is KeyRejectionReason.CLAIMED:
                 raise HttpError(409, MAY_HAVE_RUN_MESSAGE, "may_have_run") from error
-            message = "the idempotency key can't be recorded, nothing has run"
+            message = "the idempotency key can't be recorded; the request was not run, repeat it with its key"
             raise HttpError(503, message, "idempotency_key_unrecorded", headers=[RETRY_AFTER]) from error
 
     def _tenant(self, head: h11.Request) -> str:
--- a/tests/fleet/test_queue.py
+++ b/tests/fleet/test_queue.py
@@ -64,16 +64,21 @@
     return take(client)
 
 
+def queue_booking_during_partition(site: Site, first: Node, until: float) -> Answer:
+    """Cuts the site off; returns the answer to a booking, which is queued once all members report it."""
+    for node in site.nodes.values():
+        send_listing(node, 8, "draining")
+    response = enqueue(first, "book")
+    while response.status != 202 and time.monotonic() < until:
+        response = enqueue(first, "book")
+    return response
+
+
 def test_request_queued_at_a_killed_process_is_replayed_by_another(tmp_path: Path) -> None:
     with Site(tmp_path, duties=()) as site:
         holder = site.holder()
-        for node in site.nodes.values():
-            send_listing(node, 8, "draining")
         until, first = time.monotonic() + TAKEOVER_LIMIT_S, site.nodes[holder]
-        response = enqueue(first, "book")
-        # Requests are queued once all three members report that the site is cut off.
-        while response.status != 202 and time.monotonic() < until:
-            response = enqueue(first, "book")
+        response = queue_booking_during_partition(site, first, until)
         locations = [response.headers["location"], enqueue(first, "yard").headers["location"]]
         others = [node for name, node in site.nodes.items() if name != holder]
         assert [fetch(node, location).status for node in others for location in locations] == [202] * 4
--- a/tests/fleet/test_queue_stop.py
+++ b/tests/fleet/test_queue_stop.py
@@ -6,7 +6,13 @@
 import time
 from pathlib import Path
 
-from tests.fleet.test_queue import TAKEOVER_LIMIT_S, Site, enqueue, fetch, send_listing
+from tests.fleet.test_queue import (
+    TAKEOVER_LIMIT_S,
+    Site,
+    fetch,
+    queue_booking_during_partition,
+    send_listing,
+)
 from tests.loopback import WAIT_S, Call
 
 # The pace of the server: its stream ends this long after SIGTERM, which precedes SIGKILL by 3.7 s.
@@ -17,12 +23,8 @@
     """Guards against a lease that is released first: the next holder ends the booking as unknown for good."""
     with Site(tmp_path, duties=()) as site:
         holder = site.holder()
-        for node in site.nodes.values():
-            send_listing(node, 8, "draining")
-        until, first = time.monotonic() + TAKEOVER_LIMIT_S, site.nodes[holder]
-        response = enqueue(first, "book")
-        while response.status != 202 and time.monotonic() < until:
-            response = enqueue(first, "book")
+        first = site.nodes[holder]
+        response = queue_booking_during_partition(site, first, time.monotonic() + TAKEOVER_LIMIT_S)
         for node in site.nodes.values():
             node.reader[0].answer_calls(Call.read)
             send_listing(node, 9, "active")
