--- a/ringledge/members/replayer.py
+++ b/ringledge/members/replayer.py
@@ -17,8 +17,7 @@
 from ringledge.members.duty import LeaseCheck
 from ringledge.members.replay_sender import EntrySender, SendHandle, SendResult
 from ringledge.observe.logging import log
-from ringledge.store.entry import Entry, EntryOutcome, InvalidTransitionError, StaleTokenError
-from ringledge.store.entry import EntryState as EntryState
+from ringledge.store.entry import Entry, EntryOutcome, EntryState, InvalidTransitionError, StaleTokenError
 from ringledge.store.errors import StoreError
 from ringledge.store.metrics import QueueMetrics
 from ringledge.store.queue import Queue
