--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -7,7 +7,7 @@
 import sys
 import tempfile
 from collections.abc import Iterable
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from importlib.util import find_spec
 from pathlib import Path
 
@@ -18,10 +18,23 @@
 from benchmarks.soak.plan import draw_plan
 
 
+@dataclass(frozen=True, slots=True)
+class FleetSize:
+    """The size of the runs."""
+
+    servers: int = 0  # in addition to the few usual ones
+    core_divisor: int = 1  # each router gets about a core divided by this
+
+
+USUAL_SIZE = FleetSize()
+
+
 @click.command()
 @click.option("--seed", default=1, help="The first seed.")
 @click.option("--count", default=1, help="The number of consecutive seeds.")
 @click.option("--parallel", default=1, help="The number of runs at a time.")
+@click.option("--fleet", default=0, help="The number of servers in addition to the few usual ones.")
+@click.option("--core-divisor", default=1, help="Each router gets about a core divided by this.")
 @click.option(
     "--keep",
     type=click.Path(path_type=Path),
@@ -30,11 +43,20 @@
 @click.option(
     "--json", "report", type=click.Path(path_type=Path), help="The file that receives all verdicts."
 )
-def main(seed: int, count: int, parallel: int, keep: Path | None, report: Path | None) -> None:
+def main(
+    seed: int,
+    count: int,
+    parallel: int,
+    fleet: int,
+    core_divisor: int,
+    keep: Path | None,
+    report: Path | None,
+) -> None:
     """Run seeds with real processes on loopback; exits with 1 if any run broke a rule."""
     if find_spec("httptools") is None:
         raise click.ClickException("httptools is missing: pip install -r requirements-lab.txt")
-    verdicts = asyncio.run(run_seeds(range(seed, seed + count), parallel, keep))
+    size = FleetSize(fleet, core_divisor)
+    verdicts = asyncio.run(run_seeds(range(seed, seed + count), parallel, keep, size))
     broken = [verdict for verdict in verdicts if verdict.violations]
     click.echo(
         f"{len(verdicts)} runs, {sum(each.requests for each in verdicts)} requests, {len(broken)} failed"
@@ -46,14 +68,17 @@
     sys.exit(bool(broken))
 
 
-async def run_seeds(seeds: Iterable[int], parallel: int, keep: Path | None = None) -> list[Verdict]:
+async def run_seeds(
+    seeds: Iterable[int], parallel: int, keep: Path | None = None, size: FleetSize = USUAL_SIZE
+) -> list[Verdict]:
     """Run the seeds, `parallel` at a time; `keep` receives the files of runs that broke a rule."""
     slots = asyncio.Semaphore(parallel)
 
     async def run_one(seed: int) -> Verdict:
         async with slots:
             with tempfile.TemporaryDirectory() as folder:
-                verdict = await SoakRun(draw_plan(seed), Path(folder)).run()
+                plan = draw_plan(seed, size.servers, size.core_divisor)
+                verdict = await SoakRun(plan, Path(folder)).run()
                 if keep is not None and verdict.violations:
                     shutil.copytree(folder, keep / str(seed), dirs_exist_ok=True, ignore=_special_files)
             _print_verdict(verdict)
--- a/benchmarks/soak/agent.py
+++ b/benchmarks/soak/agent.py
@@ -11,6 +11,7 @@
 
 from benchmarks.soak.events import EventLog
 
+FIRST_INDEX = 10  # of the list at the start
 WATCH_HEARTBEAT_S = 2.0
 SLOW_ANSWER_DELAY_S = 1.3
 
@@ -20,14 +21,14 @@
 
     def __init__(self, entries: list[dict[str, Any]]) -> None:
         self.entries = {entry["name"]: entry for entry in entries}
-        self.index = 10
-        self.changes: list[tuple[int, dict[str, Any]]] = []
+        self.index = FIRST_INDEX
+        self.changes: list[dict[str, Any]] = []  # one for each index after the first
 
     def change(self, name: str, **fields: Any) -> None:
         """Update fields of one endpoint and record the change."""
         self.index += 1
         self.entries[name] = self.entries[name] | fields
-        self.changes.append((self.index, self.entries[name]))
+        self.changes.append(self.entries[name])
 
     def snapshot(self) -> dict[str, Any]:
         """The full list, as the discovery protocol sends it."""
@@ -35,7 +36,7 @@
 
     def changes_since(self, index: int) -> dict[str, Any]:
         """The current state of each endpoint that changed after `index`."""
-        changed = {entry["name"]: entry for at, entry in self.changes if at > index}
+        changed = {entry["name"]: entry for entry in self.changes[index - FIRST_INDEX :]}
         return {"index": self.index, "snapshot": False, "endpoints": list(changed.values())}
 
 
@@ -98,7 +99,7 @@
     async def _watch(self, index: int, writer: asyncio.StreamWriter) -> None:
         first = True
         while True:
-            if first and index < 10:
+            if first and index < FIRST_INDEX:
                 self._write_line(writer, self.directory.snapshot())
             elif first or self.directory.index > index:
                 self._write_line(writer, self.directory.changes_since(index))
--- a/benchmarks/soak/day.py
+++ b/benchmarks/soak/day.py
@@ -15,9 +15,11 @@
 import orjson
 
 from benchmarks.soak.agent import DiscoveryAgent, EndpointDirectory
+from benchmarks.soak.cores import SharedCores
 from benchmarks.soak.events import EventLog, read_events
 from benchmarks.soak.fleet import ROOT, RouterProcess, free_ports
 from benchmarks.soak.history import build_history
+from benchmarks.soak.hosted import group
 from benchmarks.soak.oracle import MAX_STALL_S, TIMED_RULES, judge
 from benchmarks.soak.plan import LOAD_S, Plan, zone
 from benchmarks.soak.process_rules import Violation
@@ -26,6 +28,7 @@
 from benchmarks.soak.troubles import FaultInjector
 
 STARTUP_S = 3.0  # from the creation of the run to the start of the load; processes start meanwhile
+STARTUP_SERVER_S = 0.002  # more for each hosted server
 SETTLE_S = 7.0  # after the end of the load, for requests and faults still in progress
 MAX_ERROR_CHARACTERS = 500  # of what failed processes have written, in a verdict
 MAX_STARTS = 20  # of one router in a run; each start uses a new operator port
@@ -55,7 +58,7 @@
 
     def __init__(self, plan: Plan, folder: Path) -> None:
         self.plan, self.folder, self.log = plan, folder, EventLog(folder / "driver.events", "driver")
-        self.start_s = time.monotonic() + STARTUP_S
+        self.start_s = time.monotonic() + STARTUP_S + STARTUP_SERVER_S * len(plan.hosted)
         servers, conductors = len(plan.servers), len(plan.conductors)
         ports = free_ports(plan.host, 2 * servers + (3 + MAX_STARTS) * conductors)
         self.proxy_ports = {server: ports.pop() for server in plan.servers}
@@ -71,12 +74,13 @@
         self.conductors: dict[str, RouterProcess] = {}
         self.servers: dict[str, subprocess.Popen[bytes]] = {}
         self.helper_processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._cores = SharedCores()
         self._failed: list[EndedProcess] = []  # processes of the rig that ended before they were stopped
 
     def _endpoint_entry(self, server: str) -> dict[str, Any]:
         return {
             "name": server, "address": f"{self.plan.host}:{self.proxy_ports[server]}", "zone": zone(server),
-            "type": self.plan.kind(server), "group": int(server[1:]) % 2 + 1, "status": "active",
+            "type": self.plan.kind(server), "group": group(server), "status": "active",
             "weight": 1.0, "since_ms": 0,
         }  # fmt: skip
 
@@ -111,7 +115,11 @@
 
     async def _start(self) -> None:
         host, dead_port = self.plan.host, self._open_dead_port()
-        silenced = {s: [o for o in self.plan.servers if zone(o) == zone(s)] for s in self.plan.servers}
+        silenced = {
+            fault.target: [each for each in self.plan.servers if zone(each) == zone(fault.target)]
+            for fault in self.plan.troubles
+            if fault.kind == "path_silent"
+        }
         scenario = {
             "plan": self.plan.as_json(), "start_s": self.start_s, "silenced": silenced,
             "hung_port": dead_port, "ports": self.proxy_ports, "server_ports": self.server_ports,
@@ -119,8 +127,8 @@
         }  # fmt: skip
         faults = self.folder / "faults.json"
         faults.write_bytes(orjson.dumps(scenario))
-        for server in self.plan.servers:
-            self.start_server(server)
+        for process in [*self.plan.servers[: -len(self.plan.hosted) or None], *self.plan.hosts]:
+            self.start_server(process)
         self._start_helper("benchmarks.soak.proxy", str(faults), str(self.folder / "proxy.events"))
         for position, name in enumerate(self.plan.conductors):
             await self.agents[name].serve(self.agent_ports[2 * position : 2 * position + 2])
@@ -133,8 +141,9 @@
                 "settings": router_settings(self.plan, position),
             }  # fmt: skip
             ports = self.operator_ports[position :: len(self.plan.conductors)]
+            core = self._cores.shared_core(position, self.plan.core_divisor)
             self.conductors[name] = RouterProcess(
-                name, self.folder / name, self.log, faults, config, ports, self.plan.kill_after_s
+                name, self.folder / name, self.log, faults, config, ports, self.plan.kill_after_s, core
             )
             self.conductors[name].start()
         await asyncio.gather(*(each.wait_until_ready() for each in self.conductors.values()))
@@ -159,11 +168,9 @@
             self.helper_processes[" ".join(args)] = subprocess.Popen(command, cwd=ROOT, stderr=errors)
 
     def start_server(self, server: str) -> None:
-        """Start the stand-in of a server."""
-        kind, port = self.plan.kind(server), str(self.server_ports[server])
-        command = [sys.executable, "-m", "benchmarks.soak.instance", server, kind, self.plan.host, port]
-        command += [str(self.folder / f"{server}.events"), f"{self.plan.seed}{server[1:]}"]
-        command.append(str(self.folder / "faults.json"))
+        """Start the stand-in of a server, or a host of many."""
+        command = [sys.executable, "-m", "benchmarks.soak.instance", server]
+        command += [str(self.folder / f"{server}.events"), str(self.folder / "faults.json")]
         with (self.folder / "errors.txt").open("ab") as errors:
             self.servers[server] = subprocess.Popen(command, cwd=ROOT, stderr=errors)
 
@@ -186,6 +193,7 @@
         for process in [*self.servers.values(), *self.helper_processes.values()]:
             process.kill()
             process.wait()
+        self._cores.release()
         for sock in (self._dead_listener, *self._backlog_fillers):
             sock.close()
 
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -56,8 +56,10 @@
         config: dict[str, Any],
         operator_ports: list[int],
         kill_after_s: float,
+        core: int | None = None,
     ) -> None:
-        """`kill_after_s` is the grace period from SIGTERM to SIGKILL."""
+        """`kill_after_s` is the grace period from SIGTERM to SIGKILL; `core`: the only one to run on."""
+        self._core = core
         self._kill_after_s = kill_after_s
         self.name, self.folder, self._log, self._faults = name, folder, log, faults
         self._host = config["listen"].rpartition(":")[0]
@@ -91,6 +93,8 @@
         with self.output.open("wb") as output:
             command = [sys.executable, "-m", "benchmarks.soak.child"]
             self.process = subprocess.Popen(command, cwd=ROOT, env=environ, stderr=output)
+            if self._core is not None:
+                os.sched_setaffinity(self.process.pid, {self._core})
         self._log.write("started", conductor=self.name, pid=self.process.pid)
 
     async def wait_until_ready(self) -> bool:
@@ -180,7 +184,7 @@
             for line in path.read_bytes().splitlines():
                 if any(marker in line for marker in FAILURE_MARKERS):
                     self._log.write("found", conductor=self.name, line=line.decode(errors="replace")[:600])
-                elif b'"event":"stalled"' in line:
+                elif b'"event":"stalled"' in line and b'"why":"cpu"' not in line:
                     self._log.write("held_up", s=orjson.loads(line)["away_ms"] / 1000)
 
 
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -8,6 +8,7 @@
 from math import inf
 
 from benchmarks.soak.events import Event
+from benchmarks.soak.hosted import host_of
 from benchmarks.soak.plan import Plan
 
 CUT_STREAM_WINDOW_S = 0.7  # SIGKILL may cut off a stream whose request arrived within this time of SIGTERM
@@ -120,7 +121,7 @@
 
     def fault_active(self, server: str, kinds: Iterable[str], from_s: float, until_s: float) -> bool:
         """Whether a fault of one of these kinds hit the server, or a whole zone, in this period."""
-        zone = {server, "zone"}
+        zone = {server, host_of(server), "zone"}
         return any(
             each.kind in kinds
             and (each.target in zone or each.detail.get("zone"))
--- a/benchmarks/soak/instance.py
+++ b/benchmarks/soak/instance.py
@@ -1,4 +1,4 @@
-"""A stand-in server of a soak: python -m benchmarks.soak.instance NAME KIND HOST PORT LOG SEED FAULTS."""
+"""Stand-in servers of a soak, one or a host of many: python -m benchmarks.soak.instance NAME LOG FAULTS."""
 
 from __future__ import annotations
 
@@ -7,11 +7,15 @@
 import sys
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
+from typing import Any
 
 import orjson
 
 from benchmarks.soak.events import EventLog
+from benchmarks.soak.hosted import SERVER_KINDS, host_of
 from benchmarks.soak.streams import Stream, draw_stream
 from ringledge.lab.http_peer import HttpConnection, response
 
@@ -24,16 +28,23 @@
 UNSEEN_PREFILL_FRACTION = 0.5  # share of prefills that complete after the router closed the connection
 
 
-class StandInServer(HttpConnection):
-    """One connection to the stand-in."""
+@dataclass(slots=True)
+class ServedServer:
+    """One server of this process."""
 
-    log: EventLog
+    name: str
     kind: str
+    port: int
     rng: random.Random
     entry_wait_windows: list[tuple[float, float]]  # periods in which decodes wait for their KV cache entry
 
-    def __init__(self) -> None:
+
+class StandInServer(HttpConnection):
+    """One connection to the stand-in."""
+
+    def __init__(self, server: ServedServer, log: EventLog) -> None:
         super().__init__()
+        self.server, self.log, self.kind, self.rng = server, log, server.kind, server.rng
         self.request_id, self.prefilling = "", False
         self.timer: asyncio.TimerHandle | None = None
         self.stream: Stream = iter(())  # the pieces that have not been written yet
@@ -41,7 +52,7 @@
     def handle(self, method: bytes, target: bytes) -> None:
         """Handle a request or the release of a KV cache entry."""
         if target.startswith(b"/internal/reservations/"):
-            self.log.write("released", id=target.rpartition(b"/")[2].decode())
+            self._log("released", id=target.rpartition(b"/")[2].decode())
             self.transport.write(response(204))
         elif b"x-call-id" in self.headers:
             self._accept(self.headers[b"x-call-id"].decode())
@@ -53,16 +64,16 @@
         self.request_id, chance = request_id, self.rng.random()
         told_ms = int(self.headers.get(b"x-budget-ms", b"0"))
         port = self.transport.get_extra_info("peername")[1]
-        self.log.write("arrived", id=request_id, kind=self.kind, told_ms=told_ms, port=port)
+        self._log("arrived", id=request_id, kind=self.kind, told_ms=told_ms, port=port)
         if chance < BUSY_FRACTION:
             self.transport.write(response(503, b"", REJECTED))
         elif self.kind == "prefill":
             self.prefilling = True
             self._after_work(self._finish_prefill)
         elif chance < BUSY_FRACTION + LOST_FRACTION:
-            self.log.write("state_gone", id=request_id)
+            self._log("state_gone", id=request_id)
             self.transport.write(response(410, b"", REJECTED))
-        elif any(from_s <= time.monotonic() < until_s for from_s, until_s in self.entry_wait_windows):
+        elif any(from_s <= time.monotonic() < until_s for from_s, until_s in self.server.entry_wait_windows):
             wait_s = self.rng.uniform(*ENTRY_WAIT_RANGE_S)
             self.timer = asyncio.get_running_loop().call_later(
                 wait_s, self._finish_entry_wait, self.rng.random()
@@ -80,7 +91,7 @@
 
     def _run(self, fails: bool) -> None:
         """Run the request: from here on it has taken effect."""
-        self.log.write("ran", id=self.request_id)
+        self._log("ran", id=self.request_id)
         if fails:
             self.transport.write(response(500))
         else:
@@ -93,7 +104,7 @@
 
     def _finish_prefill(self) -> None:
         self.timer, self.prefilling = None, False
-        self.log.write("prefilled", id=self.request_id)
+        self._log("prefilled", id=self.request_id)
         self.transport.write(response(202, b'{"cached_tokens":0}'))
 
     def _write_stream(self) -> None:
@@ -101,7 +112,7 @@
         self.timer = None
         piece = next(self.stream)
         if piece.event:
-            self.log.write(piece.event, id=self.request_id)
+            self._log(piece.event, id=self.request_id)
         self.transport.write(piece.data)
         if not piece.is_last:
             self.timer = asyncio.get_running_loop().call_later(piece.pause_s, self._write_stream)
@@ -111,28 +122,37 @@
         if self.timer is not None:
             self.timer.cancel()
             if self.prefilling and self.rng.random() < UNSEEN_PREFILL_FRACTION:
-                self.log.write("prefilled", id=self.request_id, unseen=True)
+                self._log("prefilled", id=self.request_id, unseen=True)
+
+    def _log(self, event: str, **fields: Any) -> None:
+        self.log.write(event, source=self.server.name, **fields)
 
 
-def read_entry_wait_windows(faults: Path, server: str) -> list[tuple[float, float]]:
-    """The periods in which decodes wait at this server, from the scenario file."""
-    scenario = orjson.loads(faults.read_bytes())
-    return [
-        (scenario["start_s"] + each["at_s"], scenario["start_s"] + each["until_s"])
+def read_servers(scenario: dict[str, Any], process: str) -> list[ServedServer]:
+    """The servers of this process, from the scenario: the one that it is named after, or those of a host."""
+    ports: dict[str, int] = scenario["server_ports"]
+    names = [name for name in ports if process in (name, host_of(name))]
+    start_s = scenario["start_s"]
+    windows = [
+        (start_s + each["at_s"], start_s + each["until_s"])
         for each in scenario["plan"]["troubles"]
-        if each["kind"] == "server_queue" and each["target"] == server
+        if each["kind"] == "server_queue" and each["target"] == process
     ]
+    rngs = {name: random.Random(int(f"{scenario['plan']['seed']}{name[1:]}")) for name in names}
+    return [ServedServer(name, SERVER_KINDS[name[0]], ports[name], rngs[name], windows) for name in names]
 
 
-async def serve(kind: str, address: tuple[str, int]) -> None:
+async def serve(servers: list[ServedServer], host: str, log: EventLog) -> None:
     """Serve until killed."""
-    StandInServer.kind = kind
-    server = await asyncio.get_running_loop().create_server(StandInServer, *address, reuse_address=True)
-    await server.serve_forever()
+    loop = asyncio.get_running_loop()
+    for server in servers:
+        connection = partial(StandInServer, server, log)
+        await loop.create_server(connection, host, server.port, reuse_address=True)
+    await asyncio.Event().wait()
 
 
 if __name__ == "__main__":
-    name_, kind_, host_, port_, log_, seed_, faults_ = sys.argv[1:]
-    StandInServer.log, StandInServer.rng = EventLog(Path(log_), name_), random.Random(int(seed_))
-    StandInServer.entry_wait_windows = read_entry_wait_windows(Path(faults_), name_)
-    asyncio.run(serve(kind_, (host_, int(port_))))
+    process_, log_, faults_ = sys.argv[1:]
+    scenario_ = orjson.loads(Path(faults_).read_bytes())
+    servers_ = read_servers(scenario_, process_)
+    asyncio.run(serve(servers_, scenario_["host"], EventLog(Path(log_), process_)))
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -7,6 +7,9 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from benchmarks.soak.hosted import SERVER_KINDS, draw_fleet_faults, draw_hosted_servers, host_of
+from benchmarks.soak.planned_fault import PlannedFault
+
 LOAD_S = 16.0  # duration of the load
 CLUSTER_COUNT = (3, 5)  # range of the number of clusters of faults in a plan
 SHARED_TARGET_FRACTION = 0.7  # share of a cluster's faults that hit the same router or the same server
@@ -60,17 +63,6 @@
 }
 
 
-@dataclass(slots=True)
-class PlannedFault:
-    """One fault of a plan; times are in s from the start of the load."""
-
-    kind: str
-    target: str  # the name of a router or of a server
-    at_s: float
-    until_s: float
-    detail: dict[str, Any] = field(default_factory=dict)
-
-
 @dataclass(slots=True)
 class Plan:
     """The servers, routers, settings and faults of a seed; the other processes read it as JSON."""
@@ -86,11 +78,22 @@
     troubles: list[PlannedFault]
     deadline_ms: float = 3000.0  # deadline of every request class
     crowd: bool = False  # bursts of idle and half-open connections, up to the descriptor limit
+    hosted: list[str] = field(default_factory=list)  # further servers, which a few host processes serve
+    core_divisor: int = 1  # each router shares its core with one process less than this
 
     @property
     def servers(self) -> list[str]:
         """The names of all servers."""
-        return self.prefill + self.decode + self.mixed
+        return self.prefill + self.decode + self.mixed + self.hosted
+
+    @property
+    def hosts(self) -> list[str]:
+        """The names of the host processes."""
+        return sorted({host_of(server) for server in self.hosted})
+
+    def served_by(self, process: str) -> list[str]:
+        """The servers of a server process, which is named after its only server or is a host."""
+        return [each for each in self.hosted if host_of(each) == process] or [process]
 
     @property
     def kill_after_s(self) -> float:
@@ -104,15 +107,15 @@
 
     def kind(self, server: str) -> str:
         """The kind of a server, as named in the settings."""
-        return {"p": "prefill", "d": "decode", "m": "mixed"}[server[0]]
+        return SERVER_KINDS[server[0]]
 
     def as_json(self) -> dict[str, Any]:
         """The plan as a JSON object."""
         return asdict(self)
 
 
-def draw_plan(seed: int) -> Plan:
-    """Draw the plan of a seed."""
+def draw_plan(seed: int, fleet_size: int = 0, core_divisor: int = 1) -> Plan:
+    """Draw the plan of a seed; `fleet_size` is the number of servers in addition to the few usual ones."""
     rng = random.Random(seed)
     plan = Plan(
         seed,
@@ -135,6 +138,10 @@
         plan.troubles += _lost_prefill_faults(rng, plan)
     plan.deadline_ms = rng.choice((3000.0, 3000.0, 1200.0, 600.0))
     plan.crowd = rng.random() < CROWD_FRACTION
+    plan.core_divisor = core_divisor
+    if fleet_size:
+        plan.hosted = draw_hosted_servers(fleet_size)
+        plan.troubles += draw_fleet_faults(rng, plan.hosts, LOAD_S)
     plan.troubles.sort(key=lambda fault: fault.at_s)
     return plan
 
--- a/benchmarks/soak/troubles.py
+++ b/benchmarks/soak/troubles.py
@@ -12,7 +12,7 @@
 import orjson
 
 from benchmarks.soak.fleet import RouterProcess
-from benchmarks.soak.plan import PlannedFault
+from benchmarks.soak.planned_fault import PlannedFault
 
 if TYPE_CHECKING:
     from benchmarks.soak.day import SoakRun
@@ -111,7 +111,8 @@
         self._run.servers[server].wait()
         await asyncio.sleep(RESTART_DELAY_S)
         self._run.start_server(server)
-        self._update_endpoint(server, status="active", since_ms=int(time.time() * 1000))
+        for each in self._run.plan.served_by(server):
+            self._update_endpoint(each, status="active", since_ms=int(time.time() * 1000))
 
     async def _server_hang(self, fault: PlannedFault) -> None:
         process = self._run.servers[fault.target]
@@ -120,9 +121,15 @@
         process.send_signal(signal.SIGCONT)
 
     async def _server_drain(self, fault: PlannedFault) -> None:
-        self._update_endpoint(fault.target, status="leaving")
+        servers = self._run.plan.served_by(fault.target)
+        pause_s = fault.detail.get("spread_s", 0.0) / len(servers)
+        for server in servers:
+            self._update_endpoint(server, status="leaving")
+            await asyncio.sleep(pause_s)
         await asyncio.sleep(self._remaining_s(fault))
-        self._update_endpoint(fault.target, status="active", since_ms=int(time.time() * 1000))
+        for server in servers:
+            self._update_endpoint(server, status="active", since_ms=int(time.time() * 1000))
+            await asyncio.sleep(pause_s)
 
     def _update_endpoint(self, server: str, **fields: Any) -> None:
         self._run.directory.change(server, **fields)
--- a/tests/benchmarks/test_soak_oracle.py
+++ b/tests/benchmarks/test_soak_oracle.py
@@ -11,7 +11,8 @@
 from benchmarks.soak.events import Event
 from benchmarks.soak.history import build_history
 from benchmarks.soak.oracle import MAX_STALL_S, TIMED_RULES, judge
-from benchmarks.soak.plan import FAULT_WEIGHTS, Plan, PlannedFault, draw_plan
+from benchmarks.soak.plan import FAULT_WEIGHTS, Plan, draw_plan
+from benchmarks.soak.planned_fault import PlannedFault
 from benchmarks.soak.process_rules import Violation
 
 START_S = 100.0
