--- a/benchmarks/soak/troubles.py
+++ b/benchmarks/soak/troubles.py
@@ -110,6 +110,8 @@
         self._run.servers[server].kill()
         self._run.servers[server].wait()
         await asyncio.sleep(RESTART_DELAY_S)
+        if self._run.servers[server].poll() is None:
+            return  # restarted by another fault meanwhile
         self._run.start_server(server)
         for each in self._run.plan.served_by(server):
             self._update_endpoint(each, status="active", since_ms=int(time.time() * 1000))
