Keep the fleet's pools and sums by change, so that no decision visits all servers

One request took 990 ms of CPU at 3,200 servers, and all that waited behind it was late.

Change: `FleetState` keeps pools of available servers by role (ordered, with indexes by cell, zone and bucket), the servers with requests in flight, and sums of warmth in integers; a change of one server visits no others. Pools of up to 256 servers are looked at whole, as before. Fetch delays and cached prefixes are forgotten by change, too.

Why it works: the work follows the candidates and the router's own traffic.

Tests that set pending tokens of an idle server mark it busy, since sums count busy servers.

--- a/ringledge/routing/affinity.py
+++ b/ringledge/routing/affinity.py
@@ -22,6 +22,7 @@
 
     def __init__(self) -> None:
         self.by_session: dict[int | None, Affinity] = {}
+        self._caching_servers = dict[Server, None]()  # servers with cached prefixes
 
     def get(self, session: int | None) -> Affinity | None:
         """Return the affinity of a session, or None."""
@@ -34,10 +35,20 @@
         does not keep the session.
         """
         if request.prefix:
-            server.cached_prefixes[request.prefix] = now_ms
+            self.record_prefix(server, request.prefix, now_ms)
         if request.session is not None:
             self.by_session[request.session] = Affinity(server, request.prompt_tokens, now_ms)
 
+    def record_prefix(self, server: Server, prefix: int, now_ms: float) -> None:
+        """Record that a server has cached a shared prefix."""
+        server.cached_prefixes[prefix] = now_ms
+        self._caching_servers[server] = None
+
     def expire(self, oldest_ms: float) -> None:
-        """Delete affinities that were last used before `oldest_ms`."""
+        """Delete affinities and cached prefixes that were last used before `oldest_ms`."""
+        for server in list(self._caching_servers):
+            cached = server.cached_prefixes.items()
+            server.cached_prefixes = {prefix: used_ms for prefix, used_ms in cached if used_ms >= oldest_ms}
+            if not server.cached_prefixes:
+                del self._caching_servers[server]
         self.by_session = {key: each for key, each in self.by_session.items() if each.used_ms >= oldest_ms}
--- a/ringledge/routing/eligibility.py
+++ b/ringledge/routing/eligibility.py
@@ -20,6 +20,11 @@
 MAX_CREDIT_WINDOWS = 2.0
 
 
+# Servers of a pool that every selection looks at. Of a larger pool it looks at some candidates, so that its
+# work does not grow with the fleet.
+FULL_SCAN_SERVERS = 256
+
+
 class EligibilityFilter:
     """Filters servers before every selection.
 
@@ -58,6 +63,10 @@
         risk = self.estimates.failure_probability
         return [s for s in preferred if not s.failures or rng.random() >= risk(state, s)] or preferred
 
+    def is_preferred(self, state: RequestState, server: Server) -> bool:
+        """Whether a server is reachable, and no attempt of the request has failed there."""
+        return server.entry.server not in self.fleet.unreachable and server not in state.failed_servers
+
     def repeatable(self, state: RequestState, server: Server, sent_ms: float) -> bool:
         """Whether a request sent to a server at `sent_ms` cannot take effect twice.
 
--- a/ringledge/routing/endpoint_registry.py
+++ b/ringledge/routing/endpoint_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 
 from ringledge.routing.actions import (
     RoutingAction,
@@ -14,10 +14,11 @@
 from ringledge.routing.affinity import SessionAffinities
 from ringledge.routing.context import RoutingContext
 from ringledge.routing.control_events import OperatorOverride, RolePlan, UnreachableServers
+from ringledge.routing.eligibility import FULL_SCAN_SERVERS
 from ringledge.routing.endpoints import Availability, EndpointUpdate, EndpointUpdateKind, ServerEntry
 from ringledge.routing.estimates import Estimates
 from ringledge.routing.fleet import FleetState
-from ringledge.routing.settings import MembershipMode, Role
+from ringledge.routing.settings import MembershipMode
 from ringledge.routing.state import DECAY_MS, DecayingMean, Server
 from ringledge.routing.termination import cancel_actions
 
@@ -55,12 +56,12 @@
                 actions.append(WatchEndpoints())
         for name in self._removed_servers(update):
             if name in self.fleet.servers:  # outcomes of the cancelled attempts trigger retries elsewhere
-                states = self.fleet.servers.pop(name).in_flight
+                states = self.fleet.remove(name).in_flight
                 actions += [action for state in states for action in cancel_actions(self.settings, state)]
         for entry in update.entries:
             if entry.availability != Availability.REMOVED and entry.kind < len(self.settings.kinds):
                 self._update_server(entry)
-        self._refresh()
+        self._finish_update()
         return actions
 
     def _schedule_list_retry(self) -> SetTimer:
@@ -71,7 +72,7 @@
     def _removed_servers(self, update: EndpointUpdate) -> list[str]:
         """Return the servers that an update removes. A complete list removes those that it does not name."""
         removed = [each.server for each in update.entries if each.availability == Availability.REMOVED]
-        if update.kind != EndpointUpdateKind.CHANGES:
+        if update.is_whole:
             removed += sorted(self.fleet.servers.keys() - {entry.server for entry in update.entries})
         return removed
 
@@ -80,29 +81,29 @@
         server = self.fleet.servers.get(entry.server)
         if server is None or server.entry.started_ms != entry.started_ms:
             start_ms = entry.started_ms if entry.local_started_ms is None else entry.local_started_ms
-            server = self._add_server(entry, self.rng.random(), start_ms)
-        server.entry = entry
+            self._add_server(entry, self.rng.random(), start_ms)
+        elif server.entry != entry:
+            self.fleet.update_entry(server, entry)
+            self.fleet.place(server, self.clock.now_ms)
 
     def expire(self) -> list[RoutingAction]:
         """Delete expired state; return the timer for the next run."""
         now_ms = self.clock.now_ms
         oldest_ms = now_ms - AFFINITY_TTL_MS
-        self._refresh()  # the warmth of cold servers has changed
+        self.fleet.update_warmth(now_ms)
+        self._finish_update()
         self.affinities.expire(oldest_ms)
-        for server in self.fleet.servers.values():
-            cached = server.cached_prefixes.items()
-            server.cached_prefixes = {prefix: used_ms for prefix, used_ms in cached if used_ms >= oldest_ms}
         return [SetTimer(now_ms + EXPIRY_CHECK_MS, TimerToken(TimerName.EXPIRE).encode())]
 
-    def _add_server(self, entry: ServerEntry, credit: float, warming_since_ms: float) -> Server:
+    def _add_server(self, entry: ServerEntry, credit: float, warming_since_ms: float) -> None:
         """Add a server without any observations."""
         server = Server(entry, self.settings.kinds[entry.kind].role, warming_since_ms=warming_since_ms)
         server.start_credit = credit
         server.start_credit_ms = self.clock.now_ms
         decay_ms = max(DECAY_MS, TRIAL_INTERVAL_MS * self.settings.routers)
         server.failures = defaultdict(lambda: DecayingMean(decay_ms=decay_ms))
-        self.fleet.servers[entry.server] = server
-        return server
+        self.fleet.add(server)
+        self.fleet.place(server, self.clock.now_ms)
 
     def update_reachability(self, event: UnreachableServers) -> None:
         """Replace the set of unreachable servers."""
@@ -110,8 +111,11 @@
 
     def update_role_plan(self, plan: RolePlan) -> None:
         """Replace the role plan. Attempts in flight continue, since a mixed server can finish both roles."""
-        self.fleet.role_plan = plan
-        self._refresh()
+        before, self.fleet.role_plan = self.fleet.role_plan, plan
+        changed = (before.no_prefill ^ plan.no_prefill) | (before.no_decode ^ plan.no_decode)
+        for name in sorted(changed):
+            self._place(name)
+        self._finish_update()
 
     def override(self, event: OperatorOverride) -> None:
         """Exclude a server regardless of the server list, or readmit it as a new and cold server."""
@@ -123,24 +127,15 @@
             fleet.readmitted.add(event.server)
             if event.server in fleet.servers:
                 self._add_server(fleet.servers[event.server].entry, 1.0, self.clock.now_ms)
-        self._refresh()
-
-    def _refresh(self) -> None:
-        """Recompute the prefill and decode servers and the spill probabilities."""
-        fleet = self.fleet
-        servers = fleet.servers.values()
-        up = [server for server in servers if fleet.availability(server) == Availability.UP]
-        fleet.rankings.clear()
-        decode = [server for server in up if server.role != Role.PREFILL]
-        prefill = [server for server in up if server.role != Role.DECODE]
-        prefill = prefill or decode * self.settings.decode_may_prefill
-        # The plan limits a server to one role, except where that would leave a role without servers.
-        fleet.decode_servers = [
-            each for each in decode if not fleet.is_dedicated_to(each, Role.PREFILL)
-        ] or decode
-        fleet.prefill_servers = [
-            each for each in prefill if not fleet.is_dedicated_to(each, Role.DECODE)
-        ] or prefill
-        fleet.peak_servers |= Counter(server.role for server in servers)  # keeps the higher count
-        self.estimates.prune_fetch_delays({server.entry.cell for server in servers})
-        fleet.estimate_spill(up, self.clock.now_ms)
+        self._place(event.server)
+        self._finish_update()
+
+    def _place(self, name: str) -> None:
+        """Bring the fleet's state up to date with one server, if it is listed."""
+        if name in self.fleet.servers:
+            self.fleet.place(self.fleet.servers[name], self.clock.now_ms)
+
+    def _finish_update(self) -> None:
+        """Complete the changes of one event."""
+        self.fleet.update_warmth(self.clock.now_ms, FULL_SCAN_SERVERS)
+        self.estimates.forget_cells(self.fleet.finish_update())
--- a/ringledge/routing/endpoints.py
+++ b/ringledge/routing/endpoints.py
@@ -47,6 +47,11 @@
     version: int = 0
     entries: tuple[ServerEntry, ...] = ()
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the entries replace the list."""
+        return self.kind != EndpointUpdateKind.CHANGES
+
 
 @dataclass(slots=True, frozen=True)
 class ServerView:
--- a/ringledge/routing/estimates.py
+++ b/ringledge/routing/estimates.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
+from collections.abc import Iterable
 
 from ringledge.routing.affinity import SessionAffinities
 from ringledge.routing.context import RoutingContext
@@ -67,7 +68,7 @@
         if server.role != Role.PREFILL:
             tokens += STREAM_PREFILL_SHARE * server.pending_tokens
         fetch_ms = self.fetch_delays[cell, False].value(now_ms)
-        spill_chance = self.fleet.spill_chance.by_cell.get(cell, 0.0)
+        spill_chance = self.fleet.capacity.cell_spill(cell)
         fetch_ms += max(0.0, spill_chance) * self.transfer_penalty_ms(cell)
         return server.prefill_delay.value(now_ms) + fetch_ms + tokens * self.prefill_ms_per_token
 
@@ -94,10 +95,11 @@
         remote_ms = self.fetch_delays[cell, True].value(self.clock.now_ms)
         return max(0.0, remote_ms - local_ms)
 
-    def prune_fetch_delays(self, cells: set[int]) -> None:
-        """Delete the fetch delays of all cells except the given ones."""
-        known = {key: delay for key, delay in self.fetch_delays.items() if key[0] in cells}
-        self.fetch_delays = defaultdict(DecayingMean, known)
+    def forget_cells(self, cells: Iterable[int]) -> None:
+        """Delete the fetch delays of some cells."""
+        for cell in cells:
+            for remote in (False, True):
+                self.fetch_delays.pop((cell, remote), None)
 
     def decode_tokens(self, state: RequestState) -> float:
         """Estimate the tokens that a stream holds on its server.
@@ -111,19 +113,23 @@
             return request.prompt_tokens + hint_ms / token_ms
         return request.prompt_tokens + request.max_output_tokens / 2
 
-    def memory_use(self, server: Server, state: RequestState) -> float:
-        """Estimate the share of a decode server's memory that is in use after one more stream."""
+    def memory_use(self, server: Server, state: RequestState, fleet_use: float) -> float:
+        """Estimate the share of a decode server's memory that is in use after one more stream.
+
+        `fleet_use`: the share of all decode servers' memory, as `fleet_memory_use` estimates it.
+        """
         memory = self.settings.kinds[server.entry.kind].memory_tokens
         tokens = server.pending_tokens + self.decode_tokens(state)
-        return self._memory_share(tokens, memory, state, self.fleet_memory_use(state))
+        return self._memory_share(tokens, memory, state, fleet_use)
 
     def fleet_memory_use(self, state: RequestState) -> float:
         """Estimate the share of all decode servers' memory in use, requests in prefill included."""
-        decode_servers, kinds = self.fleet.decode_servers, self.settings.kinds
-        memory = sum(kinds[server.entry.kind].memory_tokens or 0.0 for server in decode_servers)
-        prefilling = sum(len(s.in_flight) for s in self.fleet.prefill_servers if s.role == Role.PREFILL)
-        incoming = prefilling * self.decode_tokens(state)
-        tokens = sum(server.pending_tokens for server in decode_servers) + incoming
+        decode_pool, kinds = self.fleet.decode_pool, self.settings.kinds
+        memory = sum(
+            servers * (kinds[kind].memory_tokens or 0.0) for kind, servers in decode_pool.kinds.items()
+        )
+        incoming = sum(len(s.in_flight) for s in self._busy_prefill_servers()) * self.decode_tokens(state)
+        tokens = sum(s.pending_tokens for s in self.fleet.busy if s in decode_pool) + incoming
         return self._memory_share(tokens, memory, state, USUAL_MEMORY_SHARE)
 
     def _memory_share(self, tokens: float, memory: float | None, state: RequestState, usual: float) -> float:
@@ -154,8 +160,15 @@
 
     def prefill_tokens_in_flight(self) -> float:
         """Return this router's uncached tokens in flight on all prefill servers."""
-        servers = [server for server in self.fleet.prefill_servers if server.role == Role.PREFILL]
-        return sum(each.prefill_tokens + PREFILL_OVERHEAD_TOKENS * len(each.in_flight) for each in servers)
+        return sum(
+            each.prefill_tokens + PREFILL_OVERHEAD_TOKENS * len(each.in_flight)
+            for each in self._busy_prefill_servers()
+        )
+
+    def _busy_prefill_servers(self) -> list[Server]:
+        """The available servers that only prefill and have requests of this router in flight."""
+        pool = self.fleet.prefill_pool
+        return [each for each in self.fleet.busy if each.role == Role.PREFILL and each in pool]
 
     def work_tokens(self, state: RequestState, server: Server) -> float:
         """Return the work of a request on a server in tokens, assuming that no prompt token is cached."""
--- a/ringledge/routing/fleet.py
+++ b/ringledge/routing/fleet.py
@@ -1,35 +1,17 @@
-"""Listed servers and their state as one router sees them. Holds no decision logic."""
+"""Listed servers and their state as one router sees them, kept by change. Holds no decision logic."""
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
-from dataclasses import dataclass, field
+from collections import Counter
+from itertools import count
+from math import inf
 
 from ringledge.routing.control_events import RolePlan
-from ringledge.routing.endpoints import Availability
+from ringledge.routing.endpoints import Availability, ServerEntry
+from ringledge.routing.server_pool import ServerPool
 from ringledge.routing.settings import Role, RouterSettings
-from ringledge.routing.state import Server
-
-
-@dataclass(slots=True)
-class SpillChance:
-    """Probability that a KV cache entry leaves a cell or zone that is short of decode servers."""
-
-    by_cell: dict[int, float] = field(default_factory=dict)
-    by_zone: dict[int, float] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class _WarmCapacity:
-    """Sum of the servers' warmth for each role."""
-
-    prefill: float = 0.0
-    decode: float = 0.0
-
-    def add(self, prefill: float, decode: float) -> None:
-        """Add the warmth of one server."""
-        self.prefill += prefill
-        self.decode += decode
+from ringledge.routing.state import RequestState, Server
+from ringledge.routing.warm_capacity import WARM_UNITS, Contribution, SpillChance, WarmCapacity
 
 
 class FleetState:
@@ -38,15 +20,50 @@
     def __init__(self, settings: RouterSettings) -> None:
         self.settings = settings
         self.servers = dict[str, Server]()
-        self.prefill_servers = list[Server]()  # available servers that get new prefills
-        self.decode_servers = list[Server]()  # available servers that get new decodes
-        self.rankings: dict[str, list[Server]] = {}  # `prefill_servers` ranked by affinity key (a cache)
+        self.busy = dict[Server, None]()  # servers with requests in flight
+        self.rankings: dict[str, list[Server]] = {}  # servers ranked by affinity key (a cache)
         self.excluded = set[str]()  # excluded by an operator
         self.readmitted = set[str]()  # readmitted by an operator and not used since
         self.unreachable = frozenset[str]()  # servers to which no connection can be opened at present
         self.role_plan = RolePlan()  # mixed servers that are restricted to one role
         self.peak_servers = Counter[Role]()  # highest number of servers listed at once
-        self.spill_chance = SpillChance()
+        self.capacity = WarmCapacity()
+        self._capable = {Role.PREFILL: ServerPool(), Role.DECODE: ServerPool()}  # by the kinds of the servers
+        self._planned = {Role.PREFILL: ServerPool(), Role.DECODE: ServerPool()}  # and by the role plan
+        self._warming = dict[Server, None]()  # available servers that were cold when last looked at
+        self._roles = Counter[Role]()  # number of listed servers
+        self._cells = Counter[int]()  # number of listed servers
+        self._emptied_cells = set[int]()  # since the last completed event
+        self._positions = count()
+
+    @property
+    def prefill_pool(self) -> ServerPool:
+        """The available servers that get new prefills."""
+        pool = self._planned[Role.PREFILL] or self._capable[Role.PREFILL]
+        return self._capable[Role.DECODE] if not pool and self.settings.decode_may_prefill else pool
+
+    @property
+    def decode_pool(self) -> ServerPool:
+        """The available servers that get new decodes.
+
+        The plan limits a server to one role, except where that would leave a role without servers.
+        """
+        return self._planned[Role.DECODE] or self._capable[Role.DECODE]
+
+    @property
+    def prefill_servers(self) -> list[Server]:
+        """The available servers that get new prefills, in the order of the list."""
+        return self.prefill_pool.servers
+
+    @property
+    def decode_servers(self) -> list[Server]:
+        """The available servers that get new decodes, in the order of the list."""
+        return self.decode_pool.servers
+
+    @property
+    def spill_chance(self) -> SpillChance:
+        """The spill probabilities of all cells and zones."""
+        return self.capacity.spill_chance()
 
     def availability(self, server: Server) -> Availability:
         """Return the listed availability, or DRAINING for an excluded server, which finishes its work."""
@@ -67,28 +84,104 @@
         names = plan.no_prefill if role == Role.DECODE else plan.no_decode
         return server.role == role or (server.role == Role.MIXED and server.entry.server in names)
 
-    def estimate_spill(self, up: list[Server], now_ms: float) -> None:
-        """Update the spill probability of each cell and zone.
-
-        It is the shortfall of decode capacity against prefill capacity, compared with the whole fleet.
-        """
-        fleet = _WarmCapacity()
-        cells = defaultdict[int, _WarmCapacity](_WarmCapacity)
-        zones = defaultdict[int, _WarmCapacity](_WarmCapacity)
-        for server in up:
-            warmth = self.warmth(server, now_ms)
-            prefill = warmth * (not self.is_dedicated_to(server, Role.DECODE))
-            decode = warmth * (not self.is_dedicated_to(server, Role.PREFILL))
-            for capacity in (fleet, cells[server.entry.cell], zones[server.entry.zone]):
-                capacity.add(prefill, decode)
-        ratio = fleet.decode / max(1.0, fleet.prefill)
-        self.spill_chance = SpillChance(_shortages(cells, ratio), _shortages(zones, ratio))
-
-
-def _shortages(places: dict[int, _WarmCapacity], ratio: float) -> dict[int, float]:
-    """Return the share of prefills beyond the decode capacity, for each cell or zone that prefills.
-
-    `ratio` is the decode capacity that the whole fleet has per prefill capacity.
-    """
-    required = {place: ratio * capacity.prefill for place, capacity in places.items()}
-    return {place: 1 - places[place].decode / need for place, need in required.items() if need}
+    # Changes of single servers. After them `place` brings the pools and sums up to date.
+
+    def add(self, server: Server) -> None:
+        """Add a server, at the position of the one that it replaces or behind all others."""
+        before = self.servers.get(server.entry.server)
+        if before is not None:
+            self._forget(before)
+        server.position = next(self._positions) if before is None else before.position
+        self.servers[server.entry.server] = server
+        self._roles[server.role] += 1
+        self._cells[server.entry.cell] += 1
+
+    def remove(self, name: str) -> Server:
+        """Remove and return a listed server."""
+        server = self.servers.pop(name)
+        self._forget(server)
+        return server
+
+    def _forget(self, server: Server) -> None:
+        self._displace(server)
+        self._roles[server.role] -= 1
+        self._leave_cell(server)
+
+    def _leave_cell(self, server: Server) -> None:
+        cell = server.entry.cell
+        self._cells[cell] -= 1
+        if not self._cells[cell]:
+            del self._cells[cell]
+            self._emptied_cells.add(cell)
+
+    def update_entry(self, server: Server, entry: ServerEntry) -> None:
+        """Replace the entry of a listed server, which keeps its role."""
+        self._displace(server)
+        self._leave_cell(server)
+        self._cells[entry.cell] += 1
+        server.entry = entry
+
+    def place(self, server: Server, now_ms: float) -> None:
+        """Put a listed server into the pools of the roles that it gets new work of, and count its warmth."""
+        self._displace(server)
+        if self.availability(server) != Availability.UP:
+            return
+        prefills = not self.is_dedicated_to(server, Role.DECODE)
+        decodes = not self.is_dedicated_to(server, Role.PREFILL)
+        for role, excluding, planned in (
+            (Role.PREFILL, Role.DECODE, prefills),
+            (Role.DECODE, Role.PREFILL, decodes),
+        ):
+            if server.role != excluding:
+                self._capable[role].add(server)
+            if planned:
+                self._planned[role].add(server)
+        self._count_warmth(server, now_ms)
+
+    def _displace(self, server: Server) -> None:
+        for pool in (*self._capable.values(), *self._planned.values()):
+            pool.discard(server)
+        self.capacity.set(server, None)
+        self._warming.pop(server, None)
+
+    def _count_warmth(self, server: Server, now_ms: float) -> None:
+        warmth = round(WARM_UNITS * self.warmth(server, now_ms))
+        if warmth == WARM_UNITS:
+            self._warming.pop(server, None)
+        else:
+            self._warming[server] = None
+        prefills = not self.is_dedicated_to(server, Role.DECODE)
+        decodes = not self.is_dedicated_to(server, Role.PREFILL)
+        contribution = Contribution(
+            server.entry.cell,
+            server.entry.zone,
+            warmth * prefills,
+            warmth * decodes,
+            warmth * (server.role == Role.PREFILL),
+        )
+        self.capacity.set(server, contribution)
+
+    def update_warmth(self, now_ms: float, max_servers: float = inf) -> None:
+        """Count the warmth of the servers that are warming up anew, unless they are too many."""
+        for server in list(self._warming) if len(self._warming) <= max_servers else ():
+            self._count_warmth(server, now_ms)
+
+    def finish_update(self) -> list[int]:
+        """Complete the changes of one event; return the cells that no longer have listed servers."""
+        self.rankings.clear()
+        self.peak_servers |= self._roles  # keeps the higher count
+        empty, self._emptied_cells = self._emptied_cells, set()
+        return [cell for cell in empty if cell not in self._cells]
+
+    # Requests in flight.
+
+    def reserve(self, server: Server, state: RequestState) -> None:
+        """Add an attempt that is being sent to a server."""
+        server.reserve(state)
+        self.busy[server] = None
+
+    def release(self, server: Server, state: RequestState) -> None:
+        """Remove an attempt that has ended."""
+        server.release(state)
+        if not server.in_flight:
+            self.busy.pop(server, None)
--- a/ringledge/routing/observations.py
+++ b/ringledge/routing/observations.py
@@ -9,6 +9,7 @@
 
 from ringledge.routing.concurrency_limit import CONGESTION_WAIT_SHARE, ConcurrencyLimit
 from ringledge.routing.context import RoutingContext
+from ringledge.routing.eligibility import FULL_SCAN_SERVERS
 from ringledge.routing.estimates import PREFILL_OVERHEAD_TOKENS, Estimates
 from ringledge.routing.events import AttemptOutcome, AttemptStatus
 from ringledge.routing.fleet import FleetState
@@ -82,8 +83,8 @@
             return  # cancelled too early to show whether the server queues
         if not self.concurrency_limit.observe_wait(now_ms, wait, state.sent_ms):
             return
-        servers = [server for server in self.fleet.prefill_servers if server.role == Role.PREFILL]
-        warm = sum(self.fleet.warmth(server, now_ms) for server in servers)
+        self.fleet.update_warmth(now_ms, FULL_SCAN_SERVERS)
+        warm = self.fleet.capacity.prefill_only
         token_ms = max(estimates.prefill_ms_per_token, 1e-3)
         floor = warm * CONGESTION_WAIT_SHARE * target_ms / token_ms / self.settings.routers
         in_flight = state.pending_tokens + PREFILL_OVERHEAD_TOKENS + estimates.prefill_tokens_in_flight()
--- a/ringledge/routing/prefill.py
+++ b/ringledge/routing/prefill.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from hashlib import blake2b
+from functools import partial
 from math import inf
 
 from ringledge.routing.actions import GiveUpReason
 from ringledge.routing.affinity import SessionAffinities
 from ringledge.routing.concurrency_limit import ConcurrencyLimit
 from ringledge.routing.context import RoutingContext
-from ringledge.routing.eligibility import EligibilityFilter
+from ringledge.routing.eligibility import FULL_SCAN_SERVERS, EligibilityFilter
 from ringledge.routing.estimates import PREFILL_OVERHEAD_TOKENS, Estimates
 from ringledge.routing.events import Request
 from ringledge.routing.fleet import FleetState
 from ringledge.routing.observations import INITIAL_PREFILLS
+from ringledge.routing.rendezvous import WIDER_CANDIDATES, rank
 from ringledge.routing.settings import Role
 from ringledge.routing.state import RequestState, Server
 
@@ -68,10 +69,16 @@
         scaled_ms = state.request_class.target_per_1000_tokens_ms * request.prompt_tokens / 1000
         target_ms = state.request_class.target_ms + scaled_ms
         affinity, ranked = self.affinities.get(request.session), self.ranking(request)
+        pool = self.fleet.prefill_pool
         affinity_server = affinity.server if affinity else None
-        if affinity_server is not None and affinity_server in ranked:
+        if affinity_server is not None and affinity_server in pool:
             ranked = [affinity_server, *(server for server in ranked if server is not affinity_server)]
         eligible_servers = self.eligibility.eligible(state, ranked)
+        if len(pool) > FULL_SCAN_SERVERS and not any(
+            self.eligibility.is_preferred(state, server) for server in eligible_servers
+        ):
+            ranked = self._wider_ranking(state)
+            eligible_servers = self.eligibility.eligible(state, ranked) or eligible_servers
         if not eligible_servers:
             return GiveUpReason.NO_SERVER
         wait_ms = self.estimates.prefill_wait_ms
@@ -144,15 +151,19 @@
 
         The key is the shared prefix, or the session if there is none.
         """
-        key = f"p{request.prefix}" if request.prefix else f"s{request.session}"
+        key = _affinity_key(request)
         rankings = self.fleet.rankings
         if key not in rankings:
-            servers = self.fleet.prefill_servers
-            rankings[key] = sorted(servers, key=lambda each: random_weight(key, each), reverse=True)
+            rankings[key] = rank(key, self.fleet.prefill_pool)
         return rankings[key]
 
+    def _wider_ranking(self, state: RequestState) -> list[Server]:
+        """Rank more servers of a large pool, and only those that are preferred, if there are any."""
+        pool, key = self.fleet.prefill_pool, _affinity_key(state.request)
+        is_preferred = partial(self.eligibility.is_preferred, state)
+        return rank(key, pool, WIDER_CANDIDATES, is_preferred) or rank(key, pool, WIDER_CANDIDATES)
 
-def random_weight(key: str, server: Server) -> float:
-    """Return the weight of a server for a key, in (0, 1]. It is the same on every router."""
-    digest = blake2b(f"{key}|{server.entry.server}".encode(), digest_size=6).digest()
-    return (int.from_bytes(digest, "big") + 1) / 256**6
+
+def _affinity_key(request: Request) -> str:
+    """The text that all requests share that are to be prefilled on the same servers."""
+    return f"p{request.prefix}" if request.prefix else f"s{request.session}"
--- a/ringledge/routing/request_lifecycle.py
+++ b/ringledge/routing/request_lifecycle.py
@@ -115,7 +115,7 @@
         decode_only = state.kv_server is not None
         state.prefill_tokens = 0.0 if decode_only else uncached
         state.pending_tokens = uncached if server.role == Role.PREFILL else estimates.decode_tokens(state)
-        server.reserve(state)
+        self.fleet.reserve(server, state)
         state.queued_tokens = 0.0 if decode_only else server.prefill_tokens + PREFILL_OVERHEAD_TOKENS
         state.server = server
         state.sent_ms = self.clock.now_ms
@@ -180,7 +180,7 @@
         if state is None or state.server is None:
             return
         server, state.server = state.server, None
-        server.release(state)
+        self.fleet.release(server, state)
         self.observer.observe(state, server, outcome)
         if outcome.status == AttemptStatus.PREFILLED:
             state.kv_server = server
--- a/ringledge/routing/snapshot.py
+++ b/ringledge/routing/snapshot.py
@@ -141,13 +141,14 @@
                 server.start_credit = credit
                 server.start_credit_ms = credit_ms
                 server.warming_since_ms = warming_ms
+                policy.fleet.place(server, policy.clock.now_ms)
         case "in_place", [name, mean, updated_ms]:
             _known_server(policy, name).in_place_delay = DecayingMean(mean, updated_ms)
         case "blame", [name, scope, mean, updated_ms]:
             failures = _known_server(policy, name).failures[FailureScope(scope)]
             failures.mean, failures.updated_ms = mean, updated_ms
         case "prefixes", [name, key, updated_ms]:
-            _known_server(policy, name).cached_prefixes[int(key, 16)] = updated_ms
+            policy.affinities.record_prefix(_known_server(policy, name), int(key, 16), updated_ms)
 
 
 def _known_server(policy: Policy, name: str) -> Server:
--- a/ringledge/routing/state.py
+++ b/ringledge/routing/state.py
@@ -79,6 +79,7 @@
     )
     start_credit: float = 0.0  # slow start: attempts that this router may still send while it warms up
     start_credit_ms: float = 0.0  # time of the last update of the credit
+    position: int = 0  # in the order in which servers were first listed
     warming_since_ms: float = 0.0  # start of the server, or end of its exclusion; 0 if long ago
 
     @property
--- a/tests/conformance/test_policy.py
+++ b/tests/conformance/test_policy.py
@@ -12,7 +12,8 @@
 from ringledge.routing.interface import (
     Request,
 )
-from ringledge.routing.prefill import PrefillSelector, random_weight
+from ringledge.routing.prefill import PrefillSelector
+from ringledge.routing.rendezvous import random_weight
 from ringledge.routing.request_lifecycle import RequestLifecycle
 from ringledge.routing.state import RequestState, Server
 from tests.conformance.play import failed_over_seeds
--- a/tests/router_harness.py
+++ b/tests/router_harness.py
@@ -163,3 +163,10 @@
         servers += sent_to(harness.request(f"{name}{number}", session=1000 + number, **fields))
         harness.abandon(f"{name}{number}")
     return servers
+
+
+def set_pending_tokens(harness: RouterHarness, name: str, tokens: float) -> None:
+    """Set the pending tokens of a server, as if requests of this router were in flight there."""
+    fleet = harness.policy.fleet
+    fleet.servers[name].pending_tokens = tokens
+    fleet.busy[fleet.servers[name]] = None
--- a/tests/routing/large_fleet.py
+++ b/tests/routing/large_fleet.py
@@ -38,9 +38,9 @@
     )
 
 
-def large_router(size: int, started_ms: float = 0.0) -> RouterHarness:
+def large_router(size: int) -> RouterHarness:
     """A router that has the list of a fleet and has served some requests."""
-    router = RouterHarness(large_fleet(size, started_ms), routers=ROUTERS, kinds=KIND_SETTINGS)
+    router = RouterHarness(large_fleet(size), routers=ROUTERS, kinds=KIND_SETTINGS)
     for number in range(20):
         router.serve(f"warm{number}", session=number, prefix=number % 4 + 1, prefix_tokens=500)
     return router
--- a/tests/routing/test_batching_servers.py
+++ b/tests/routing/test_batching_servers.py
@@ -31,6 +31,7 @@
     final_answers,
     sent_to,
     server_entry,
+    set_pending_tokens,
 )
 
 PREFIX = {"prefix": 11, "prefix_tokens": 5_000, "prompt_tokens": 6_000}
@@ -108,7 +109,7 @@
             routers=1,
         )
     )
-    harness.policy.fleet.servers["m0"].pending_tokens = 120_000.0
+    set_pending_tokens(harness, "m0", 120_000.0)
     for number in range(12):
         harness.prefill(f"q{number}", session=number, prompt_tokens=3_000)
         assert harness.server_of[f"q{number}"] == "m1"
--- a/tests/routing/test_decode_memory.py
+++ b/tests/routing/test_decode_memory.py
@@ -15,7 +15,15 @@
     Role,
     ServerKind,
 )
-from tests.router_harness import FLEET, IDEMPOTENT, RouterHarness, final_answers, sent_to, server_entry
+from tests.router_harness import (
+    FLEET,
+    IDEMPOTENT,
+    RouterHarness,
+    final_answers,
+    sent_to,
+    server_entry,
+    set_pending_tokens,
+)
 
 MEMORY = 100_000.0
 KINDS = (ServerKind(Role.PREFILL, MEMORY), ServerKind(Role.DECODE, MEMORY))
@@ -52,7 +60,7 @@
             harness.policy.fleet.servers[f"w{n}"].entry.cell
             == harness.policy.fleet.servers[harness.server_of["q"]].entry.cell
         )
-        harness.policy.fleet.servers[f"w{n}"].pending_tokens = (1.1 if same_cell else 0.8) * MEMORY
+        set_pending_tokens(harness, f"w{n}", (1.1 if same_cell else 0.8) * MEMORY)
     prefill_server = harness.policy.fleet.servers[harness.server_of["q"]]
     harness.outcome("q", AttemptStatus.PREFILLED)
     assert harness.policy.fleet.servers[harness.server_of["q"]].entry.cell != prefill_server.entry.cell
@@ -62,7 +70,7 @@
     harness = memory_harness()
     harness.request("q", **LARGE_REQUEST, class_index=1)
     for n in range(4):
-        harness.policy.fleet.servers[f"w{n}"].pending_tokens = 2 * MEMORY
+        set_pending_tokens(harness, f"w{n}", 2 * MEMORY)
     assert sent_to(harness.outcome("q", AttemptStatus.PREFILLED))
 
 
@@ -72,7 +80,7 @@
     shed_from: dict[int, int] = {}
     for share in range(80, 121, 2):
         for n in range(4):
-            harness.policy.fleet.servers[f"w{n}"].pending_tokens = share / 100 * MEMORY
+            set_pending_tokens(harness, f"w{n}", share / 100 * MEMORY)
         for index in (0, 1):
             if final_answers(harness.request(f"{share}.{index}", class_index=index)):
                 shed_from.setdefault(index, share)
@@ -86,7 +94,7 @@
 def test_unknown_memory_size_rejects_nothing() -> None:
     harness = RouterHarness(classes=(IDEMPOTENT, HIGH_PRIORITY), routers=1)
     for n in range(4):
-        harness.policy.fleet.servers[f"w{n}"].pending_tokens = 100 * MEMORY
+        set_pending_tokens(harness, f"w{n}", 100 * MEMORY)
     assert sent_to(harness.request("q", **LARGE_REQUEST))
 
 
@@ -114,7 +122,7 @@
 def test_congested_cell_sends_kv_cache_entries_elsewhere() -> None:
     harness = RouterHarness(UNBALANCED_FLEET, kinds=KINDS, classes=(IDEMPOTENT, HIGH_PRIORITY), routers=1)
     harness.policy.fleet.servers["w0"].delay.add(harness.now_ms, 3_000)
-    harness.policy.fleet.servers["w0"].pending_tokens = 20_000
+    set_pending_tokens(harness, "w0", 20_000)
     assert {start_stream(harness, f"q{n}") for n in range(6)} & {"w1", "w2", "w3", "w4"}
 
 
--- a/tests/routing/test_fleet_size.py
+++ b/tests/routing/test_fleet_size.py
@@ -9,7 +9,10 @@
 from ringledge.routing.interface import RolePlan, UnreachableServers
 from tests.router_harness import RouterHarness
 from tests.routing.large_fleet import (
+    KIND_SETTINGS,
+    ROUTERS,
     changes_of_one_server,
+    large_fleet,
     large_router,
     serve_beside_failures,
     serve_one,
@@ -63,7 +66,7 @@
 @pytest.mark.parametrize("size", LARGE)
 def test_work_of_a_request_does_not_grow_where_all_servers_are_cold(size: int) -> None:
     def count(servers: int, limit: float) -> int:
-        router = large_router(servers, started_ms=999_000.0)
+        router = RouterHarness(large_fleet(servers, 999_000.0), routers=ROUTERS, kinds=KIND_SETTINGS)
         return instructions(lambda: router.request("one", session=9_999), limit)
 
     count(size, MAX_GROWTH * count(USUAL, float("inf")) + FREE_INSTRUCTIONS)
--- a/tests/routing/test_mixed_prefill.py
+++ b/tests/routing/test_mixed_prefill.py
@@ -11,7 +11,7 @@
     TimerFired,
     TimerName,
 )
-from ringledge.routing.prefill import random_weight
+from ringledge.routing.rendezvous import random_weight
 from tests.router_harness import (
     MIXED_KIND,
     PREFILL_KIND,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -111,8 +111,8 @@
 # Modules of the routing package without decision logic: types, state, estimates and translations.
 NO_DECISIONS = {
     "__init__", "actions", "affinity", "concurrency_limit", "context", "control_events", "endpoints",
-    "estimates", "events", "fleet", "interface", "observations", "server_views", "settings",
-    "simulator_adapter", "simulator_decoder", "simulator_encoder", "snapshot", "state",
+    "estimates", "events", "fleet", "interface", "observations", "server_pool", "server_views", "settings",
+    "simulator_adapter", "simulator_decoder", "simulator_encoder", "snapshot", "state", "warm_capacity",
 }  # fmt: skip
 
 
