Apply a change of the endpoint list in time proportional to the change

Callers saw late answers while many servers were replaced in a large fleet. Cause: each change of one entry copied the availability of all servers twice, rebuilt the mapping of those that are up and all reachability histories; the set of unreachable servers was computed over all servers behind each failed call.

Change: `ServerList` and `Reachability` update the changed servers alone and keep counts; the latter keeps the servers that failed last, and those of each zone. Why it works: what is kept is what a pass over the list would find.

--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -109,7 +109,7 @@
         changed = self.context.servers.apply(update, addresses)
         if changed:
             log.info("endpoints_changed", version=update.version, **summarize_changes(changed))
-        self.context.transport.endpoints_changed()
+        self.context.transport.endpoints_changed([entry.server for entry in update.entries], update.is_whole)
         self._events.appendleft(update)
         self._process_events()
 
--- a/ringledge/core/server_port.py
+++ b/ringledge/core/server_port.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Protocol
 
 from ringledge.core.records import Attempt
@@ -31,8 +31,8 @@
     def answered_since(self, server: str, since_ms: float) -> bool:
         """Whether the server's process has answered any call since that clock reading (ms)."""
 
-    def endpoints_changed(self) -> None:
-        """Called after the server list has changed."""
+    def endpoints_changed(self, names: Iterable[str], is_whole: bool) -> None:
+        """Called after the entries of these servers have changed, or after the whole list was replaced."""
 
     def unreachable_servers(self) -> frozenset[str]:
         """The servers to which connections are currently likely to fail."""
--- a/ringledge/decide/servers/reachability.py
+++ b/ringledge/decide/servers/reachability.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 from math import inf
 
 FAILURE_TTL_MS = 3_000.0  # how long a time-out counts; network links recover within seconds
@@ -63,22 +65,37 @@
         self._own_zone = own_zone
         self._histories: dict[str, ServerHistory] = {}
         self._zones: dict[int, ZoneHistory] = {}
+        self._zone_servers = defaultdict[int, dict[str, None]](dict)
+        self._failed = dict[str, None]()  # servers whose latest result may be a failure
+        self._reached = dict[str, None]()  # servers with a contact, the latest one last
         self._changed_ms = -inf  # when a server last became unreachable, or reachable again
         self._cached_at_ms = -inf
         self._cached_unreachable = frozenset[str]()
 
     def update_servers(self, servers: Iterable[tuple[str, int]]) -> None:
         """Set the endpoint list, as pairs of server and zone; results of other servers are dropped."""
-        old_histories, self._histories = self._histories, {}
-        for server, zone in servers:
-            history = self._histories[server] = old_histories.get(server, ServerHistory())
-            history.zone = zone
-        for zone_history in self._zones.values():
-            zone_history.timeouts_ms = {
-                server: at_ms
-                for server, at_ms in zone_history.timeouts_ms.items()
-                if server in self._histories
-            }
+        listed = dict(servers)
+        for server in [each for each in self._histories if each not in listed]:
+            self.update_server(server, None)
+        for server, zone in listed.items():
+            self.update_server(server, zone)
+
+    def update_server(self, server: str, zone: int | None) -> None:
+        """Set the zone of one server; None if it is not in the endpoint list, which drops its results."""
+        history = self._histories.get(server)
+        if history is not None and history.zone != zone:
+            self._zone_servers[history.zone].pop(server, None)
+            if history.zone in self._zones:
+                self._zones[history.zone].timeouts_ms.pop(server, None)
+        if zone is None:
+            self._histories.pop(server, None)
+            self._failed.pop(server, None)
+            self._reached.pop(server, None)
+            return
+        if history is None:
+            history = self._histories[server] = ServerHistory()
+        history.zone = zone
+        self._zone_servers[zone][server] = None
 
     def record_answer(self, server: str, now_ms: float) -> None:
         """Record that the server's process has answered a call."""
@@ -93,6 +110,9 @@
                 self._changed_ms = now_ms
             history.last_contact_ms = now_ms
             history.consecutive_refusals = 0
+            self._failed.pop(server, None)
+            self._reached.pop(server, None)
+            self._reached[server] = None
             zone_history = self._zone_history(history)
             zone_history.last_contact_ms = now_ms
             zone_history.timeouts_ms.pop(server, None)
@@ -102,13 +122,17 @@
         if (history := self._histories.get(server)) is not None:
             self._changed_ms = now_ms
             history.last_timeout_ms = now_ms
-            self._zone_history(history).timeouts_ms[server] = now_ms
+            self._failed[server] = None
+            timeouts_ms = self._zone_history(history).timeouts_ms
+            timeouts_ms.pop(server, None)  # the latest one stands last
+            timeouts_ms[server] = now_ms
 
     def record_refusal(self, server: str, now_ms: float) -> None:
         """Record a refused connection: no process listens, which does not count for the zone."""
         if (history := self._histories.get(server)) is not None:
             self._changed_ms = now_ms
             history.last_refusal_ms = now_ms
+            self._failed[server] = None
             history.consecutive_refusals += 1
 
     def last_contact_ms(self, server: str) -> float:
@@ -121,6 +145,15 @@
         history = self._histories.get(server)
         return -inf if history is None else history.last_answer_ms
 
+    def latest_reached(self) -> Iterator[str]:
+        """The listed servers that have been reached, the latest contact first."""
+        return reversed(self._reached)
+
+    def is_in_own_zone(self, server: str) -> bool:
+        """Whether a listed server is in the zone of this process."""
+        history = self._histories.get(server)
+        return history is not None and history.zone == self._own_zone
+
     def most_recently_reached(self, servers: Iterable[str]) -> str | None:
         """The listed server with the latest contact, or None; the own zone is preferred among equals."""
         listed = [server for server in servers if server in self._histories]
@@ -151,8 +184,8 @@
         if zone_history is None:
             return False
         since_ms = max(now_ms - FAILURE_TTL_MS, zone_history.last_contact_ms)
-        timed_out = sum(at_ms > since_ms for at_ms in zone_history.timeouts_ms.values())
-        return timed_out >= MIN_TIMED_OUT_SERVERS
+        latest_ms = islice(reversed(zone_history.timeouts_ms.values()), MIN_TIMED_OUT_SERVERS)
+        return sum(at_ms > since_ms for at_ms in latest_ms) >= MIN_TIMED_OUT_SERVERS
 
     def _find_unreachable(self, now_ms: float) -> frozenset[str]:
         if now_ms - self._changed_ms > MAX_REFUSAL_TTL_MS:  # all failures have expired
@@ -164,11 +197,9 @@
                 if now_ms - at_ms < FAILURE_TTL_MS
             }
         partitioned = {zone for zone in self._zones if self.is_zone_partitioned(zone, now_ms)}
-        return frozenset(
-            server
-            for server, history in self._histories.items()
-            if history.zone in partitioned or history.is_unreachable(now_ms)
-        )
+        # An expired failure does not count again without another one.
+        self._failed = {each: None for each in self._failed if self._histories[each].is_unreachable(now_ms)}
+        return frozenset(self._failed).union(*(self._zone_servers[zone] for zone in partitioned))
 
     def _contact_rank(self, server: str) -> tuple[float, bool]:
         history = self._histories[server]
--- a/ringledge/memory/server_list.py
+++ b/ringledge/memory/server_list.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 from itertools import islice
 
@@ -10,7 +11,6 @@
 from ringledge.routing.interface import (
     Availability,
     EndpointUpdate,
-    EndpointUpdateKind,
     Role,
     ServerEntry,
     ServerKind,
@@ -28,6 +28,7 @@
         self.entries: dict[str, ServerEntry] = {}
         self._addresses: dict[str, str] = {}
         self._up_by_server: dict[str, bool] = {}
+        self._counts = Counter[Availability]()  # number of listed servers
         self.changed = anyio.Event()  # each update sets this event and replaces it by a new one
 
     def apply(self, update: EndpointUpdate, addresses: dict[str, str]) -> dict[str, str]:
@@ -35,26 +36,34 @@
 
         Returns the new availability of each server whose availability has changed.
         """
-        before = {name: entry.availability for name, entry in self.entries.items()}
         self.version = update.version
-        if update.kind != EndpointUpdateKind.CHANGES:
-            self.entries.clear()
-            self._addresses.clear()
+        changed = dict[str, str]()
+        if update.is_whole:
+            for name in self.entries.keys() - {entry.server for entry in update.entries}:
+                changed |= self._set(name, None, "")
         for entry in update.entries:
-            if entry.availability == Availability.REMOVED:
-                self.entries.pop(entry.server, None)
-                self._addresses.pop(entry.server, None)
-            else:
-                self.entries[entry.server] = entry
-                self._addresses[entry.server] = addresses[entry.server]
-        self._up_by_server = {
-            name: entry.availability == Availability.UP for name, entry in self.entries.items()
-        }
+            listed = None if entry.availability == Availability.REMOVED else entry
+            changed |= self._set(entry.server, listed, addresses.get(entry.server, ""))
         self.changed.set()
         self.changed = anyio.Event()
-        after = {name: entry.availability for name, entry in self.entries.items()}
-        changed = {name: state.value for name, state in after.items() if before.get(name) is not state}
-        return changed | {name: Availability.REMOVED.value for name in before.keys() - after.keys()}
+        return changed
+
+    def _set(self, name: str, entry: ServerEntry | None, address: str) -> dict[str, str]:
+        """Replace the entry of one server, None if it is not listed; returns its availability if changed."""
+        before = self.entries.get(name)
+        if before is not None:
+            self._counts[before.availability] -= 1
+        if entry is None:
+            self.entries.pop(name, None)
+            self._addresses.pop(name, None)
+            self._up_by_server.pop(name, None)
+            return {name: Availability.REMOVED.value} if before is not None else {}
+        self.entries[name] = entry
+        self._addresses[name] = address
+        self._up_by_server[name] = entry.availability == Availability.UP
+        self._counts[entry.availability] += 1
+        is_same = before is not None and before.availability is entry.availability
+        return {} if is_same else {name: entry.availability.value}
 
     def address(self, server: str) -> str | None:
         """The server's host:port; None if the server is not listed."""
@@ -71,7 +80,7 @@
 
     def count(self, availability: Availability) -> int:
         """The number of servers with an availability."""
-        return sum(entry.availability == availability for entry in self.entries.values())
+        return self._counts[availability]
 
     def role(self, server: str) -> Role | None:
         """The server's role; None if the server is not listed or its kind is unknown."""
--- a/ringledge/wire/servers/upstream.py
+++ b/ringledge/wire/servers/upstream.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import anyio
 
@@ -105,10 +105,15 @@
         """Release what servers hold for a request; see `ServerTransport.release`."""
         self._release_sender.release(request, holders, unobserved, streaming)
 
-    def endpoints_changed(self) -> None:
-        """Update the set of known servers after a change of the endpoint list."""
+    def endpoints_changed(self, names: Iterable[str], is_whole: bool) -> None:
+        """Update the known servers after a change of the endpoint list; see `ServerTransport`."""
         entries = self._context.servers.entries
-        self.reachability.update_servers((name, entry.zone) for name, entry in entries.items())
+        if is_whole:
+            self.reachability.update_servers((name, entry.zone) for name, entry in entries.items())
+            return
+        for name in names:
+            entry = entries.get(name)
+            self.reachability.update_server(name, None if entry is None else entry.zone)
 
     def answered_since(self, server: str, since_ms: float) -> bool:
         """Whether the server's process has answered anything since that clock reading."""
--- a/tests/core/test_contained_faults.py
+++ b/tests/core/test_contained_faults.py
@@ -36,7 +36,7 @@
     def __init__(self) -> None:
         self.answers = list[str]()
         transport: Any = SimpleNamespace(
-            endpoints_changed=lambda: None, unreachable_servers=frozenset, abandon=lambda _: None
+            endpoints_changed=lambda *_: None, unreachable_servers=frozenset, abandon=lambda _: None
         )
         transport.send = lambda attempt: None
         transport.release = lambda *_: None
--- a/tests/core/test_possible_runs.py
+++ b/tests/core/test_possible_runs.py
@@ -36,7 +36,7 @@
 
 def conductor() -> Conductor:
     transport: Any = SimpleNamespace(
-        endpoints_changed=lambda: None,
+        endpoints_changed=lambda *_: None,
         unreachable_servers=frozenset,
         abandon=lambda _: None,
         release=lambda *_: None,
--- a/tests/wire/clients/chat/queued.py
+++ b/tests/wire/clients/chat/queued.py
@@ -89,7 +89,7 @@
     def release(self, request: str, known: set[str], unseen: Mapping[str, float], begun: bool) -> None:
         """Do nothing: there is no entry to release."""
 
-    def endpoints_changed(self) -> None:
+    def endpoints_changed(self, *_: object) -> None:
         """Do nothing: no connection depends on the endpoints."""
 
     def answered_since(self, server: str, at_ms: float) -> bool:
--- a/tests/wire/discovery/test_fleet_size.py
+++ b/tests/wire/discovery/test_fleet_size.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from math import inf
-from typing import Any, cast
+from typing import cast
 
 import anyio
 import msgspec
@@ -34,10 +35,12 @@
     def __init__(self, servers: ServerList) -> None:
         self.reachability, self._servers = Reachability(0), servers
 
-    def endpoints_changed(self, *changed: Any) -> None:
-        self.reachability.update_servers(
-            *changed or [[(name, each.zone) for name, each in self._servers.entries.items()]]
-        )
+    def endpoints_changed(self, names: Iterable[str], is_whole: bool) -> None:
+        entries = self._servers.entries
+        if is_whole:
+            self.reachability.update_servers((name, entry.zone) for name, entry in entries.items())
+        for name in names:
+            self.reachability.update_server(name, entries[name].zone if name in entries else None)
 
     def unreachable_servers(self) -> frozenset[str]:
         return frozenset()
--- a/tests/wire/discovery/test_wall_clock.py
+++ b/tests/wire/discovery/test_wall_clock.py
@@ -41,7 +41,7 @@
     def __init__(self, clock_error_ms: float) -> None:
         clock, servers = Clock(), ServerList(KINDS)
         clock._offset_ms += clock_error_ms
-        port: Any = SimpleNamespace(endpoints_changed=lambda: None, unreachable_servers=frozenset)
+        port: Any = SimpleNamespace(endpoints_changed=lambda *_: None, unreachable_servers=frozenset)
         self.conductor = Conductor(SETTINGS, 1, clock, servers, Metrics(), port)
         self.discovery = DiscoveryClient("127.0.0.1:9", NAMES, self.conductor, random.Random(1))
 
