Select the server of a release among those reached last, not among all

Cause: each call of a release listed every server that may be called and asked the reachability of all of them. With thousands of servers and the releases of a fault each call took most of a millisecond.

--- a/ringledge/decide/servers/releases.py
+++ b/ringledge/decide/servers/releases.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from heapq import heappop, heappush
 from itertools import count
 from math import inf
@@ -22,6 +22,7 @@
     ReleaseOutcome,
     ReleaseResult,
 )
+from ringledge.decide.servers.release_targets import ReleaseTargets
 
 # A hedged call goes to another server after this fraction of the time remaining until the deadline, so that
 # five calls fit into it, and more as the deadline approaches.
@@ -61,6 +62,7 @@
         self._sequence = count()
         self._calls_by_server = Counter[str]()  # in flight
         self._calls_by_request = Counter[str]()  # in flight
+        self._targets = ReleaseTargets(reachability, servers, self._calls_by_server)
         self._results: list[ReleaseResult] = []
 
     def __len__(self) -> int:
@@ -139,7 +141,8 @@
             _, _, release = heappop(self._queue)
             if self._finish_if_settled(now_ms, release):
                 continue
-            server = self._select_server(now_ms, release)
+            holders = self._target_holders(release)
+            server = self._targets.select(now_ms, release, holders)
             if server is None:  # every server without a call in flight has been called in this round
                 release.called.clear()
                 self._schedule(release, now_ms + MIN_CALL_INTERVAL_MS)
@@ -205,6 +208,12 @@
             return ReleaseResult(release.request, ReleaseOutcome.TIMED_OUT, release.calls, elapsed_ms)
         return None
 
+    def _target_holders(self, release: ActiveRelease) -> Sequence[str]:
+        """The holders to call: once a server has answered, those that have not."""
+        if release.result is None:
+            return release.holders
+        return self._unanswered_holders(release, self._servers())
+
     def _unanswered_holders(self, release: ActiveRelease, listed: Mapping[str, bool]) -> list[str]:
         """The listed holders in `unconfirmed` that have answered no call since the release started."""
         return [
@@ -215,26 +224,6 @@
             and self._reachability.last_answer_ms(server) <= release.started_ms
         ]
 
-    def _select_server(self, now_ms: float, release: ActiveRelease) -> str | None:
-        """A reachable holder, else the most recently reached other server; unreachable ones come last."""
-        listed = self._servers()
-        available = [
-            server for server in listed if server not in release.called and not self._calls_by_server[server]
-        ]
-        target_holders = (
-            release.holders if release.result is None else self._unanswered_holders(release, listed)
-        )
-        holders = [server for server in target_holders if server in available]
-        for server in holders:
-            if not self._reachability.is_likely_unreachable(server, now_ms):
-                return server
-        others = [server for server in available if listed[server] and server not in release.holders]
-        reachable = [
-            server for server in others if not self._reachability.is_likely_unreachable(server, now_ms)
-        ]
-        most_recently_reached = self._reachability.most_recently_reached
-        return most_recently_reached(reachable) or most_recently_reached(holders or others)
-
 
 def _decrement(counter: Counter[str], key: str) -> None:
     """Decrement a count, and remove the key when the count is zero."""
