Bound the log line of a received list: at most 64 start times, and their number

Cause: `endpoint_list_received` named every server with a start time, 76 KB with 3,200 of them. The log asks whether its pipe has room for 4 KB and then writes the line whole, so an unread log stopped the process.

Change: at most 64 start times and `fresh_count`.

--- a/ringledge/wire/discovery/watcher.py
+++ b/ringledge/wire/discovery/watcher.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from itertools import islice
 
 import anyio
 import h11
@@ -33,6 +34,7 @@
 
 AVAILABILITY = {"active": Availability.UP, "leaving": Availability.DRAINING, "left": Availability.REMOVED}
 IDLE_TIMEOUT_S = 3.0  # for a fetch, and for each line of a watch; discovery sends an empty line every 2 s
+MAX_LOGGED_STARTS = 64  # start times per log line, so that a pipe takes it at once
 MAX_LIST_BYTES = 4 * 1024 * 1024  # limit of one JSON object, which holds a list or changes
 PUSH_IDLE_TIMEOUT_S = 2.5
 PUSH_STALENESS_LIMIT_S = 5.6  # over consecutive watches; a change must be known within 6 s
@@ -78,7 +80,12 @@
         up = [entry for entry in entries if entry.availability == Availability.UP]
         fresh = {entry.server: entry.started_ms for entry in up if entry.started_ms > 0}
         log.info(
-            "endpoint_list_received", form=kind.value, index=listing.index, entries=len(entries), fresh=fresh
+            "endpoint_list_received",
+            form=kind.value,
+            index=listing.index,
+            entries=len(entries),
+            fresh_count=len(fresh),
+            fresh=dict(islice(fresh.items(), MAX_LOGGED_STARTS)),
         )
 
     def change_address(self, address: str) -> None:
