--- a/benchmarks/soak/cores.py
+++ b/benchmarks/soak/cores.py
@@ -15,12 +15,12 @@
     def __init__(self) -> None:
         self._busy = list[subprocess.Popen[bytes]]()
 
-    def shared_core(self, position: int, divisor: int) -> int | None:
-        """A core for the router at this position, shared with `divisor` - 1 processes; None if undivided."""
+    def shared_core(self, number: int, divisor: int) -> int | None:
+        """A core for the router with this number, shared with `divisor` - 1 processes; None if undivided."""
         if divisor == 1:
             return None
         cores = sorted(os.sched_getaffinity(0))
-        core = cores[position % len(cores)]
+        core = cores[number % len(cores)]
         for _ in range(divisor - 1):
             process = subprocess.Popen([sys.executable, "-c", BUSY_PROGRAM])
             os.sched_setaffinity(process.pid, {core})
--- a/benchmarks/soak/day.py
+++ b/benchmarks/soak/day.py
@@ -17,11 +17,11 @@
 from benchmarks.soak.agent import DiscoveryAgent, EndpointDirectory
 from benchmarks.soak.cores import SharedCores
 from benchmarks.soak.events import EventLog, read_events
-from benchmarks.soak.fleet import ROOT, RouterProcess, free_ports
+from benchmarks.soak.fleet import ROOT, RouterProcess, free_ports, server_ports
 from benchmarks.soak.history import build_history
-from benchmarks.soak.hosted import group
+from benchmarks.soak.hosted import group, host_of
 from benchmarks.soak.oracle import MAX_STALL_S, TIMED_RULES, judge
-from benchmarks.soak.plan import LOAD_S, Plan, zone
+from benchmarks.soak.plan import LOAD_S, MAX_ROUTERS, Plan, zone
 from benchmarks.soak.process_rules import Violation
 from benchmarks.soak.rig_rules import EndedProcess, violations_of_rig
 from benchmarks.soak.settings import router_settings
@@ -59,10 +59,14 @@
     def __init__(self, plan: Plan, folder: Path) -> None:
         self.plan, self.folder, self.log = plan, folder, EventLog(folder / "driver.events", "driver")
         self.start_s = time.monotonic() + STARTUP_S + STARTUP_SERVER_S * len(plan.hosted)
-        servers, conductors = len(plan.servers), len(plan.conductors)
+        servers, conductors = len(plan.servers) - len(plan.hosted), len(plan.conductors)
         ports = free_ports(plan.host, 2 * servers + (3 + MAX_STARTS) * conductors)
-        self.proxy_ports = {server: ports.pop() for server in plan.servers}
-        self.server_ports = {server: ports.pop() for server in plan.servers}
+        usual = [server for server in plan.servers if not host_of(server)]
+        hosted_ports = server_ports(plan.host, 2 * len(plan.hosted)) if plan.hosted else []
+        self.proxy_ports = {server: ports.pop() for server in usual}
+        self.server_ports = {server: ports.pop() for server in usual}
+        self.proxy_ports |= {server: hosted_ports.pop() for server in plan.hosted}
+        self.server_ports |= {server: hosted_ports.pop() for server in plan.hosted}
         self.ports = {name: ports.pop() for name in plan.conductors}
         self.agent_ports = [ports.pop() for _ in range(2 * conductors)]
         self.operator_ports = ports
@@ -141,7 +145,7 @@
                 "settings": router_settings(self.plan, position),
             }  # fmt: skip
             ports = self.operator_ports[position :: len(self.plan.conductors)]
-            core = self._cores.shared_core(position, self.plan.core_divisor)
+            core = self._cores.shared_core(self.plan.seed * MAX_ROUTERS + position, self.plan.core_divisor)
             self.conductors[name] = RouterProcess(
                 name, self.folder / name, self.log, faults, config, ports, self.plan.kill_after_s, core
             )
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from collections.abc import Sequence
+from contextlib import suppress
 from math import inf
 from pathlib import Path
 from typing import Any
@@ -21,6 +22,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 STOP_SIGNALS = (signal.SIGTERM,)
+FIRST_SERVER_PORT = 10_000
 READY_TIMEOUT_S = 10.0
 SIGNAL_INTERVAL_S = 0.06  # between two signals of a series
 BUSY_WAIT_S = 0.02  # final part of the grace period; blocks the driver, so that SIGKILL is sent on time
@@ -44,6 +46,19 @@
     return ports
 
 
+def server_ports(host: str, count: int) -> list[int]:
+    """Free ports of `host` that no outgoing connection gets, so that a restarted server can bind them."""
+    first_ephemeral = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    ports = list[int]()
+    for port in range(FIRST_SERVER_PORT, first_ephemeral):
+        if len(ports) == count:
+            return ports
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((host, port))
+            ports.append(port)
+    raise RuntimeError(f"fewer than {count} ports are free below {first_ephemeral}")
+
+
 class RouterProcess:
     """One router: a single process, or two during a hand-over."""
 
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -10,6 +10,7 @@
 from benchmarks.soak.hosted import SERVER_KINDS, draw_fleet_faults, draw_hosted_servers, host_of
 from benchmarks.soak.planned_fault import PlannedFault
 
+MIN_ROUTERS, MAX_ROUTERS = 3, 5
 LOAD_S = 16.0  # duration of the load
 CLUSTER_COUNT = (3, 5)  # range of the number of clusters of faults in a plan
 SHARED_TARGET_FRACTION = 0.7  # share of a cluster's faults that hit the same router or the same server
@@ -119,7 +120,7 @@
     rng = random.Random(seed)
     plan = Plan(
         seed,
-        [f"n{n}" for n in range(rng.randint(3, 5))],
+        [f"n{n}" for n in range(rng.randint(MIN_ROUTERS, MAX_ROUTERS))],
         [f"p{n}" for n in range(rng.randint(2, 4))],
         [f"d{n}" for n in range(rng.randint(3, 4))],
         [f"m{n}" for n in range(rng.randint(0, 2))],
