Count routing events that take over 80 ms of CPU as violations, and export their CPU time

Change: `EventRunner` (taken out of the conductor) contains exceptions as before, measures each event's CPU time (ringledge_event_cpu_seconds) and counts the violation event_too_long above 80 ms, which is the 250 ms grace of a drain on a third of a core.

--- a/ringledge/core/conductor.py
+++ b/ringledge/core/conductor.py
@@ -12,7 +12,8 @@
 from ringledge.core.action_executor import ActionExecutor
 from ringledge.core.clock import Clock
 from ringledge.core.context import StageContext
-from ringledge.core.invariants import Invariant, InvariantChecker
+from ringledge.core.event_runner import EventRunner
+from ringledge.core.invariants import InvariantChecker
 from ringledge.core.port import Payload, ResponseSink
 from ringledge.core.records import Attempt, RequestRecord
 from ringledge.core.registry import RequestRegistry
@@ -22,7 +23,6 @@
 from ringledge.memory.server_list import ServerList, summarize_changes
 from ringledge.observe.logging import log
 from ringledge.observe.metrics import Metrics
-from ringledge.observe.stalls import stall_detector
 from ringledge.routing import snapshot
 from ringledge.routing.interface import (
     AttemptStatus,
@@ -77,6 +77,7 @@
             invariants=InvariantChecker(settings, clock, servers, metrics),
         )
         self._events: deque[RoutingEvent] = deque()
+        self._event_runner = EventRunner(self._handle, self.context.invariants, metrics)
         self._processing = False
         self._unreachable = frozenset[str]()  # as last reported to the policy
         self._timers = TimerQueue(clock, metrics)
@@ -223,22 +224,10 @@
         self._processing = True
         try:
             while self._events:
-                self._handle_safely(self._events.popleft())
+                self._event_runner.run(self._events.popleft())
         finally:
             self._processing = False
 
-    def _handle_safely(self, event: RoutingEvent) -> None:
-        """Handle one event; an exception is logged and counted, and affects only this event's requests."""
-        started_s = time.perf_counter()
-        event_type = type(event).__name__
-        try:
-            self._handle(event)
-        except Exception as error:
-            log.exception("event_failed", error, type=event_type)
-            self.context.invariants.record_violation(Invariant.EVENT_HANDLING_FAILED, type=event_type)
-        if (duration_s := time.perf_counter() - started_s) > stall_detector.longest_event_s:
-            stall_detector.longest_event_s, stall_detector.longest_event = duration_s, event_type
-
     def _handle(self, event: RoutingEvent) -> None:
         """Pass one event to the policy and execute the actions it returns."""
         unreachable = self.context.transport.unreachable_servers()
--- a/ringledge/core/invariants.py
+++ b/ringledge/core/invariants.py
@@ -41,6 +41,7 @@
     CACHE_HELD_TOO_LONG = "held_too_long"
     # An idempotency key could be claimed although its earlier run may have taken place.
     KEY_CLAIMED_TWICE = "key_claimed_twice"
+    EVENT_TOO_LONG = "event_too_long"  # one event took so much CPU that all other requests were late
     EVENT_HANDLING_FAILED = "handling_failed"  # the policy or one of its actions raised an exception
 
 
--- a/ringledge/observe/metrics.py
+++ b/ringledge/observe/metrics.py
@@ -13,6 +13,7 @@
 LOOP_DELAY_BUCKETS_S = (
     0.001, 0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.04, 0.05, 0.075, 0.1, 0.2, 0.5, 1, 2,
 )  # fmt: skip
+EVENT_BUCKETS_S = (0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.2, 1)
 RELEASE_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1, 2.5)
 BODY_BUCKETS_S = (0.00003, 0.0001, 0.0003, 0.001, 0.003, 0.01)
 BODY_SIZE_BOUNDS_KB = (4, 16, 64, 256)  # upper bounds of body sizes: label `kb` of `ringledge_body_seconds`
@@ -87,6 +88,9 @@
     loop_delay_seconds = _histogram(
         "loop_delay_seconds", "How late heartbeats of the event loop were", LOOP_DELAY_BUCKETS_S
     )
+    event_cpu_seconds = _histogram(
+        "event_cpu_seconds", "CPU time of one routing event, its actions included", EVENT_BUCKETS_S
+    )
     body_seconds = _histogram("body_seconds", "Time spent on checking a request's body", BODY_BUCKETS_S, "kb")
     admitted_share = _gauge(
         "admitted_share", "Requests let in over the last second; by class and share", "class", "share"
