Combine changes of the endpoint list that arrive together into one update

Callers saw late answers while hundreds of servers were replaced: discovery tells each change by a line of its own, 400 fit into one piece of the stream, and each was an update with two log lines, applied in one turn of the event loop.

Change: the changes of one piece are one update, the last entry of a server holding; a server that is removed and listed again begins another update, so its removal is not lost. What precedes a malformed object is still applied.

--- a/ringledge/wire/discovery/watcher.py
+++ b/ringledge/wire/discovery/watcher.py
@@ -27,6 +27,7 @@
 from ringledge.wire.discovery.endpoint_request import open_response
 from ringledge.wire.discovery.hedged_requests import HedgedRequests
 from ringledge.wire.discovery.json_stream import JsonStreamSplitter
+from ringledge.wire.discovery.received_listings import ReceivedListings
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.errors import PEER_ERRORS
 from ringledge.wire.http.messages import read_body
@@ -192,13 +193,17 @@
 
     def _receive(self, splitter: JsonStreamSplitter, piece: bytes) -> None:
         """Apply the objects that a piece of the watch's response completes."""
-        has_update = False
-        for text in splitter.feed(piece):
-            self.apply(decode(text))
-            has_update = True
+        received = ReceivedListings()
+        try:
+            for text in splitter.feed(piece):
+                received.add(decode(text))
+        finally:  # what precedes a malformed object is valid
+            listings = received.take()
+            for listing in listings:
+                self.apply(listing)
         self._timeout.data_received(
             anyio.current_time(),
-            has_update=has_update,
+            has_update=bool(listings),
             line_ended=splitter.line_ended,
             line_incomplete=not splitter.is_between_objects,
         )
