--- a/ringledge/routing/endpoint_registry.py
+++ b/ringledge/routing/endpoint_registry.py
@@ -111,7 +111,8 @@
 
     def update_role_plan(self, plan: RolePlan) -> None:
         """Replace the role plan. Attempts in flight continue, since a mixed server can finish both roles."""
-        before, self.fleet.role_plan = self.fleet.role_plan, plan
+        before = self.fleet.role_plan
+        self.fleet.set_role_plan(plan)
         changed = (before.no_prefill ^ plan.no_prefill) | (before.no_decode ^ plan.no_decode)
         for name in sorted(changed):
             self._place(name)
--- a/ringledge/routing/fleet.py
+++ b/ringledge/routing/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import dataclass, field
 from itertools import count
 from math import inf
 
@@ -14,6 +15,14 @@
 from ringledge.routing.warm_capacity import WARM_UNITS, Contribution, SpillChance, WarmCapacity
 
 
+@dataclass(slots=True)
+class _RolePools:
+    """The available servers of each role."""
+
+    prefill: ServerPool = field(default_factory=ServerPool)
+    decode: ServerPool = field(default_factory=ServerPool)
+
+
 class FleetState:
     """Listed servers, those that take new requests, operator overrides and the role plan."""
 
@@ -28,8 +37,8 @@
         self.role_plan = RolePlan()  # mixed servers that are restricted to one role
         self.peak_servers = Counter[Role]()  # highest number of servers listed at once
         self.capacity = WarmCapacity()
-        self._capable = {Role.PREFILL: ServerPool(), Role.DECODE: ServerPool()}  # by the kinds of the servers
-        self._planned = {Role.PREFILL: ServerPool(), Role.DECODE: ServerPool()}  # and by the role plan
+        self._capable = _RolePools()  # by the kinds of the servers
+        self._planned: _RolePools | None = None  # and by the role plan; None before the first one
         self._warming = dict[Server, None]()  # available servers that were cold when last looked at
         self._roles = Counter[Role]()  # number of listed servers
         self._cells = Counter[int]()  # number of listed servers
@@ -39,8 +48,8 @@
     @property
     def prefill_pool(self) -> ServerPool:
         """The available servers that get new prefills."""
-        pool = self._planned[Role.PREFILL] or self._capable[Role.PREFILL]
-        return self._capable[Role.DECODE] if not pool and self.settings.decode_may_prefill else pool
+        pool = (self._planned or self._capable).prefill or self._capable.prefill
+        return self._capable.decode if not pool and self.settings.decode_may_prefill else pool
 
     @property
     def decode_pool(self) -> ServerPool:
@@ -48,7 +57,7 @@
 
         The plan limits a server to one role, except where that would leave a role without servers.
         """
-        return self._planned[Role.DECODE] or self._capable[Role.DECODE]
+        return (self._planned or self._capable).decode or self._capable.decode
 
     @property
     def prefill_servers(self) -> list[Server]:
@@ -84,6 +93,12 @@
         names = plan.no_prefill if role == Role.DECODE else plan.no_decode
         return server.role == role or (server.role == Role.MIXED and server.entry.server in names)
 
+    def set_role_plan(self, plan: RolePlan) -> None:
+        """Replace the role plan; the servers that it concerns are to be placed afterwards."""
+        self.role_plan = plan
+        if self._planned is None:
+            self._planned = _RolePools(self._capable.prefill.copy(), self._capable.decode.copy())
+
     # Changes of single servers. After them `place` brings the pools and sums up to date.
 
     def add(self, server: Server) -> None:
@@ -126,32 +141,35 @@
         self._displace(server)
         if self.availability(server) != Availability.UP:
             return
+        role = server.role
+        if role != Role.DECODE:
+            self._capable.prefill.add(server)
+        if role != Role.PREFILL:
+            self._capable.decode.add(server)
         prefills = not self.is_dedicated_to(server, Role.DECODE)
         decodes = not self.is_dedicated_to(server, Role.PREFILL)
-        for role, excluding, planned in (
-            (Role.PREFILL, Role.DECODE, prefills),
-            (Role.DECODE, Role.PREFILL, decodes),
-        ):
-            if server.role != excluding:
-                self._capable[role].add(server)
-            if planned:
-                self._planned[role].add(server)
-        self._count_warmth(server, now_ms)
+        if self._planned is not None and prefills:
+            self._planned.prefill.add(server)
+        if self._planned is not None and decodes:
+            self._planned.decode.add(server)
+        self._count_warmth(server, now_ms, prefills, decodes)
 
     def _displace(self, server: Server) -> None:
-        for pool in (*self._capable.values(), *self._planned.values()):
-            pool.discard(server)
+        if server not in self.capacity:
+            return
+        for pools in (self._capable, self._planned):
+            if pools is not None:
+                pools.prefill.discard(server)
+                pools.decode.discard(server)
         self.capacity.set(server, None)
         self._warming.pop(server, None)
 
-    def _count_warmth(self, server: Server, now_ms: float) -> None:
+    def _count_warmth(self, server: Server, now_ms: float, prefills: bool, decodes: bool) -> None:
         warmth = round(WARM_UNITS * self.warmth(server, now_ms))
         if warmth == WARM_UNITS:
             self._warming.pop(server, None)
         else:
             self._warming[server] = None
-        prefills = not self.is_dedicated_to(server, Role.DECODE)
-        decodes = not self.is_dedicated_to(server, Role.PREFILL)
         contribution = Contribution(
             server.entry.cell,
             server.entry.zone,
@@ -164,7 +182,9 @@
     def update_warmth(self, now_ms: float, max_servers: float = inf) -> None:
         """Count the warmth of the servers that are warming up anew, unless they are too many."""
         for server in list(self._warming) if len(self._warming) <= max_servers else ():
-            self._count_warmth(server, now_ms)
+            prefills = not self.is_dedicated_to(server, Role.DECODE)
+            decodes = not self.is_dedicated_to(server, Role.PREFILL)
+            self._count_warmth(server, now_ms, prefills, decodes)
 
     def finish_update(self) -> list[int]:
         """Complete the changes of one event; return the cells that no longer have listed servers."""
--- a/ringledge/routing/server_pool.py
+++ b/ringledge/routing/server_pool.py
@@ -4,6 +4,7 @@
 
 from bisect import bisect_left, insort
 from collections import Counter, defaultdict
+from operator import attrgetter
 from zlib import crc32
 
 from ringledge.routing.state import Server
@@ -12,8 +13,15 @@
 BUCKET_COUNT = 64
 
 
-def _position(server: Server) -> int:
-    return server.position
+_position = attrgetter("position")
+
+
+def _insert(servers: list[Server], server: Server) -> None:
+    """Insert a server by its position; most are the last ones."""
+    if servers and servers[-1].position > server.position:
+        insort(servers, server, key=_position)
+    else:
+        servers.append(server)
 
 
 class _Index:
@@ -23,7 +31,12 @@
         self.lists = defaultdict[int, list[Server]](list)
 
     def add(self, key: int, server: Server) -> None:
-        insort(self.lists[key], server, key=_position)
+        _insert(self.lists[key], server)
+
+    def copy(self) -> _Index:
+        index = _Index()
+        index.lists.update((key, servers.copy()) for key, servers in self.lists.items())
+        return index
 
     def remove(self, key: int, server: Server) -> None:
         servers = self.lists[key]
@@ -51,11 +64,12 @@
         """Add a server that is not in the pool."""
         entry = server.entry
         bucket = crc32(entry.server.encode()) % BUCKET_COUNT
-        keys = self._keys[server] = (entry.kind, entry.cell, entry.zone, bucket)
-        insort(self.servers, server, key=_position)
+        self._keys[server] = (entry.kind, entry.cell, entry.zone, bucket)
+        _insert(self.servers, server)
         self.kinds[entry.kind] += 1
-        for index, key in zip((self._cells, self._zones, self._buckets), keys[1:], strict=True):
-            index.add(key, server)
+        self._cells.add(entry.cell, server)
+        self._zones.add(entry.zone, server)
+        self._buckets.add(bucket, server)
 
     def discard(self, server: Server) -> None:
         """Remove a server if it is in the pool."""
@@ -66,6 +80,15 @@
         for index, key in zip((self._cells, self._zones, self._buckets), keys[1:], strict=True):
             index.remove(key, server)
 
+    def copy(self) -> ServerPool:
+        """A pool of the same servers, which changes on its own."""
+        pool = ServerPool()
+        pool.servers, pool.kinds, pool._keys = self.servers.copy(), self.kinds.copy(), self._keys.copy()
+        pool._cells, pool._zones, pool._buckets = (
+            index.copy() for index in (self._cells, self._zones, self._buckets)
+        )
+        return pool
+
     def in_cell(self, cell: int) -> list[Server]:
         """The servers of a cell."""
         return self._cells.lists.get(cell, [])
--- a/ringledge/routing/warm_capacity.py
+++ b/ringledge/routing/warm_capacity.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from ringledge.routing.state import Server
 
@@ -28,8 +29,7 @@
     servers: int = 0
 
 
-@dataclass(slots=True, frozen=True)
-class Contribution:
+class Contribution(NamedTuple):
     """What one server adds to the sums."""
 
     cell: int
@@ -49,6 +49,9 @@
         self._dedicated = 0
         self._contributions: dict[Server, Contribution] = {}
 
+    def __contains__(self, server: Server) -> bool:
+        return server in self._contributions
+
     @property
     def prefill_only(self) -> float:
         """Sum of the warmth of the servers that only prefill."""
