Apply a long list in parts, drains first, with turns for requests between them

Change: an update of over 256 entries goes to the conductor in parts, removed and draining servers first, and the event loop turns between them. Only the last part has the new version, so a watch that ends in between asks for the rest again. Short updates are as before. The log lines of failed watches have a module of their own.

--- a/ringledge/wire/discovery/watcher.py
+++ b/ringledge/wire/discovery/watcher.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections.abc import Iterator
 from itertools import islice
 
 import anyio
@@ -25,9 +26,11 @@
     ServerEntry,
 )
 from ringledge.wire.discovery.endpoint_request import open_response
+from ringledge.wire.discovery.failure_log import log_watch_failure
 from ringledge.wire.discovery.hedged_requests import HedgedRequests
 from ringledge.wire.discovery.json_stream import JsonStreamSplitter
 from ringledge.wire.discovery.received_listings import ReceivedListings
+from ringledge.wire.discovery.update_parts import split_update
 from ringledge.wire.http.connection import Connection
 from ringledge.wire.http.errors import PEER_ERRORS
 from ringledge.wire.http.messages import read_body
@@ -67,6 +70,17 @@
 
     def apply(self, listing: EndpointListing, kind: EndpointUpdateKind | None = None) -> None:
         """Pass one received object to the conductor; `kind` overrides the kind that the object states."""
+        for _ in self._apply_parts(listing, kind):
+            pass
+
+    async def apply_beside_requests(self, listing: EndpointListing) -> None:
+        """Pass one received object to the conductor, and let other tasks run between parts of a long one."""
+        for is_last in self._apply_parts(listing, None):
+            if not is_last:
+                await anyio.sleep(0)
+
+    def _apply_parts(self, listing: EndpointListing, kind: EndpointUpdateKind | None) -> Iterator[bool]:
+        """Pass one object to the conductor in parts; yields behind each whether it was the last."""
         if kind is None:
             kind = EndpointUpdateKind.FULL if listing.snapshot else EndpointUpdateKind.CHANGES
         now_ms = self._conductor.clock.now_ms()
@@ -74,17 +88,26 @@
         started_ms = self._start_times.update(now_ms, reported_ms, self._complete_ms)
         entries = [self._entry(endpoint, started_ms[endpoint.name]) for endpoint in listing.endpoints]
         addresses = {endpoint.name: endpoint.address for endpoint in listing.endpoints}
-        if kind is not EndpointUpdateKind.PERSISTED:
+        servers = self._conductor.context.servers
+        update = EndpointUpdate(kind, listing.index, tuple(entries))
+        for part in split_update(update, servers.version, servers.entries):
+            self._conductor.update_endpoints(part, addresses)
+            if part.version == listing.index:
+                self._received(update, now_ms)
+            yield part.version == listing.index
+
+    def _received(self, update: EndpointUpdate, now_ms: float) -> None:
+        """Record that an update has been applied whole."""
+        if update.kind is not EndpointUpdateKind.PERSISTED:
             self._complete_ms = now_ms
-        self._conductor.update_endpoints(EndpointUpdate(kind, listing.index, tuple(entries)), addresses)
         self._start_times.retain(self._conductor.context.servers.entries)
-        up = [entry for entry in entries if entry.availability == Availability.UP]
+        up = [entry for entry in update.entries if entry.availability == Availability.UP]
         fresh = {entry.server: entry.started_ms for entry in up if entry.started_ms > 0}
         log.info(
             "endpoint_list_received",
-            form=kind.value,
-            index=listing.index,
-            entries=len(entries),
+            form=update.kind.value,
+            index=update.version,
+            entries=len(update.entries),
             fresh_count=len(fresh),
             fresh=dict(islice(fresh.items(), MAX_LOGGED_STARTS)),
         )
@@ -113,7 +136,7 @@
             try:
                 with anyio.fail_after(IDLE_TIMEOUT_S):
                     listing = await self._fetch()
-                self.apply(listing)
+                await self.apply_beside_requests(listing)
             except (*PEER_ERRORS, ListError) as error:
                 log.warning("endpoint_list_fetch_failed", error=repr(error))
                 self._conductor.update_endpoints(EndpointUpdate(EndpointUpdateKind.FAILED), {})
@@ -139,7 +162,7 @@
                 await self._watch_once(tasks)
         except (TimeoutError, *PEER_ERRORS, ListError) as error:
             delay_s = self._backoff.next_delay_s(refused=isinstance(error, ConnectionRefusedError))
-            _log_failure(error, delay_s)
+            log_watch_failure(error, delay_s)
             return delay_s
         delay_s = 0.0 if self._watch_scope.cancelled_caught else self._backoff.next_delay_s()
         log.info("endpoint_watch_ended", again_s=round(delay_s, 3))
@@ -158,7 +181,7 @@
                     if not splitter.is_between_objects:
                         raise ListError("watch ended within an object")
                     return
-                self._receive(splitter, bytes(event.data))
+                await self._receive(splitter, bytes(event.data))
         finally:
             conn.close()
 
@@ -191,7 +214,7 @@
         slow = self._timeout.watch_timed_out(anyio.current_time())
         raise TimeoutError("line not completed in time" if slow else "no line received in time")
 
-    def _receive(self, splitter: JsonStreamSplitter, piece: bytes) -> None:
+    async def _receive(self, splitter: JsonStreamSplitter, piece: bytes) -> None:
         """Apply the objects that a piece of the watch's response completes."""
         received = ReceivedListings()
         try:
@@ -200,7 +223,7 @@
         finally:  # what precedes a malformed object is valid
             listings = received.take()
             for listing in listings:
-                self.apply(listing)
+                await self.apply_beside_requests(listing)
         self._timeout.data_received(
             anyio.current_time(),
             has_update=bool(listings),
@@ -223,15 +246,3 @@
 def _complete_s_for(remaining_s: float) -> float:
     """The last time of a complete list that leaves `remaining_s` of `PUSH_STALENESS_LIMIT_S` from now on."""
     return time.monotonic() - PUSH_STALENESS_LIMIT_S + remaining_s
-
-
-def _log_failure(error: Exception, delay_s: float) -> None:
-    """Log the failure of a watch at the level and with the event of its cause."""
-    retry_s = round(delay_s, 3)
-    match error:
-        case TimeoutError():
-            log.warning("endpoint_watch_timed_out", why=str(error), again_s=retry_s)
-        case ListError():
-            log.error("endpoint_list_malformed", error=str(error), again_s=retry_s)
-        case _:
-            log.warning("endpoint_watch_failed", error=str(error), again_s=retry_s)
