Count the warmth of servers that warm up once a second in fleets of over 256 servers

Callers saw late answers, released entries and ends of streams on a third of a core with 3,200 servers, while many servers were restarted one by one. Cause: each change counted the warmth of all servers that warm up anew, as long as these were at most 256: 2.7 ms of CPU a change, for hundreds of changes in a turn.

Change: only fleets of up to 256 servers are counted anew at each change, as before; in larger ones a changed server is counted at once and all others each second. Evidence: the log of a stalled router has 11 to 14 changes each 0.1 s until 256 servers were cold, and 50 to 96 from then on.

--- a/ringledge/routing/fleet.py
+++ b/ringledge/routing/fleet.py
@@ -180,8 +180,8 @@
         self.capacity.set(server, contribution)
 
     def update_warmth(self, now_ms: float, max_servers: float = inf) -> None:
-        """Count the warmth of the servers that are warming up anew, unless they are too many."""
-        for server in list(self._warming) if len(self._warming) <= max_servers else ():
+        """Count the warmth of the servers that are warming up anew, unless the fleet is too large."""
+        for server in list(self._warming) if len(self.servers) <= max_servers else ():
             prefills = not self.is_dedicated_to(server, Role.DECODE)
             decodes = not self.is_dedicated_to(server, Role.PREFILL)
             self._count_warmth(server, now_ms, prefills, decodes)
--- a/tests/routing/test_fleet_size.py
+++ b/tests/routing/test_fleet_size.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ringledge.routing.interface import RolePlan, UnreachableServers
+from ringledge.routing.interface import EndpointUpdate, EndpointUpdateKind, RolePlan, UnreachableServers
 from tests.router_harness import RouterHarness
 from tests.routing.large_fleet import (
     KIND_SETTINGS,
@@ -20,6 +20,7 @@
 from tests.work_counter import instructions
 
 USUAL, LARGE = 200, (800, 3_200)
+COLD_SERVERS = 150  # that have just started
 MAX_GROWTH = 1.6  # of the work, against the usual fleet
 # For work that takes very few instructions in the usual fleet: a few accesses to each of some indexes.
 FREE_INSTRUCTIONS = 2_000
@@ -42,6 +43,11 @@
     router.deliver(UnreachableServers(frozenset(names) - {"s0", "s1", "s2"}))
 
 
+def some_cold(router: RouterHarness) -> None:
+    fleet = large_fleet(COLD_SERVERS, router.now_ms)
+    router.deliver(EndpointUpdate(EndpointUpdateKind.CHANGES, 2, fleet))
+
+
 def planned_roles(router: RouterHarness) -> None:
     router.deliver(RolePlan(no_prefill=frozenset({"s4"}), no_decode=frozenset({"s9"})))
 
@@ -53,6 +59,7 @@
     "half unreachable": half_unreachable,
     "all but three unreachable": all_but_three_unreachable,
     "planned roles": planned_roles,
+    "some cold": some_cold,
 }
 
 
@@ -72,6 +79,17 @@
     count(size, MAX_GROWTH * count(USUAL, float("inf")) + FREE_INSTRUCTIONS)
 
 
+@pytest.mark.parametrize("size", LARGE)
+def test_work_of_a_change_does_not_grow_with_the_servers_that_warm_up(size: int) -> None:
+    def count(cold: bool) -> int:
+        router = large_router(size)
+        if cold:
+            some_cold(router)
+        return instructions(lambda: router.deliver(changes_of_one_server(router)["draining"]))
+
+    assert count(cold=True) < MAX_GROWTH * count(cold=False) + FREE_INSTRUCTIONS
+
+
 @pytest.mark.parametrize("name", changes_of_one_server(large_router(10)))
 @pytest.mark.parametrize("size", LARGE)
 def test_work_of_a_change_of_one_server_does_not_grow_with_the_fleet(size: int, name: str) -> None:
