Keep the bound of a whole scan with the pool, and ask for a server's planned roles in one place

FULL_SCAN_SERVERS stood in eligibility.py and was imported by five modules that otherwise need nothing of it: it is the pool's. What the role plan leaves a server was worked out twice in FleetState. `rank` wrote its filter twice, once on a way that no caller takes.

--- a/ringledge/routing/decode.py
+++ b/ringledge/routing/decode.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from ringledge.routing.context import RoutingContext
-from ringledge.routing.eligibility import FULL_SCAN_SERVERS, EligibilityFilter
+from ringledge.routing.eligibility import EligibilityFilter
 from ringledge.routing.estimates import Estimates
 from ringledge.routing.fleet import FleetState
 from ringledge.routing.prefill import MAX_ALTERNATIVE_RATIO
-from ringledge.routing.server_pool import ServerPool
+from ringledge.routing.server_pool import FULL_SCAN_SERVERS, ServerPool
 from ringledge.routing.state import RequestState, Server
 
 # Servers of a cell, a zone and the pool that a selection looks at. Two would do, but some may be ineligible.
--- a/ringledge/routing/eligibility.py
+++ b/ringledge/routing/eligibility.py
@@ -20,11 +20,6 @@
 MAX_CREDIT_WINDOWS = 2.0
 
 
-# Servers of a pool that every selection looks at. Of a larger pool it looks at some candidates, so that its
-# work does not grow with the fleet.
-FULL_SCAN_SERVERS = 256
-
-
 class EligibilityFilter:
     """Filters servers before every selection.
 
--- a/ringledge/routing/endpoint_registry.py
+++ b/ringledge/routing/endpoint_registry.py
@@ -14,10 +14,10 @@
 from ringledge.routing.affinity import SessionAffinities
 from ringledge.routing.context import RoutingContext
 from ringledge.routing.control_events import OperatorOverride, RolePlan, UnreachableServers
-from ringledge.routing.eligibility import FULL_SCAN_SERVERS
 from ringledge.routing.endpoints import Availability, EndpointUpdate, EndpointUpdateKind, ServerEntry
 from ringledge.routing.estimates import Estimates
 from ringledge.routing.fleet import FleetState
+from ringledge.routing.server_pool import FULL_SCAN_SERVERS
 from ringledge.routing.settings import MembershipMode
 from ringledge.routing.state import DECAY_MS, DecayingMean, Server
 from ringledge.routing.termination import cancel_actions
--- a/ringledge/routing/fleet.py
+++ b/ringledge/routing/fleet.py
@@ -146,14 +146,17 @@
             self._capable.prefill.add(server)
         if role != Role.PREFILL:
             self._capable.decode.add(server)
-        prefills = not self.is_dedicated_to(server, Role.DECODE)
-        decodes = not self.is_dedicated_to(server, Role.PREFILL)
+        prefills, decodes = self._planned_roles(server)
         if self._planned is not None and prefills:
             self._planned.prefill.add(server)
         if self._planned is not None and decodes:
             self._planned.decode.add(server)
         self._count_warmth(server, now_ms, prefills, decodes)
 
+    def _planned_roles(self, server: Server) -> tuple[bool, bool]:
+        """Whether a server gets new prefills, and new decodes, by its kind and the role plan."""
+        return not self.is_dedicated_to(server, Role.DECODE), not self.is_dedicated_to(server, Role.PREFILL)
+
     def _displace(self, server: Server) -> None:
         if server not in self.capacity:
             return
@@ -182,9 +185,7 @@
     def update_warmth(self, now_ms: float, max_servers: float = inf) -> None:
         """Count the warmth of the servers that are warming up anew, unless the fleet is too large."""
         for server in list(self._warming) if len(self.servers) <= max_servers else ():
-            prefills = not self.is_dedicated_to(server, Role.DECODE)
-            decodes = not self.is_dedicated_to(server, Role.PREFILL)
-            self._count_warmth(server, now_ms, prefills, decodes)
+            self._count_warmth(server, now_ms, *self._planned_roles(server))
 
     def finish_update(self) -> list[int]:
         """Complete the changes of one event; return the cells that no longer have listed servers."""
--- a/ringledge/routing/observations.py
+++ b/ringledge/routing/observations.py
@@ -9,10 +9,10 @@
 
 from ringledge.routing.concurrency_limit import CONGESTION_WAIT_SHARE, ConcurrencyLimit
 from ringledge.routing.context import RoutingContext
-from ringledge.routing.eligibility import FULL_SCAN_SERVERS
 from ringledge.routing.estimates import PREFILL_OVERHEAD_TOKENS, Estimates
 from ringledge.routing.events import AttemptOutcome, AttemptStatus
 from ringledge.routing.fleet import FleetState
+from ringledge.routing.server_pool import FULL_SCAN_SERVERS
 from ringledge.routing.settings import Role
 from ringledge.routing.state import ANY_REQUEST, SAMPLE_WEIGHT, SERVER_ERROR, RequestState, Server
 
--- a/ringledge/routing/prefill.py
+++ b/ringledge/routing/prefill.py
@@ -10,12 +10,13 @@
 from ringledge.routing.affinity import SessionAffinities
 from ringledge.routing.concurrency_limit import ConcurrencyLimit
 from ringledge.routing.context import RoutingContext
-from ringledge.routing.eligibility import FULL_SCAN_SERVERS, EligibilityFilter
+from ringledge.routing.eligibility import EligibilityFilter
 from ringledge.routing.estimates import PREFILL_OVERHEAD_TOKENS, Estimates
 from ringledge.routing.events import Request
 from ringledge.routing.fleet import FleetState
 from ringledge.routing.observations import INITIAL_PREFILLS
 from ringledge.routing.rendezvous import WIDER_CANDIDATES, rank
+from ringledge.routing.server_pool import FULL_SCAN_SERVERS
 from ringledge.routing.settings import Role
 from ringledge.routing.state import RequestState, Server
 
--- a/ringledge/routing/rendezvous.py
+++ b/ringledge/routing/rendezvous.py
@@ -10,8 +10,7 @@
 from collections.abc import Callable, Iterable
 from hashlib import blake2b
 
-from ringledge.routing.eligibility import FULL_SCAN_SERVERS
-from ringledge.routing.server_pool import BUCKET_COUNT, ServerPool
+from ringledge.routing.server_pool import BUCKET_COUNT, FULL_SCAN_SERVERS, ServerPool
 from ringledge.routing.state import Server
 
 CANDIDATES = 48  # servers of a large pool that are ranked, at least
@@ -22,15 +21,14 @@
     key: str,
     pool: ServerPool,
     candidates: int = CANDIDATES,
-    is_wanted: Callable[[Server], bool] | None = None,
+    is_wanted: Callable[[Server], bool] = lambda _: True,
 ) -> list[Server]:
-    """Rank the servers of a pool by key: of a large pool only `candidates` ones, and only wanted ones."""
+    """Rank the servers of a small pool by key; of a large one, the first `candidates` that are wanted."""
     if len(pool) <= FULL_SCAN_SERVERS:
-        return _ranked(key, filter(is_wanted, pool.servers) if is_wanted else pool.servers)
+        return _ranked(key, pool.servers)
     ranked = list[Server]()
     for bucket in sorted(range(BUCKET_COUNT), key=lambda each: _weight(f"{key}|{each}"), reverse=True):
-        servers = pool.in_bucket(bucket)
-        ranked += _ranked(key, filter(is_wanted, servers) if is_wanted else servers)
+        ranked += _ranked(key, filter(is_wanted, pool.in_bucket(bucket)))
         if len(ranked) >= candidates:
             break
     return ranked[:candidates]
--- a/ringledge/routing/server_pool.py
+++ b/ringledge/routing/server_pool.py
@@ -9,6 +9,9 @@
 
 from ringledge.routing.state import Server
 
+# Servers of a pool that every selection looks at. Of a larger pool it looks at some candidates, so that its
+# work does not grow with the fleet.
+FULL_SCAN_SERVERS = 256
 # Parts of a large pool by which it is ranked: of 3,200 servers each has about 50.
 BUCKET_COUNT = 64
 
