State the bound of the tests of fleet size once

Three files repeated the sizes, the growth of 1.6 and the free instructions, and how they combine. They stand in tests/work_counter.py now; sizes, bounds and assertions are the same.

--- a/tests/decide/servers/test_fleet_size.py
+++ b/tests/decide/servers/test_fleet_size.py
@@ -8,10 +8,8 @@
 
 from ringledge.decide.servers.reachability import Reachability
 from ringledge.decide.servers.releases import ReleaseScheduler
-from tests.work_counter import instructions
+from tests.work_counter import LARGE, assert_work_bounded, instructions
 
-USUAL, LARGE = 200, (800, 3_200)
-MAX_GROWTH, FREE_INSTRUCTIONS = 1.6, 2_000
 ZONES, REACHED = 3, 8
 
 Play = Callable[[Reachability, Mapping[str, bool]], object]
@@ -59,4 +57,4 @@
         fleet = listed_servers(servers)
         return instructions(lambda: PLAYS[play](*fleet), limit)
 
-    count(size, MAX_GROWTH * count(USUAL, float("inf")) + FREE_INSTRUCTIONS)
+    assert_work_bounded(size, count)
--- a/tests/routing/test_fleet_size.py
+++ b/tests/routing/test_fleet_size.py
@@ -17,13 +17,9 @@
     serve_beside_failures,
     serve_one,
 )
-from tests.work_counter import instructions
+from tests.work_counter import LARGE, assert_work_bounded, instruction_limit, instructions
 
-USUAL, LARGE = 200, (800, 3_200)
 COLD_SERVERS = 150  # that have just started
-MAX_GROWTH = 1.6  # of the work, against the usual fleet
-# For work that takes very few instructions in the usual fleet: a few accesses to each of some indexes.
-FREE_INSTRUCTIONS = 2_000
 
 Play = Callable[[RouterHarness], object]
 PLAYS: dict[str, Play] = {
@@ -76,7 +72,7 @@
         router = RouterHarness(large_fleet(servers, 999_000.0), routers=ROUTERS, kinds=KIND_SETTINGS)
         return instructions(lambda: router.request("one", session=9_999), limit)
 
-    count(size, MAX_GROWTH * count(USUAL, float("inf")) + FREE_INSTRUCTIONS)
+    assert_work_bounded(size, count)
 
 
 @pytest.mark.parametrize("size", LARGE)
@@ -87,7 +83,7 @@
             some_cold(router)
         return instructions(lambda: router.deliver(changes_of_one_server(router)["draining"]))
 
-    assert count(cold=True) < MAX_GROWTH * count(cold=False) + FREE_INSTRUCTIONS
+    assert count(cold=True) < instruction_limit(count(cold=False))
 
 
 @pytest.mark.parametrize("name", changes_of_one_server(large_router(10)))
@@ -112,4 +108,4 @@
         prepare(router)
         return instructions(lambda: play(router), limit)
 
-    count(size, MAX_GROWTH * count(USUAL, float("inf")) + FREE_INSTRUCTIONS)
+    assert_work_bounded(size, count)
--- a/tests/wire/discovery/test_fleet_size.py
+++ b/tests/wire/discovery/test_fleet_size.py
@@ -4,7 +4,6 @@
 
 import random
 from collections.abc import Iterable
-from math import inf
 from typing import cast
 
 import anyio
@@ -21,10 +20,8 @@
 from ringledge.observe.metrics import Metrics
 from ringledge.wire.discovery.watcher import DiscoveryClient
 from tests.router_harness import SETTINGS
-from tests.work_counter import instructions
+from tests.work_counter import LARGE, assert_work_bounded, instructions
 
-USUAL, LARGE = 200, (800, 3_200)
-MAX_GROWTH, FREE_INSTRUCTIONS = 1.6, 2_000
 MAX_LINE_BYTES = 4_096  # that a pipe has room for if it polls as writable
 NAMES = WireNames(("east",), ("prefill", "decode", "mixed"), (), (), 30.0, 0.25, 0.0)
 
@@ -70,8 +67,7 @@
 @pytest.mark.parametrize("size", LARGE)
 def test_work_of_a_change_of_one_endpoint_does_not_grow_with_the_fleet(size: int, status: str) -> None:
     changed = endpoint(99_999) if status == "new" else endpoint(3, status)
-    usual = anyio.run(work_of_change, USUAL, changed, inf)
-    anyio.run(work_of_change, size, changed, MAX_GROWTH * usual + FREE_INSTRUCTIONS)
+    assert_work_bounded(size, lambda servers, limit: anyio.run(work_of_change, servers, changed, limit))
 
 
 async def receive_starts(size: int) -> None:
