--- a/benchmarks/soak/day.py
+++ b/benchmarks/soak/day.py
@@ -19,7 +19,7 @@
 from benchmarks.soak.events import EventLog, read_events
 from benchmarks.soak.fleet import ROOT, RouterProcess, free_ports, server_ports
 from benchmarks.soak.history import build_history
-from benchmarks.soak.hosted import group, host_of
+from benchmarks.soak.hosted import group
 from benchmarks.soak.oracle import MAX_STALL_S, TIMED_RULES, judge
 from benchmarks.soak.plan import LOAD_S, MAX_ROUTERS, Plan, zone
 from benchmarks.soak.process_rules import Violation
@@ -59,12 +59,11 @@
     def __init__(self, plan: Plan, folder: Path) -> None:
         self.plan, self.folder, self.log = plan, folder, EventLog(folder / "driver.events", "driver")
         self.start_s = time.monotonic() + STARTUP_S + STARTUP_SERVER_S * len(plan.hosted)
-        servers, conductors = len(plan.servers) - len(plan.hosted), len(plan.conductors)
+        servers, conductors = len(plan.usual_servers), len(plan.conductors)
         ports = free_ports(plan.host, 2 * servers + (3 + MAX_STARTS) * conductors)
-        usual = [server for server in plan.servers if not host_of(server)]
         hosted_ports = server_ports(plan.host, 2 * len(plan.hosted)) if plan.hosted else []
-        self.proxy_ports = {server: ports.pop() for server in usual}
-        self.server_ports = {server: ports.pop() for server in usual}
+        self.proxy_ports = {server: ports.pop() for server in plan.usual_servers}
+        self.server_ports = {server: ports.pop() for server in plan.usual_servers}
         self.proxy_ports |= {server: hosted_ports.pop() for server in plan.hosted}
         self.server_ports |= {server: hosted_ports.pop() for server in plan.hosted}
         self.ports = {name: ports.pop() for name in plan.conductors}
@@ -131,7 +130,7 @@
         }  # fmt: skip
         faults = self.folder / "faults.json"
         faults.write_bytes(orjson.dumps(scenario))
-        for process in [*self.plan.servers[: -len(self.plan.hosted) or None], *self.plan.hosts]:
+        for process in [*self.plan.usual_servers, *self.plan.hosts]:
             self.start_server(process)
         self._start_helper("benchmarks.soak.proxy", str(faults), str(self.folder / "proxy.events"))
         for position, name in enumerate(self.plan.conductors):
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -85,7 +85,12 @@
     @property
     def servers(self) -> list[str]:
         """The names of all servers."""
-        return self.prefill + self.decode + self.mixed + self.hosted
+        return self.usual_servers + self.hosted
+
+    @property
+    def usual_servers(self) -> list[str]:
+        """The names of the servers that have processes of their own."""
+        return self.prefill + self.decode + self.mixed
 
     @property
     def hosts(self) -> list[str]:
